--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench: scenarios over real router processes and stand-ins on loopback."""
--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,110 @@
+"""Callers: send requests and check the answers."""
+
+import dataclasses
+import time
+from typing import Any
+
+import aiohttp
+import msgspec
+import xxhash
+
+EVENT_MARK = b'data: '
+
+
+@dataclasses.dataclass
+class ChatOutcome:
+    """What a caller saw of one chat.
+
+    :param wrong: a part of the answer does not belong to the prompt
+    """
+
+    account: str
+    status: int = 0
+    sent_at_s: float = 0
+    first_at_s: float = 0
+    ended_at_s: float = 0
+    tokens: int = 0
+    wanted: int = 0
+    whole: bool = False
+    wrong: bool = False
+    charge: float = 0
+    receipt: str = ''
+    refusal: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+    @property
+    def first_s(self) -> float:
+        """Time to the first token."""
+        return self.first_at_s - self.sent_at_s
+
+
+def chat_document(prompt: str, tokens: int, *, stream: bool = True) -> Any:
+    """Return the body of a chat request."""
+    return {
+        'model': 'standin',
+        'stream': stream,
+        'max_tokens': tokens,
+        'messages': [{'role': 'user', 'content': prompt}],
+    }
+
+
+async def chat(
+    session: aiohttp.ClientSession,
+    url: str,
+    account: str,
+    prompt: str,
+    tokens: int,
+    key: str = '',
+) -> ChatOutcome:
+    """Send a streamed chat and check every token of the answer."""
+    outcome = ChatOutcome(account, wanted=tokens, sent_at_s=time.monotonic())
+    digest = xxhash.xxh64_hexdigest(prompt.encode())[:6]
+    try:
+        async with session.post(
+            f'{url}/v1/chat/completions',
+            data=msgspec.json.encode(chat_document(prompt, tokens)),
+            headers={'Authorization': f'Bearer {key or f"key-of-{account}"}'},
+        ) as response:
+            outcome.status = response.status
+            if response.status == 200:
+                await _read_events(response, outcome, digest)
+            else:
+                body = await response.read()
+                outcome.refusal = msgspec.json.decode(body)['error']
+    except (aiohttp.ClientError, ConnectionError) as error:
+        outcome.refusal = {'type': 'connection', 'message': str(error)}
+    outcome.ended_at_s = time.monotonic()
+    return outcome
+
+
+async def _read_events(
+    response: aiohttp.ClientResponse,
+    outcome: ChatOutcome,
+    digest: str,
+) -> None:
+    """Check the events of a stream."""
+    buffer = b''
+    async for chunk in response.content.iter_any():
+        buffer += chunk
+        *events, buffer = buffer.split(b'\n\n')
+        for event in events:
+            _take_event(event.removeprefix(EVENT_MARK), outcome, digest)
+
+
+def _take_event(event: bytes, outcome: ChatOutcome, digest: str) -> None:
+    """Check one event."""
+    if event == b'[DONE]':
+        outcome.whole = outcome.tokens == outcome.wanted
+        return
+    document = msgspec.json.decode(event)
+    if 'error' in document:
+        outcome.refusal = document['error']
+    elif document.get('choices'):
+        if not outcome.tokens:
+            outcome.first_at_s = time.monotonic()
+        word = document['choices'][0]['delta']['content']
+        if word != f'{digest}:{outcome.tokens} ':
+            outcome.wrong = True
+        outcome.tokens += 1
+    else:
+        outcome.charge = document['receipt']['charge']
+        outcome.receipt = document['receipt']['id']
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,142 @@
+"""Demonstration: two owners share a small fleet."""
+
+import asyncio
+import sys
+import time
+
+from bench.callers import ChatOutcome, chat
+from bench.fleet import AccountPlan, Fleet, FleetPlan, ServicePlan
+
+SECONDS = 6.0
+CHAT_TOKENS = 40
+FILE_TOKENS = 300
+FILE_PROMPT = 'whole building file ' * 2000
+
+PLAN = FleetPlan(
+    routers=3,
+    services=(
+        ServicePlan(
+            'assistant',
+            'model',
+            5,
+            {'models': ['standin'], 'target_limit': 4, 'target_limit_max': 4},
+            ('--token-ms', '8', '--batch', '4'),
+        ),
+        ServicePlan('booking', 'plain', 3, {'target_limit': 8}),
+    ),
+    accounts=(
+        AccountPlan('installers', 'dobrescu', 1),
+        AccountPlan('office', 'dobrescu', 2),
+        AccountPlan('rounds', 'rota-limpa', 4),
+        AccountPlan('parents', 'rota-limpa', 1),
+    ),
+)
+
+
+class Demonstration:
+    """Sends the demonstration's load and prints what came of it."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Start without outcomes."""
+        self.fleet = fleet
+        self.outcomes: list[ChatOutcome] = []
+        self.deposits: list[int] = []
+        self.ends_at_s = time.monotonic() + SECONDS
+
+    async def run(self) -> bool:
+        """Send everything, print the tables and tell whether all went well."""
+        work = [self._file_check()]
+        for number, account in enumerate(PLAN.accounts[:3]):
+            url = self.fleet.routers[number].url
+            work.extend(self._chats(account.name, url) for _ in range(30))
+        work.extend(self._deposit(number) for number in range(12))
+        await asyncio.gather(*work)
+        await asyncio.sleep(2.5)
+        await self._print()
+        whole = all(each.whole and not each.wrong for each in self.outcomes)
+        return whole and set(self.deposits) == {200}
+
+    async def _chats(self, account: str, url: str) -> None:
+        """Chat without a pause until the time is over."""
+        number = 0
+        while time.monotonic() < self.ends_at_s:
+            number += 1
+            self.outcomes.append(
+                await chat(
+                    self._session,
+                    url,
+                    account,
+                    f'{account} asks {id(asyncio.current_task())} {number}',
+                    CHAT_TOKENS,
+                ),
+            )
+
+    async def _file_check(self) -> None:
+        """Send one request over a whole file."""
+        url = self.fleet.routers[1].url
+        self.outcomes.append(
+            await chat(self._session, url, 'parents', FILE_PROMPT, FILE_TOKENS),
+        )
+
+    async def _deposit(self, number: int) -> None:
+        """Take a deposit, asking every router with the same key."""
+        calls = [
+            self._session.post(
+                f'{router.url}/services/booking/deposits',
+                data=f'deposit {number}',
+                headers={
+                    'Authorization': 'Bearer key-of-installers',
+                    'Idempotency-Key': f'deposit-{number}',
+                },
+            )
+            for router in self.fleet.routers
+        ]
+        answers = await asyncio.gather(*calls)
+        self.deposits.append(min(answer.status for answer in answers))
+        for answer in answers:
+            answer.release()
+
+    @property
+    def _session(self):  # type: ignore[no-untyped-def]
+        """The session of the fleet."""
+        return self.fleet.session
+
+    async def _print(self) -> None:
+        """Print service against share, charges and the fleet's state."""
+        served: dict[str, int] = {}
+        for outcome in self.outcomes:
+            tokens = served.get(outcome.account, 0)
+            if outcome.ended_at_s < self.ends_at_s:
+                served[outcome.account] = tokens + outcome.tokens
+        backlogged = PLAN.accounts[:3]
+        total = sum(served.get(each.name, 0) for each in backlogged)
+        shares = sum(each.share for each in backlogged)
+        print('account      tokens  received  should have')
+        for each in backlogged:
+            tokens = served.get(each.name, 0)
+            print(
+                f'{each.name:<12} {tokens:>6}  {tokens / total:>8.1%}'
+                f'  {each.share / shares:>11.1%}',
+            )
+        for statement in (
+            'SHOW USE BY ACCOUNT, SERVICE SINCE 1h',
+            'SHOW TARGETS',
+            'SHOW INSTANCES',
+            'SHOW POOLS',
+        ):
+            print(f'\n{statement}')
+            table = await self.fleet.run_statement(statement)
+            for row in (table['columns'], *table['rows']):
+                print('  '.join(f'{cell!s:<14}' for cell in row).rstrip())
+
+
+async def main() -> int:
+    """Run the demonstration and return the exit status."""
+    async with Fleet(PLAN) as fleet:
+        succeeded = await Demonstration(fleet).run()
+    print('\nall answers whole' if succeeded else '\nsome answers failed')
+    return 0 if succeeded else 1
+
+
+if __name__ == '__main__':
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/src/dandelionplank/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/src/dandelionplank/commands/check.py
@@ -0,0 +1,68 @@
+"""Checks settings and configuration files without starting anything."""
+
+import sys
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+
+import cyclopts
+
+from dandelionplank.configuration.model import (
+    Configuration,
+    check_consistency,
+)
+from dandelionplank.errors import DandelionplankError
+from dandelionplank.settings import load_settings, load_yaml
+
+EXIT_INVALID = 2
+
+app = cyclopts.App(
+    name='dandelionplank-check',
+    help='Check settings and configuration files.',
+)
+
+
+@app.command(name='settings')
+def check_settings(*files: Path) -> None:
+    """Check router settings.
+
+    Exits with status 2 and names file, line, key and reason if one is wrong.
+
+    Example: ``dandelionplank-check settings examples/ro-centru/*.yaml``
+
+    :param files: YAML files
+    """
+    for path in files:
+        _check(path, partial(load_settings, path))
+
+
+@app.command(name='configuration')
+def check_configuration(*files: Path) -> None:
+    """Check configurations: owners, accounts, services and targets.
+
+    Exits with status 2 and names file, line, key and reason if one is wrong.
+
+    :param files: YAML files
+    """
+    for path in files:
+        _check(path, partial(_load_configuration, path))
+
+
+def _load_configuration(path: Path) -> None:
+    """Load a configuration and check its references."""
+    check_consistency(load_yaml(path, Configuration))
+
+
+def _check(path: Path, load: Callable[[], object]) -> None:
+    """Run one check and report it."""
+    try:
+        load()
+    except DandelionplankError as error:
+        sys.stderr.write(f'{error.code.label} {error.reason}\n')
+        raise SystemExit(EXIT_INVALID) from error
+    sys.stdout.write(f'{path}: valid\n')
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/src/dandelionplank/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration and its changes."""
--- /dev/null
+++ b/src/dandelionplank/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Fair ordering of work between client accounts."""
--- /dev/null
+++ b/src/dandelionplank/fairness/invariants.py
@@ -0,0 +1,66 @@
+"""Conditions that a scheduler must meet at all times."""
+
+import math
+
+from dandelionplank.fairness.scheduler import PoolScheduler
+
+TOLERANCE = 1e-6
+
+
+def find_violations(scheduler: PoolScheduler, now_s: float) -> list[str]:
+    """Return a description of each condition that does not hold.
+
+    :param scheduler: the decision object, after :meth:`schedule` has run
+    :param now_s: monotonic time
+    """
+    return [
+        *_slot_violations(scheduler),
+        *_ticket_violations(scheduler),
+        *_charge_violations(scheduler),
+        *_idle_violations(scheduler, now_s),
+    ]
+
+
+def _slot_violations(scheduler: PoolScheduler) -> list[str]:
+    """Check that the slots taken agree with the attempts that run."""
+    taken: dict[str, int] = {}
+    for running in scheduler.running.values():
+        taken[running.target] = taken.get(running.target, 0) + 1
+    return [
+        f'{name}: {slots.in_flight} slots taken, {taken.get(name, 0)} run'
+        for name, slots in scheduler.slots.items()
+        if slots.in_flight != taken.get(name, 0)
+    ]
+
+
+def _ticket_violations(scheduler: PoolScheduler) -> list[str]:
+    """Check that no ticket both waits and runs."""
+    return [
+        f'{ticket_id} waits and runs'
+        for ticket_id in scheduler.running
+        if ticket_id in scheduler.backlog
+    ]
+
+
+def _charge_violations(scheduler: PoolScheduler) -> list[str]:
+    """Check counters and the sum of charges in flight."""
+    faults = [
+        f'{account}: counter {level}'
+        for account, level in scheduler.counters.virtual.items()
+        if not math.isfinite(level) or level < 0
+    ]
+    total = sum(each.charged for each in scheduler.running.values())
+    if abs(total - scheduler.in_flight_cost) > TOLERANCE * max(1.0, total):
+        faults.append(f'in flight {scheduler.in_flight_cost}, sum {total}')
+    return faults
+
+
+def _idle_violations(scheduler: PoolScheduler, now_s: float) -> list[str]:
+    """Check that no slot is idle while a ticket waits."""
+    if not len(scheduler.backlog):
+        return []
+    return [
+        f'{name} is idle while {len(scheduler.backlog)} tickets wait'
+        for name, slots in scheduler.slots.items()
+        if slots.has_slot(now_s)
+    ]
--- /dev/null
+++ b/src/dandelionplank/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Cumulative use, charges and statements."""
--- /dev/null
+++ b/src/dandelionplank/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances of the fleet are alive."""
--- /dev/null
+++ b/src/dandelionplank/metrics.py
@@ -0,0 +1,90 @@
+"""Counters, gauges and latency histograms of one process."""
+
+from collections import defaultdict
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS = 1_000_000
+QUANTILES = (50.0, 95.0, 99.0)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Holds every metric of the process and prints the text form."""
+
+    def __init__(self) -> None:
+        """Start with no metric."""
+        self.counters: dict[tuple[str, Labels], float] = defaultdict(float)
+        self.gauges: dict[tuple[str, Labels], float] = {}
+        self.histograms: dict[str, HdrHistogram] = {}
+
+    def add(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Raise a counter.
+
+        :param name: metric name without prefix
+        :param amount: how much to add
+        :param labels: label names and texts
+        """
+        self.counters[name, tuple(sorted(labels.items()))] += amount
+
+    def set_gauge(self, name: str, level: float, **labels: str) -> None:
+        """Set a gauge to its present level."""
+        self.gauges[name, tuple(sorted(labels.items()))] = level
+
+    def observe_s(self, name: str, seconds: float) -> None:
+        """Record a duration in a histogram.
+
+        :param name: metric name without prefix, ending in ``_seconds``
+        :param seconds: the duration
+        """
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.histograms[name] = histogram
+        histogram.record_value(
+            min(HIGHEST_US, max(LOWEST_US, int(seconds * MICROSECONDS))),
+        )
+
+    def count_event(self, number: int) -> None:
+        """Count a log event by its number."""
+        self.add('events_total', event=str(number))
+
+    def render(self) -> str:
+        """Return all metrics in the Prometheus text form."""
+        lines = [
+            f'dandelionplank_{name}{_braces(labels)} {amount:g}'
+            for store in (self.counters, self.gauges)
+            for (name, labels), amount in sorted(store.items())
+        ]
+        for name, histogram in sorted(self.histograms.items()):
+            lines.extend(_summary(name, histogram))
+        return '\n'.join((*lines, ''))
+
+
+def _braces(labels: Labels) -> str:
+    """Return labels in braces, or nothing where there are none."""
+    if not labels:
+        return ''
+    pairs = ','.join(f'{key}="{text}"' for key, text in labels)
+    return f'{{{pairs}}}'
+
+
+def _summary(name: str, histogram: HdrHistogram) -> list[str]:
+    """Return the quantile lines of one histogram, in seconds."""
+    lines = []
+    for percentile in QUANTILES:
+        micros = histogram.get_value_at_percentile(percentile)
+        quantile = percentile / 100
+        lines.append(
+            f'dandelionplank_{name}{{quantile="{quantile:g}"}} '
+            f'{micros / MICROSECONDS:g}',
+        )
+    lines.append(f'dandelionplank_{name}_count {histogram.get_total_count()}')
+    return lines
+
+
+METRICS = Metrics()
--- /dev/null
+++ b/src/dandelionplank/once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of keyed calls."""
--- /dev/null
+++ b/src/dandelionplank/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' language."""
--- /dev/null
+++ b/src/dandelionplank/operators/changes.py
@@ -0,0 +1,193 @@
+"""Changes that statements make to a configuration, as pure functions."""
+
+import dataclasses
+import time
+from typing import TypeVar
+
+import msgspec
+
+from dandelionplank.accounts import CallerKey, ClientAccount, Owner
+from dandelionplank.configuration.model import Configuration
+from dandelionplank.errors import StatementError
+from dandelionplank.operators.statements import (
+    ChangeStatement,
+    CreateAccount,
+    CreateKey,
+    CreateOwner,
+    CreateTarget,
+    DropAccount,
+    DropTarget,
+    RevokeKey,
+    SetAccount,
+    SetTarget,
+)
+from dandelionplank.settings import Address
+from dandelionplank.targets import Target, TargetState
+
+STEP = 'change'
+Named = TypeVar('Named', bound=Owner | ClientAccount | Target)
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A statement that can be applied to any configuration.
+
+    :param key_digest: digest of the secret of a new key
+    """
+
+    statement: ChangeStatement
+    key_digest: str = ''
+
+    def __call__(self, before: Configuration) -> Configuration:
+        """Return the changed configuration.
+
+        :raises StatementError: the change does not fit the configuration
+        """
+        try:
+            return self._apply(before)
+        except msgspec.ValidationError as error:
+            raise StatementError(str(error), step=STEP) from error
+
+    def _apply(self, before: Configuration) -> Configuration:
+        """Choose the change by the type of the statement."""
+        statement = self.statement
+        match statement:
+            case CreateOwner():
+                owners = _added(before.owners, Owner(statement.name))
+                return msgspec.structs.replace(before, owners=owners)
+            case CreateTarget() | DropTarget() | SetTarget():
+                targets = _change_targets(before.targets, statement)
+                return msgspec.structs.replace(before, targets=targets)
+            case CreateKey():
+                accounts = _with_key(before, statement, self.key_digest)
+            case CreateAccount() | DropAccount() | SetAccount() | RevokeKey():
+                accounts = _change_accounts(before, statement)
+        return msgspec.structs.replace(before, accounts=accounts)
+
+
+def _change_accounts(
+    before: Configuration,
+    statement: CreateAccount | DropAccount | SetAccount | RevokeKey,
+) -> tuple[ClientAccount, ...]:
+    """Return the accounts after a change."""
+    accounts = before.accounts
+    match statement:
+        case CreateAccount():
+            created = ClientAccount(
+                statement.name,
+                statement.owner,
+                statement.share,
+            )
+            return _added(accounts, created)
+        case DropAccount():
+            return _removed(accounts, statement.name)
+        case SetAccount():
+            return _with_settings(accounts, statement)
+        case RevokeKey():
+            account = find_named(accounts, statement.account)
+            _require_key(account, statement.name)
+            keys = tuple(
+                key for key in account.keys if key.id != statement.name
+            )
+            changed = msgspec.structs.replace(account, keys=keys)
+            return _replaced(accounts, changed)
+
+
+def _with_settings(
+    accounts: tuple[ClientAccount, ...],
+    statement: SetAccount,
+) -> tuple[ClientAccount, ...]:
+    """Return the accounts with one account's settings changed."""
+    account = find_named(accounts, statement.name)
+    for assignment in statement.assignments:
+        if assignment.setting == 'share':
+            account = msgspec.structs.replace(account, share=assignment.level)
+        else:
+            limit = int(assignment.level)
+            account = msgspec.structs.replace(account, queue_limit=limit)
+    return _replaced(accounts, _validated(account))
+
+
+def _with_key(
+    before: Configuration,
+    statement: CreateKey,
+    digest: str,
+) -> tuple[ClientAccount, ...]:
+    """Return the accounts with a key added to one of them."""
+    account = find_named(before.accounts, statement.account)
+    if any(key.id == statement.name for key in account.keys):
+        raise StatementError(
+            f'key {statement.name} exists already',
+            step=STEP,
+        )
+    expires_at_s = 0.0
+    if statement.lifetime_s:
+        expires_at_s = time.time() + statement.lifetime_s
+    key = CallerKey(statement.name, digest, expires_at_s)
+    changed = msgspec.structs.replace(account, keys=(*account.keys, key))
+    return _replaced(before.accounts, changed)
+
+
+def _change_targets(
+    targets: tuple[Target, ...],
+    statement: CreateTarget | DropTarget | SetTarget,
+) -> tuple[Target, ...]:
+    """Return the targets after a change."""
+    match statement:
+        case CreateTarget():
+            created = Target(
+                statement.name,
+                statement.service,
+                Address.from_text(statement.address),
+                statement.data_center,
+            )
+            return _added(targets, created)
+        case DropTarget():
+            return _removed(targets, statement.name)
+        case SetTarget():
+            state = TargetState.ACTIVE
+            if statement.action == 'drain':
+                state = TargetState.DRAINING
+            target = find_named(targets, statement.name)
+            changed = msgspec.structs.replace(target, state=state)
+            return _replaced(targets, changed)
+
+
+def find_named(members: tuple[Named, ...], name: str) -> Named:
+    """Return the object with a name.
+
+    :raises StatementError: there is none
+    """
+    for each in members:
+        if each.name == name:
+            return each
+    raise StatementError(f'{name} is not known', step=STEP, peer=name)
+
+
+def _added(members: tuple[Named, ...], new: Named) -> tuple[Named, ...]:
+    """Return the objects with a new one."""
+    if any(each.name == new.name for each in members):
+        raise StatementError(f'{new.name} exists already', step=STEP)
+    return (*members, _validated(new))
+
+
+def _removed(members: tuple[Named, ...], name: str) -> tuple[Named, ...]:
+    """Return the objects without one of them."""
+    find_named(members, name)
+    return tuple(each for each in members if each.name != name)
+
+
+def _replaced(members: tuple[Named, ...], new: Named) -> tuple[Named, ...]:
+    """Return the objects with one of them replaced."""
+    return tuple(new if each.name == new.name else each for each in members)
+
+
+def _validated(member: Named) -> Named:
+    """Check an object that was built in the program like one from a file."""
+    return msgspec.convert(msgspec.to_builtins(member), type(member))
+
+
+def _require_key(account: ClientAccount, name: str) -> None:
+    """Check that an account has a key."""
+    if all(key.id != name for key in account.keys):
+        raise StatementError(f'key {name} is not known', step=STEP)
--- /dev/null
+++ b/src/dandelionplank/operators/language.py
@@ -0,0 +1,204 @@
+"""Parser of the operators' language."""
+
+from importlib import resources
+from typing import Any
+
+from lark import Lark, Token, Transformer, UnexpectedInput
+from lark.exceptions import UnexpectedCharacters, UnexpectedToken, VisitError
+
+from dandelionplank.errors import ErrorCode, StatementError
+from dandelionplank.operators.statements import (
+    Assignment,
+    CreateAccount,
+    CreateKey,
+    CreateOwner,
+    CreateTarget,
+    DropAccount,
+    DropTarget,
+    RevokeKey,
+    SetAccount,
+    SetTarget,
+    Show,
+    ShowUse,
+    Statement,
+)
+
+STEP = 'parse'
+UNIT_SECONDS = {'s': 1, 'm': 60, 'h': 3600, 'd': 86_400}
+USE_COLUMNS = ('account', 'owner', 'service', 'period')
+
+
+class StatementBuilder(Transformer[Token, Statement]):
+    """Builds typed statements from a parse tree."""
+
+    def name(self, tokens: list[Token]) -> str:
+        """Return a name as written."""
+        return str(tokens[0])
+
+    def by(self, tokens: list[Token]) -> tuple[str, ...]:
+        """Return the columns to group by."""
+        columns = tuple(str(token).lower() for token in tokens)
+        for token, column in zip(tokens, columns, strict=True):
+            if column not in USE_COLUMNS:
+                raise StatementError(
+                    f'column {token.column}: {token} is not one of '
+                    f'{", ".join(USE_COLUMNS)}',
+                    step=STEP,
+                    code=ErrorCode.STATEMENT_SYNTAX,
+                )
+        return columns
+
+    def since(self, tokens: list[Token]) -> float:
+        """Return a duration in seconds."""
+        return parse_duration_s(str(tokens[0]))
+
+    def filter(self, parts: list[Any]) -> tuple[str, str]:
+        """Return kind and name of a filter."""
+        return str(parts[0]).lower(), parts[1]
+
+    def show_use(self, parts: list[Any]) -> ShowUse:
+        """Return a question for use."""
+        by, chosen, since_s = parts
+        subject, name = chosen or ('', '')
+        return ShowUse(
+            by or ShowUse.by,
+            since_s or ShowUse.since_s,
+            subject,
+            name,
+        )
+
+    def show(self, tokens: list[Token]) -> Show:
+        """Return a question for a list."""
+        return Show(str(tokens[0]).lower())
+
+    def create_owner(self, parts: list[Any]) -> CreateOwner:
+        """Return a new owner."""
+        return CreateOwner(parts[0])
+
+    def create_account(self, parts: list[Any]) -> CreateAccount:
+        """Return a new account."""
+        name, owner, share = parts
+        return CreateAccount(name, owner, float(share or 1))
+
+    def assignment(self, tokens: list[Token]) -> Assignment:
+        """Return a new level of a setting."""
+        return Assignment(str(tokens[0]).lower(), float(tokens[1]))
+
+    def set_account(self, parts: list[Any]) -> SetAccount:
+        """Return a change of an account."""
+        return SetAccount(parts[0], tuple(parts[1:]))
+
+    def drop_account(self, parts: list[Any]) -> DropAccount:
+        """Return the end of an account."""
+        return DropAccount(parts[0])
+
+    def create_key(self, parts: list[Any]) -> CreateKey:
+        """Return a new key."""
+        name, account, lifetime = parts
+        lifetime_s = parse_duration_s(str(lifetime)) if lifetime else 0
+        return CreateKey(name, account, lifetime_s)
+
+    def revoke_key(self, parts: list[Any]) -> RevokeKey:
+        """Return the end of a key."""
+        return RevokeKey(parts[0], parts[1])
+
+    def set_target(self, parts: list[Any]) -> SetTarget:
+        """Return a drain or a resume."""
+        return SetTarget(str(parts[0]).lower(), parts[1])
+
+    def create_target(self, parts: list[Any]) -> CreateTarget:
+        """Return a new target."""
+        name, service, address, center = parts
+        return CreateTarget(name, service, str(address), center)
+
+    def drop_target(self, parts: list[Any]) -> DropTarget:
+        """Return the end of a target."""
+        return DropTarget(parts[0])
+
+
+def load_parser() -> Lark:
+    """Build the parser from the grammar in this package."""
+    grammar = resources.files(__package__).joinpath('operators.lark')
+    return Lark(
+        grammar.read_text(encoding='utf-8'),
+        parser='lalr',
+        maybe_placeholders=True,
+        propagate_positions=True,
+    )
+
+
+_PARSER = load_parser()
+_BUILDER = StatementBuilder()
+
+
+def parse_statement(text: str) -> Statement:
+    """Parse one statement.
+
+    :param text: the statement, with or without a semicolon
+    :raises StatementError: pointing at the token that does not fit
+    """
+    try:
+        statement: Statement = _BUILDER.transform(_PARSER.parse(text))
+    except UnexpectedInput as error:
+        raise StatementError(
+            _explain(text, error),
+            step=STEP,
+            code=ErrorCode.STATEMENT_SYNTAX,
+        ) from error
+    except VisitError as error:
+        if isinstance(error.orig_exc, StatementError):
+            raise error.orig_exc from error
+        raise
+    return statement
+
+
+def parse_duration_s(text: str) -> float:
+    """Return the seconds of a duration such as ``90m``."""
+    return float(text[:-1]) * UNIT_SECONDS[text[-1].lower()]
+
+
+def expected_words(text: str) -> list[str]:
+    """Return the words that may follow an unfinished statement."""
+    try:
+        _PARSER.parse(text)
+    except UnexpectedToken as error:
+        return _readable(error.accepts or error.expected)
+    except UnexpectedInput:
+        return []
+    return []
+
+
+def _explain(text: str, error: UnexpectedInput) -> str:
+    """Describe a syntax error with a marker below the token."""
+    column = max(1, getattr(error, 'column', 1) or 1)
+    expected: list[str] = []
+    if isinstance(error, UnexpectedToken):
+        if error.token.type == '$END':
+            column = len(text) + 1
+        expected = _readable(error.accepts or error.expected)
+    elif isinstance(error, UnexpectedCharacters):
+        expected = _readable(error.allowed or set())
+    marker = ' ' * (column - 1)
+    return (
+        f'column {column}: expected {" or ".join(expected) or "nothing more"}\n'
+        f'  {text}\n  {marker}^'
+    )
+
+
+def _readable(terminals: 'set[str] | frozenset[str]') -> list[str]:
+    """Return terminals as an operator would write them."""
+    described = {
+        'NAME': 'a name',
+        'NUMBER': 'a number',
+        'DURATION': 'a duration such as 1h',
+        'ADDRESS': 'an address such as 127.0.0.1:9000',
+        'TOPIC': 'ACCOUNTS, OWNERS, SERVICES, TARGETS, INSTANCES, POOLS, HISTORY',
+        'SUBJECT': 'ACCOUNT, OWNER or SERVICE',
+        'SETTING': 'SHARE or QUEUE',
+        'ACTION': 'DRAIN or RESUME',
+    }
+    return sorted(
+        described.get(name, name.lstrip('_'))
+        for name in terminals
+        if name not in {'$END', 'SEMICOLON', '__ANON_0'}
+    )
--- /dev/null
+++ b/src/dandelionplank/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which target serves which model."""
--- /dev/null
+++ b/src/dandelionplank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's services and to targets."""
--- /dev/null
+++ b/src/dandelionplank/platform/keyvalue.py
@@ -0,0 +1,97 @@
+"""What the router needs of the platform's key-value service."""
+
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+import msgspec
+
+from dandelionplank.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnknownError,
+)
+
+MAX_VALUE_BYTES = 1_000_000
+ABSENT = 0
+
+
+class StoredValue(msgspec.Struct, frozen=True):
+    """A value and the revision of its latest write."""
+
+    key: str
+    payload: bytes
+    revision: int
+
+
+class KeyValueStore(Protocol):
+    """Compare-and-swap, leases and watches."""
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one value.
+
+        :raises StoreError: the service did not answer
+        """
+
+    async def scan(self, prefix: str) -> list[StoredValue]:
+        """Read all values below a prefix, in the order of their keys."""
+
+    async def put(
+        self,
+        key: str,
+        payload: bytes,
+        *,
+        expected: int | None = None,
+        lease: int = 0,
+    ) -> int:
+        """Write a value and return its revision.
+
+        :param expected: revision that must be present, zero for none
+        :param lease: lease with which the value ends, zero for none
+        :raises StoreConflictError: another revision is present
+        :raises StoreUnknownError: the write may have taken effect
+        :raises StoreError: the write took no effect
+        """
+
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Remove a value; errors are those of :meth:`put`."""
+
+    def watch(self, prefix: str) -> AsyncIterator[StoredValue]:
+        """Iterate over writes below a prefix; ends when the watch breaks."""
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return a new lease."""
+
+    async def keep_lease(self, lease: int) -> float:
+        """Renew a lease and return the seconds it has left, zero if gone."""
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and remove its values."""
+
+
+async def put_settled(
+    store: KeyValueStore,
+    key: str,
+    payload: bytes,
+    expected: int,
+) -> int:
+    """Write by compare-and-swap and settle a lost answer by reading back.
+
+    The payload must be unique to this write, so that reading it back proves
+    that the write took effect.
+
+    :return: revision of the write
+    :raises StoreConflictError: another writer was first
+    :raises StoreUnknownError: reading back failed too
+    """
+    try:
+        return await store.put(key, payload, expected=expected)
+    except StoreUnknownError as lost:
+        try:
+            present = await store.get(key)
+        except StoreError as error:
+            raise lost from error
+        if present and present.payload == payload:
+            return present.revision
+        if (present.revision if present else ABSENT) == expected:
+            raise lost
+        raise StoreConflictError(step='settle', peer=key) from lost
--- /dev/null
+++ b/src/dandelionplank/router/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the router daemon."""
--- /dev/null
+++ b/src/dandelionplank/router/administration.py
@@ -0,0 +1,160 @@
+"""The administration API over HTTP."""
+
+import msgspec
+from aiohttp import web
+
+from dandelionplank.accounts import OperatorToken, digest_secret
+from dandelionplank.configuration.catalogue import Catalogue
+from dandelionplank.configuration.model import Configuration
+from dandelionplank.configuration.repository import (
+    Command,
+    ConfigurationRepository,
+)
+from dandelionplank.errors import (
+    DandelionplankError,
+    ErrorCode,
+    RefusalError,
+)
+from dandelionplank.events import Event
+from dandelionplank.instances import Instance
+from dandelionplank.ledger.repository import UseRepository
+from dandelionplank.logs import log_event
+from dandelionplank.operators.executor import Executor, StatementRequest
+from dandelionplank.router.callers import describe_error, log_failure
+from dandelionplank.router.entry import Entry
+from dandelionplank.router.membership import MembershipTask
+from dandelionplank.settings import parse_yaml
+
+STATEMENTS_PATH = '/admin/v1/statements'
+CONFIGURATION_PATH = '/admin/v1/configuration'
+BOOTSTRAP = OperatorToken('bootstrap', '0' * 64, 'administrator')
+_REQUEST = msgspec.json.Decoder(StatementRequest)
+
+
+class RunningFleet:
+    """The fleet as this router sees it."""
+
+    def __init__(self, entry: Entry, membership: MembershipTask) -> None:
+        """Keep the sources of the view."""
+        self.entry = entry
+        self.membership = membership
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The configuration in force, empty before the first one."""
+        return self.entry.catalogue or Catalogue(Configuration())
+
+    @property
+    def instances(self) -> tuple[Instance, ...]:
+        """All instances that are known."""
+        return tuple(self.membership.table.members.values())
+
+    def dispatcher_of(self, pool: str) -> str:
+        """Return the instance that dispatches a pool."""
+        return self.entry.tickets.dispatcher_of(pool)
+
+
+class AdministrationInterface:
+    """Serves operators."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        membership: MembershipTask,
+        repository: ConfigurationRepository,
+        use: UseRepository,
+    ) -> None:
+        """Build the executor of statements."""
+        self.entry = entry
+        self.fleet = RunningFleet(entry, membership)
+        self.repository = repository
+        self.executor = Executor(self.fleet, repository, use)
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes of this interface."""
+        return [
+            web.post(STATEMENTS_PATH, self.run_statement),
+            web.put(CONFIGURATION_PATH, self.replace_configuration),
+        ]
+
+    async def run_statement(self, request: web.Request) -> web.Response:
+        """Carry out one statement."""
+        try:
+            token = self._authenticate(request)
+            wanted = await _decode_request(request)
+            table = await self.executor.execute(wanted, token)
+        except DandelionplankError as error:
+            return _refuse(error)
+        log_event(
+            Event.CONFIGURATION_CHANGED,
+            operator=token.name,
+            statement=wanted.statement,
+        )
+        return web.Response(
+            body=msgspec.json.encode(table),
+            content_type='application/json',
+        )
+
+    async def replace_configuration(
+        self,
+        request: web.Request,
+    ) -> web.Response:
+        """Put a whole configuration in place of the present one."""
+        try:
+            token = self._authenticate(request)
+            if token.owner or token.role != 'administrator':
+                raise RefusalError(
+                    step='authorize',
+                    code=ErrorCode.FORBIDDEN,
+                )
+            text = (await request.read()).decode(errors='replace')
+            wanted = parse_yaml(text, Configuration, origin='body')
+            command = Command(
+                token.name,
+                'REPLACE CONFIGURATION',
+                request.headers.get('Idempotency-Key', ''),
+            )
+            record = await self.repository.commit(command, lambda _: wanted)
+        except DandelionplankError as error:
+            return _refuse(error)
+        return web.json_response({'revision': record.revision})
+
+    def _authenticate(self, request: web.Request) -> OperatorToken:
+        """Return the operator's token.
+
+        :raises RefusalError: it is not known
+        """
+        header = request.headers.get('Authorization', '')
+        digest = digest_secret(header.removeprefix('Bearer ').strip())
+        bootstrap = self.entry.settings.administration.bootstrap_token_sha256
+        if bootstrap and digest == bootstrap:
+            return BOOTSTRAP
+        token = self.fleet.catalogue.find_token(digest)
+        if token is None:
+            raise RefusalError(
+                step='authenticate',
+                code=ErrorCode.UNAUTHENTICATED,
+            )
+        return token
+
+
+async def _decode_request(request: web.Request) -> StatementRequest:
+    """Read the JSON body of a statement request."""
+    try:
+        return _REQUEST.decode(await request.read())
+    except msgspec.DecodeError as error:
+        raise RefusalError(
+            f'body: {error}',
+            step='parse',
+            code=ErrorCode.BAD_REQUEST,
+        ) from error
+
+
+def _refuse(error: DandelionplankError) -> web.Response:
+    """Return a refusal of the administration API."""
+    log_failure(Event.CONFIGURATION_REFUSED, error, '')
+    return web.Response(
+        status=error.code.status,
+        body=msgspec.json.encode(describe_error(error)),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/dandelionplank/router/callers.py
@@ -0,0 +1,555 @@
+"""The callers' interface over HTTP."""
+
+import asyncio
+import time
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from dandelionplank.accounts import ClientAccount, digest_secret
+from dandelionplank.contracts import ServiceContract, ServiceKind
+from dandelionplank.errors import (
+    CallerGoneError,
+    DandelionplankError,
+    ErrorCode,
+    Outcome,
+    RefusalError,
+)
+from dandelionplank.events import Event
+from dandelionplank.fairness.cost import RequestSize
+from dandelionplank.ledger.usage import Receipt
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
+from dandelionplank.once.intents import Intent, StoredAnswer, Verdict
+from dandelionplank.router.calls import Call, parse_chat
+from dandelionplank.router.delivery import (
+    ChatDelivery,
+    PlainAnswer,
+    PlainDelivery,
+)
+from dandelionplank.router.entry import Entry
+from dandelionplank.router.sse import AnswerStream, AnswerText, encode_event
+
+REQUEST_HEADER = 'X-Request-Id'
+RECEIPT_HEADER = 'X-Receipt-Id'
+CHARGE_HEADER = 'X-Charge'
+REPLAY_HEADER = 'X-Replayed'
+KEY_HEADER = 'Idempotency-Key'
+KEY_LIMIT = 255
+FORWARDED_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
+CHAT_PATH = '/v1/chat/completions'
+STORED_BODY_BYTES = 4096
+
+VERDICT_CODES = {
+    Verdict.IN_PROGRESS: ErrorCode.KEY_IN_PROGRESS,
+    Verdict.REUSED: ErrorCode.KEY_REUSED,
+    Verdict.UNKNOWN: ErrorCode.KEY_OUTCOME_UNKNOWN,
+}
+
+
+class EventSink:
+    """Sends the events of an answer to a caller as they come.
+
+    :param request: the caller's request
+    :param call: the call that is served
+    """
+
+    def __init__(self, request: web.Request, call: Call) -> None:
+        """Prepare the headers; nothing is sent before the first event."""
+        self.request = request
+        self.response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-cache',
+                REQUEST_HEADER: call.id,
+                RECEIPT_HEADER: f'r-{call.id}',
+            },
+        )
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller has been given a part of the answer."""
+        return self.response.prepared
+
+    async def write(self, block: bytes) -> None:
+        """Send whole events.
+
+        :raises CallerGoneError: the caller has disconnected
+        """
+        try:
+            if not self.response.prepared:
+                await self.response.prepare(self.request)
+            await self.response.write(block)
+        except ConnectionError as error:
+            raise CallerGoneError(step='write') from error
+
+    async def finish(self, answer: AnswerStream, receipt: Receipt) -> None:
+        """Send usage, charge and the end mark."""
+        await self.write(answer.ending(receipt.id, receipt.cost))
+        try:
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise CallerGoneError(step='write') from error
+
+    async def fail(self, error: DandelionplankError) -> None:
+        """Send an error event in place of the end mark."""
+        await self.write(encode_event(describe_error(error)))
+        await self.response.write_eof()
+
+
+class TextSink:
+    """Collects an answer for a caller that does not stream."""
+
+    def __init__(self, call: Call) -> None:
+        """Start empty."""
+        self.call = call
+        self.text = AnswerText()
+        self.response: web.Response | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a part of the answer is here that cannot be taken back."""
+        return bool(self.text.parts)
+
+    async def write(self, block: bytes) -> None:
+        """Take whole events."""
+        self.text.add(block)
+
+    async def finish(self, answer: AnswerStream, receipt: Receipt) -> None:
+        """Build the response."""
+        self.response = web.Response(
+            body=self.text.body(answer.usage, receipt.id, receipt.cost),
+            content_type='application/json',
+            headers=_receipt_headers(self.call.id, receipt),
+        )
+
+
+class CallerInterface:
+    """Serves callers: chat completions and plain services."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Keep what serving needs."""
+        self.entry = entry
+        self.settings = entry.settings.callers
+        self.open_by_account: dict[str, int] = {}
+        self.background: set[asyncio.Task[Any]] = set()
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes of this interface."""
+        return [
+            web.post(CHAT_PATH, self.serve_chat),
+            web.route('*', '/services/{service}/{path:.*}', self.serve_plain),
+            web.get('/healthz', self.show_health),
+            web.get('/readyz', self.show_readiness),
+            web.get('/metrics', self.show_metrics),
+        ]
+
+    async def show_health(self, _: web.Request) -> web.Response:
+        """Tell that the process runs."""
+        return web.Response(text='ok\n')
+
+    async def show_readiness(self, _: web.Request) -> web.Response:
+        """Tell whether the balancer may send calls here."""
+        if self.entry.is_leaving or self.entry.catalogue is None:
+            return web.Response(status=503, text='not ready\n')
+        return web.Response(text='ready\n')
+
+    async def show_metrics(self, _: web.Request) -> web.Response:
+        """Return all metrics."""
+        METRICS.set_gauge('open_calls', self.entry.open_calls)
+        return web.Response(text=METRICS.render())
+
+    async def serve_chat(self, request: web.Request) -> web.StreamResponse:
+        """Serve a chat completion."""
+        return await self._guarded(request, self._chat)
+
+    async def serve_plain(self, request: web.Request) -> web.StreamResponse:
+        """Serve a call to a plain service."""
+        return await self._guarded(request, self._plain)
+
+    async def _guarded(
+        self,
+        request: web.Request,
+        serve: Any,
+    ) -> web.StreamResponse:
+        """Serve a call; errors become refusals and are logged."""
+        request_id = self.entry.new_request_id()
+        self.entry.open_calls += 1
+        try:
+            response: web.StreamResponse = await serve(request, request_id)
+        except CallerGoneError:
+            raise
+        except DandelionplankError as error:
+            error.request_id = error.request_id or request_id
+            return refuse(error, request_id)
+        finally:
+            self.entry.open_calls -= 1
+        return response
+
+    async def _chat(
+        self,
+        request: web.Request,
+        request_id: str,
+    ) -> web.StreamResponse:
+        """Parse a chat request and stream or assemble its answer."""
+        account = self._authenticate(request)
+        body = await self._read_body(request)
+        parsed = parse_chat(body)
+        model = parsed.request.model
+        contract = self.entry.ready_catalogue().service_of_model.get(model)
+        if contract is None:
+            raise RefusalError(
+                f'model {model} is not known',
+                step='route',
+                code=ErrorCode.UNKNOWN_SERVICE,
+            )
+        self._check_access(account, contract)
+        call = Call(
+            request_id,
+            account,
+            contract,
+            'POST',
+            CHAT_PATH,
+            {'Content-Type': 'application/json'},
+            parsed.body,
+            RequestSize(len(body), parsed.request.output_limit),
+            parsed.request.stream,
+            parsed.prefix,
+        )
+        async with self._count_open(account):
+            if call.streams:
+                return await self._stream(request, call)
+            return await self._assemble(call)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        call: Call,
+    ) -> web.StreamResponse:
+        """Stream an answer; a failure after its beginning is an event."""
+        sink = EventSink(request, call)
+        try:
+            await ChatDelivery(self.entry, call, sink).run()
+        except CallerGoneError:
+            return sink.response
+        except DandelionplankError as error:
+            if not sink.is_started:
+                raise
+            log_failure(Event.BROKEN, error, call.id)
+            await sink.fail(error)
+        return sink.response
+
+    async def _assemble(self, call: Call) -> web.StreamResponse:
+        """Collect an answer and return it whole."""
+        sink = TextSink(call)
+        await ChatDelivery(self.entry, call, sink).run()
+        if sink.response is None:
+            raise DandelionplankError(step='assemble', request_id=call.id)
+        return sink.response
+
+    async def _plain(
+        self,
+        request: web.Request,
+        request_id: str,
+    ) -> web.StreamResponse:
+        """Send a call to a plain service, at most once if it has a key."""
+        account = self._authenticate(request)
+        name = request.match_info['service']
+        contract = self.entry.ready_catalogue().services.get(name)
+        if contract is None or contract.kind is not ServiceKind.PLAIN:
+            raise RefusalError(
+                f'service {name} is not known',
+                step='route',
+                code=ErrorCode.UNKNOWN_SERVICE,
+            )
+        self._check_access(account, contract)
+        body = await self._read_body(request)
+        path = f'/{request.match_info["path"]}'
+        if request.query_string:
+            path = f'{path}?{request.query_string}'
+        headers = {
+            header: request.headers[header]
+            for header in FORWARDED_HEADERS
+            if header in request.headers
+        }
+        call = Call(
+            request_id,
+            account,
+            contract,
+            request.method,
+            path,
+            headers,
+            body,
+            RequestSize(len(body)),
+            key=_idempotency_key(request),
+        )
+        async with self._count_open(account):
+            return await self._serve_plain_call(call)
+
+    async def _serve_plain_call(self, call: Call) -> web.Response:
+        """Run a plain call; one that may not repeat survives its caller."""
+        if call.key:
+            serving = self._serve_keyed(call)
+        else:
+            serving = self._serve_unkeyed(call)
+        if call.may_repeat and not call.key:
+            return await serving
+        task = asyncio.get_running_loop().create_task(serving)
+        self.background.add(task)
+        task.add_done_callback(self._finish_background)
+        return await asyncio.shield(task)
+
+    def _finish_background(self, task: 'asyncio.Task[Any]') -> None:
+        """Forget a task and take note of its error."""
+        self.background.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+    async def _serve_unkeyed(self, call: Call) -> web.Response:
+        """Run a call without a key."""
+        answer, receipt = await PlainDelivery(self.entry, call).run()
+        return _plain_response(call.id, answer, receipt)
+
+    async def _serve_keyed(self, call: Call) -> web.Response:
+        """Run a call with a key at most once, ever."""
+        outcome = await self.entry.intents.claim(
+            call.intent_key,
+            call.fingerprint,
+        )
+        if outcome.verdict is Verdict.REPEAT:
+            return _replay(call.id, outcome.intent)
+        if outcome.verdict is not Verdict.RUN:
+            raise _claim_refusal(outcome.verdict, call)
+        intent = outcome.intent
+        try:
+            answer, receipt = await PlainDelivery(self.entry, call).run()
+        except DandelionplankError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                self.entry.intents.release(intent)
+            else:
+                self.entry.intents.mark_unknown(intent)
+            raise
+        self.entry.intents.settle(intent, _stored_answer(answer, receipt))
+        return _plain_response(call.id, answer, receipt)
+
+    def _authenticate(self, request: web.Request) -> ClientAccount:
+        """Return the account that the caller's key opens.
+
+        :raises RefusalError: no valid key
+        """
+        catalogue = self.entry.ready_catalogue()
+        scheme, _, secret = request.headers.get('Authorization', '').partition(
+            ' ',
+        )
+        holder = None
+        if scheme.lower() == 'bearer' and secret:
+            holder = catalogue.key_holders.get(digest_secret(secret.strip()))
+        if holder is None or 0 < holder.key.expires_at_s < time.time():
+            raise RefusalError(
+                step='authenticate',
+                code=ErrorCode.UNAUTHENTICATED,
+            )
+        return holder.account
+
+    def _check_access(
+        self,
+        account: ClientAccount,
+        contract: ServiceContract,
+    ) -> None:
+        """Refuse services that the account may not use."""
+        if not account.may_use(contract.name):
+            raise RefusalError(
+                step='authorize',
+                peer=contract.name,
+                code=ErrorCode.FORBIDDEN,
+            )
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        """Read the whole body within its limits.
+
+        :raises RefusalError: too large or too slow
+        """
+        try:
+            async with asyncio.timeout(self.settings.body_timeout_s):
+                return await request.read()
+        except TimeoutError as error:
+            raise RefusalError(
+                step='read',
+                code=ErrorCode.REQUEST_TIMEOUT,
+            ) from error
+        except web.HTTPRequestEntityTooLarge as error:
+            raise RefusalError(
+                f'body exceeds {self.settings.body_limit_bytes} bytes',
+                step='read',
+                code=ErrorCode.TOO_LARGE,
+            ) from error
+
+    def _count_open(self, account: ClientAccount) -> 'OpenCall':
+        """Count an open call of an account.
+
+        :raises RefusalError: the account has too many of them
+        """
+        limit = self.settings.open_requests_per_account
+        if self.open_by_account.get(account.name, 0) >= limit:
+            raise RefusalError(
+                step='admit',
+                peer=account.name,
+                code=ErrorCode.TOO_MANY_CONNECTIONS,
+                retry_after_s=1,
+            )
+        return OpenCall(self.open_by_account, account.name)
+
+
+class OpenCall:
+    """Counts one open call of an account while it is served."""
+
+    def __init__(self, counts: dict[str, int], account: str) -> None:
+        """Keep the counts."""
+        self.counts = counts
+        self.account = account
+
+    async def __aenter__(self) -> None:
+        """Count the call."""
+        self.counts[self.account] = self.counts.get(self.account, 0) + 1
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop counting the call."""
+        self.counts[self.account] -= 1
+        if not self.counts[self.account]:
+            self.counts.pop(self.account)
+
+
+def describe_error(error: DandelionplankError) -> dict[str, Any]:
+    """Return the JSON form of an error."""
+    described: dict[str, Any] = {
+        'code': error.code.label,
+        'type': error.code.name.lower(),
+        'message': error.reason,
+        'step': error.step,
+        'peer': error.peer,
+        'request_id': error.request_id,
+        'outcome': error.outcome.value,
+    }
+    if error.retry_after_s:
+        described['retry_after_s'] = error.retry_after_s
+    return {'error': described}
+
+
+def refuse(error: DandelionplankError, request_id: str) -> web.Response:
+    """Return a refusal and write its log line."""
+    log_failure(Event.REFUSED, error, request_id)
+    METRICS.add('refusals_total', code=error.code.label)
+    headers = {REQUEST_HEADER: request_id}
+    if error.retry_after_s:
+        headers['Retry-After'] = str(max(1, round(error.retry_after_s)))
+    return web.Response(
+        status=error.code.status,
+        body=msgspec.json.encode(describe_error(error)),
+        content_type='application/json',
+        headers=headers,
+    )
+
+
+def log_failure(
+    event: Event,
+    error: DandelionplankError,
+    request_id: str,
+) -> None:
+    """Write the log line of a call that failed."""
+    log_event(
+        event,
+        request=request_id,
+        code=error.code.label,
+        step=error.step,
+        peer=error.peer,
+        outcome=error.outcome.value,
+        why=error.reason,
+    )
+
+
+def _idempotency_key(request: web.Request) -> str:
+    """Return the caller's idempotency key, empty if there is none."""
+    key: str = request.headers.get(KEY_HEADER, '')
+    if len(key) > KEY_LIMIT:
+        raise RefusalError(
+            f'{KEY_HEADER} exceeds {KEY_LIMIT} characters',
+            step='parse',
+            code=ErrorCode.BAD_REQUEST,
+        )
+    return key
+
+
+def _receipt_headers(request_id: str, receipt: Receipt) -> dict[str, str]:
+    """Return the headers that state the charge."""
+    return {
+        REQUEST_HEADER: request_id,
+        RECEIPT_HEADER: receipt.id,
+        CHARGE_HEADER: f'{receipt.cost:g}',
+    }
+
+
+def _plain_response(
+    request_id: str,
+    answer: PlainAnswer,
+    receipt: Receipt,
+) -> web.Response:
+    """Return the answer of a plain service to the caller."""
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        headers={**answer.headers, **_receipt_headers(request_id, receipt)},
+    )
+
+
+def _stored_answer(answer: PlainAnswer, receipt: Receipt) -> StoredAnswer:
+    """Return what is kept of an answer for repeats of its key."""
+    is_whole = len(answer.body) <= STORED_BODY_BYTES
+    return StoredAnswer(
+        answer.status,
+        answer.headers.get('Content-Type', ''),
+        answer.body if is_whole else b'',
+        receipt.id,
+        receipt.cost,
+        is_whole,
+    )
+
+
+def _replay(request_id: str, intent: Intent) -> web.Response:
+    """Return the stored answer of an earlier call with the same key."""
+    stored = intent.answer
+    if stored is None:
+        raise RefusalError(
+            step='replay',
+            request_id=request_id,
+            code=ErrorCode.KEY_OUTCOME_UNKNOWN,
+            outcome=Outcome.UNKNOWN,
+        )
+    headers = {
+        REQUEST_HEADER: request_id,
+        RECEIPT_HEADER: stored.receipt_id,
+        CHARGE_HEADER: f'{stored.charge:g}',
+        REPLAY_HEADER: 'true' if stored.is_whole else 'body-not-kept',
+    }
+    if stored.content_type:
+        headers['Content-Type'] = stored.content_type
+    status = stored.status if stored.is_whole else HTTPStatus.OK
+    return web.Response(status=status, body=stored.body, headers=headers)
+
+
+def _claim_refusal(verdict: Verdict, call: Call) -> RefusalError:
+    """Return the refusal of a key that may not be used to run a call.
+
+    The outcome speaks of the first call with the key: only a reused key
+    belongs to a call that certainly did not run.
+    """
+    reused = verdict is Verdict.REUSED
+    return RefusalError(
+        step='claim',
+        peer=call.contract.name,
+        request_id=call.id,
+        code=VERDICT_CODES[verdict],
+        outcome=Outcome.NOT_RUN if reused else Outcome.UNKNOWN,
+        retry_after_s=1 if verdict is Verdict.IN_PROGRESS else 0,
+    )
--- /dev/null
+++ b/src/dandelionplank/router/calls.py
@@ -0,0 +1,123 @@
+"""One caller's call: what is asked, by whom, and under which contract."""
+
+import hashlib
+from typing import Any
+
+import msgspec
+import xxhash
+
+from dandelionplank.accounts import ClientAccount
+from dandelionplank.contracts import ServiceContract
+from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.fairness.cost import RequestSize
+from dandelionplank.messages import Ticket
+
+PREFIX_BYTES = 1024
+STEP = 'parse'
+_JSON = msgspec.json.Encoder()
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a conversation; other fields pass through unread."""
+
+    role: str
+    content: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class ChatRequest(msgspec.Struct):
+    """The fields of a chat request that the router reads."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+    @property
+    def output_limit(self) -> int:
+        """Tokens that the caller allows, zero if it sets no limit."""
+        return self.max_completion_tokens or self.max_tokens or 0
+
+
+_CHAT = msgspec.json.Decoder(ChatRequest)
+
+
+class Call(msgspec.Struct, frozen=True):
+    """Everything that routing and charging need of a call.
+
+    :param id: request id, told to the caller
+    :param body: what is sent to the target
+    :param key: the caller's idempotency key, empty if none
+    """
+
+    id: str
+    account: ClientAccount
+    contract: ServiceContract
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    size: RequestSize
+    streams: bool = False
+    prefix: int = 0
+    key: str = ''
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a second execution does no harm."""
+        return self.contract.may_repeat(self.method)
+
+    @property
+    def intent_key(self) -> str:
+        """Name under which the idempotency key is kept."""
+        return f'{self.account.name}/{self.contract.name}/{self.key}'
+
+    @property
+    def fingerprint(self) -> str:
+        """Digest of everything that a repeat must have in common."""
+        digest = hashlib.sha256()
+        for part in (self.method.encode(), self.path.encode(), self.body):
+            digest.update(part)
+            digest.update(b'\0')
+        return digest.hexdigest()
+
+    def ticket(self, estimate: float) -> Ticket:
+        """Return the ticket that waits for a target."""
+        return Ticket(
+            self.id,
+            self.account.name,
+            estimate,
+            prefix=self.prefix,
+            may_repeat=self.may_repeat,
+        )
+
+
+class ParsedChat(msgspec.Struct, frozen=True):
+    """A chat request and the body that targets receive."""
+
+    request: ChatRequest
+    body: bytes
+    prefix: int
+
+
+def parse_chat(body: bytes) -> ParsedChat:
+    """Read a chat request.
+
+    The target is always asked to stream and to report its usage.
+
+    :raises RefusalError: the body is not a chat request
+    """
+    try:
+        request = _CHAT.decode(body)
+        document: dict[str, Any] = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise RefusalError(
+            f'body: {error}',
+            step=STEP,
+            code=ErrorCode.BAD_REQUEST,
+        ) from error
+    document['stream'] = True
+    document['stream_options'] = {'include_usage': True}
+    first = request.messages[0].content if request.messages else b''
+    prefix = xxhash.xxh32_intdigest(bytes(first)[:PREFIX_BYTES])
+    return ParsedChat(request, _JSON.encode(document), prefix)
--- /dev/null
+++ b/src/dandelionplank/router/daemon.py
@@ -0,0 +1,275 @@
+"""The router daemon: builds all tasks, runs them and shuts down."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any, Self
+
+from aiohttp import web
+
+from dandelionplank.configuration.catalogue import Catalogue
+from dandelionplank.configuration.repository import ConfigurationRepository
+from dandelionplank.events import Event
+from dandelionplank.ledger.repository import UseRepository
+from dandelionplank.ledger.usage import UseLedger
+from dandelionplank.logs import log_event
+from dandelionplank.platform.etcd import EtcdStore
+from dandelionplank.platform.instancelist import HttpInstanceList
+from dandelionplank.router.administration import AdministrationInterface
+from dandelionplank.router.callers import CallerInterface
+from dandelionplank.router.configuration import ConfigurationTask
+from dandelionplank.router.dispatch import DispatchTask
+from dandelionplank.router.entry import Entry
+from dandelionplank.router.intents import IntentTask
+from dandelionplank.router.links import Links
+from dandelionplank.router.membership import MembershipTask, leaving_targets
+from dandelionplank.router.observations import ObservationTask
+from dandelionplank.router.targets import TargetConnections
+from dandelionplank.router.tickets import TicketTask
+from dandelionplank.router.use import UseTask
+from dandelionplank.settings import Settings
+
+INCARNATION_BITS = 10
+MILLISECONDS = 1000
+DRAIN_POLL_S = 0.05
+DRAIN_LIMIT_S = 600.0
+READINESS_GRACE_S = 0.5
+FLUSH_LIMIT_S = 10.0
+SEED_PERIOD_S = 0.2
+
+
+class RouterDaemon:
+    """One router with every role."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: EtcdStore,
+        platform_list: HttpInstanceList,
+    ) -> None:
+        """Build the tasks; nothing listens yet."""
+        self.settings = settings
+        self.store = store
+        self.platform_list = platform_list
+        start_ms = int(time.time() * MILLISECONDS)
+        number = (start_ms << INCARNATION_BITS) + random.getrandbits(
+            INCARNATION_BITS,
+        )
+        incarnation = f'{settings.instance.id}-{number:x}'
+        self.membership = MembershipTask(settings, platform_list, number)
+        self.links = Links(
+            settings.instance.id,
+            settings.membership,
+            self.membership,
+        )
+        self.dispatch = DispatchTask(
+            settings.dispatch,
+            self.links,
+            self.membership,
+        )
+        tickets = TicketTask(settings.dispatch, self.links, self.membership)
+        prefix = settings.platform.key_prefix
+        self.repository = ConfigurationRepository(store, prefix)
+        self.configuration = ConfigurationTask(
+            self.repository,
+            self.links,
+            self.membership,
+        )
+        self.entry = Entry(
+            settings,
+            incarnation,
+            tickets,
+            ObservationTask(
+                tickets,
+                settings.dispatch.report_period_s,
+                settings.callers.progress_timeout_s,
+            ),
+            TargetConnections.from_settings(settings.callers),
+            IntentTask(
+                store,
+                prefix,
+                settings.ledger,
+                incarnation,
+                self._is_alive,
+            ),
+            UseLedger(incarnation),
+        )
+        self.use = UseTask(
+            self.entry.ledger,
+            UseRepository(store, prefix),
+            settings.ledger.flush_period_s,
+        )
+        self.configuration.listeners.append(self._configure)
+        self.stopping = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.runner: web.AppRunner | None = None
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> Self:
+        """Build a daemon with connections to the platform."""
+        platform = settings.platform
+        return cls(
+            settings,
+            EtcdStore.from_url(
+                platform.key_value_url,
+                platform.call_timeout_s,
+            ),
+            HttpInstanceList.from_url(
+                platform.instance_list_url,
+                settings.instance.id,
+                platform.call_timeout_s,
+            ),
+        )
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a graceful shutdown."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        await self.start()
+        await self.stopping.wait()
+        await self.shut_down()
+
+    async def start(self) -> None:
+        """Open all sockets and start all tasks."""
+        await self.links.listen(self.settings.listen.peers.text)
+        await self.membership.start()
+        await self._listen_to_callers()
+        for work in (
+            self.membership.run(),
+            self.configuration.run(),
+            self.dispatch.run(),
+            self.entry.tickets.run(),
+            self.entry.observations.run(),
+            self.use.run(),
+            self._follow_list(),
+        ):
+            self.tasks.append(loop_task(work))
+        log_event(
+            Event.STARTED,
+            instance=self.settings.instance.id,
+            callers=self.settings.listen.callers.text,
+            peers=self.settings.listen.peers.text,
+        )
+
+    async def shut_down(self) -> None:
+        """Leave the fleet without cutting off a call."""
+        self.entry.is_leaving = True
+        log_event(Event.LEAVING, open_calls=self.entry.open_calls)
+        await asyncio.sleep(READINESS_GRACE_S)
+        self.dispatch.hand_over()
+        await self.membership.leave()
+        self.entry.tickets.move_all()
+        await self._drain()
+        await self.entry.intents.flush(FLUSH_LIMIT_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_LIMIT_S):
+                await self._flush_use()
+        await self.close()
+        log_event(Event.STOPPED, instance=self.settings.instance.id)
+
+    async def close(self) -> None:
+        """Close all sockets and end all tasks."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.runner:
+            await self.runner.cleanup()
+        await self.links.close()
+        await self.entry.connections.close()
+        await self.store.close()
+        await self.platform_list.close()
+        if self.membership.transport:
+            self.membership.transport.close()
+
+    async def _listen_to_callers(self) -> None:
+        """Serve callers and operators over HTTP."""
+        listen = self.settings.listen
+        callers = self.settings.callers
+        application = web.Application(
+            client_max_size=callers.body_limit_bytes,
+        )
+        application.add_routes(CallerInterface(self.entry).routes())
+        application.add_routes(
+            AdministrationInterface(
+                self.entry,
+                self.membership,
+                self.repository,
+                self.use.repository,
+            ).routes(),
+        )
+        self.runner = web.AppRunner(
+            application,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=callers.idle_timeout_s,
+            max_line_size=callers.header_limit_bytes,
+            max_field_size=callers.header_limit_bytes,
+            shutdown_timeout=1,
+        )
+        await self.runner.setup()
+        site = web.TCPSite(
+            self.runner,
+            listen.callers.ip,
+            listen.callers.port,
+            backlog=listen.backlog_connections,
+        )
+        await site.start()
+
+    async def _drain(self) -> None:
+        """Wait until every open call has ended."""
+        deadline_s = time.monotonic() + DRAIN_LIMIT_S
+        while self.entry.open_calls and time.monotonic() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _flush_use(self) -> None:
+        """Write all use, trying again while the service is down."""
+        while not await self.use.flush():
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _follow_list(self) -> None:
+        """Pass on what the platform's list says of leaving targets."""
+        while True:
+            await asyncio.sleep(SEED_PERIOD_S)
+            self.dispatch.set_leaving_targets(
+                leaving_targets(self.membership.listed),
+            )
+
+    def _configure(self, catalogue: Catalogue) -> None:
+        """Put a configuration in force in all tasks."""
+        first = self.entry.catalogue is None
+        self.entry.catalogue = catalogue
+        self.dispatch.configure(catalogue)
+        if first:
+            log_event(Event.READY, instance=self.settings.instance.id)
+
+    def _is_alive(self, incarnation: str) -> bool:
+        """Tell whether an incarnation of an instance still runs.
+
+        An instance's incarnation number may have risen since its start to
+        refute a suspicion, but not by as much as a restart raises it.
+        """
+        name, _, number = incarnation.rpartition('-')
+        member = self.membership.table.members.get(name)
+        if member is None or not member.is_present:
+            return False
+        started = member.incarnation >> INCARNATION_BITS
+        return started == int(number, 16) >> INCARNATION_BITS
+
+
+def loop_task(work: Coroutine[Any, Any, None]) -> 'asyncio.Task[None]':
+    """Run a task for the life of the daemon and log its failure."""
+    task = asyncio.get_running_loop().create_task(work)
+    task.add_done_callback(_log_failure)
+    return task
+
+
+def _log_failure(task: 'asyncio.Task[None]') -> None:
+    """Log the error that ended a task; the process cannot go on."""
+    if task.cancelled() or task.exception() is None:
+        return
+    log_event(Event.TASK_FAILED, error=repr(task.exception()))
+    signal.raise_signal(signal.SIGTERM)
--- /dev/null
+++ b/src/dandelionplank/router/entry.py
@@ -0,0 +1,111 @@
+"""What the tasks of one entry share while they serve calls."""
+
+import dataclasses
+import itertools
+import time
+
+from dandelionplank.configuration.catalogue import Catalogue, Pool
+from dandelionplank.errors import ErrorCode, Outcome, RefusalError
+from dandelionplank.fairness.cost import CostEstimator, Usage
+from dandelionplank.ledger.usage import Receipt, UseLedger
+from dandelionplank.messages import Ticket
+from dandelionplank.router.calls import Call
+from dandelionplank.router.intents import IntentTask
+from dandelionplank.router.observations import ObservationTask
+from dandelionplank.router.targets import TargetConnections
+from dandelionplank.router.tickets import TicketTask
+from dandelionplank.routing.retries import RepeatBudget
+from dandelionplank.settings import Settings
+from dandelionplank.targets import Target
+
+
+@dataclasses.dataclass
+class Entry:
+    """One router's part towards callers.
+
+    :param incarnation: name of this run of the instance
+    :param catalogue: the configuration in force, none before the first one
+    """
+
+    settings: Settings
+    incarnation: str
+    tickets: TicketTask
+    observations: ObservationTask
+    connections: TargetConnections
+    intents: IntentTask
+    ledger: UseLedger
+    estimator: CostEstimator = dataclasses.field(default_factory=CostEstimator)
+    catalogue: Catalogue | None = None
+    is_leaving: bool = False
+    open_calls: int = 0
+    sequence: 'itertools.count[int]' = dataclasses.field(
+        default_factory=itertools.count,
+    )
+
+    def __post_init__(self) -> None:
+        """Build the retry budget from the settings."""
+        ratio = self.settings.dispatch.retry_budget_ratio
+        self.retries = RepeatBudget(ratio)
+
+    def new_request_id(self) -> str:
+        """Return an id that no other call of the fleet has."""
+        return f'{self.incarnation}-{next(self.sequence):x}'
+
+    def ready_catalogue(self) -> Catalogue:
+        """Return the configuration in force.
+
+        :raises RefusalError: there is none yet, or the instance leaves
+        """
+        if self.catalogue is None:
+            raise RefusalError(
+                step='ready',
+                code=ErrorCode.NOT_READY,
+                retry_after_s=1,
+            )
+        return self.catalogue
+
+    def pool_for(self, call: Call) -> Pool:
+        """Return the pool in which a call is queued.
+
+        :raises RefusalError: the service has no target
+        """
+        pools = self.ready_catalogue().pools_of_service[call.contract.name]
+        if not pools:
+            raise RefusalError(
+                step='route',
+                peer=call.contract.name,
+                request_id=call.id,
+                code=ErrorCode.NO_TARGET,
+                outcome=Outcome.NOT_RUN,
+                retry_after_s=1,
+            )
+        return pools[0]
+
+    def target_named(self, name: str, ticket: Ticket) -> Target:
+        """Return a granted target.
+
+        :raises RefusalError: a newer configuration has removed it
+        """
+        target = self.ready_catalogue().targets.get(name)
+        if target is None:
+            raise RefusalError(
+                step='route',
+                peer=name,
+                request_id=ticket.id,
+                code=ErrorCode.NO_TARGET,
+                retry_after_s=1,
+            )
+        return target
+
+    def charge(self, call: Call, cost: float, usage: Usage) -> Receipt:
+        """Charge a call once and return its receipt."""
+        receipt = Receipt(
+            f'r-{call.id}',
+            call.account.name,
+            call.contract.name,
+            cost,
+            usage.input_tokens,
+            usage.output_tokens,
+        )
+        self.ledger.record(receipt, time.time())
+        return receipt
--- /dev/null
+++ b/src/dandelionplank/router/observations.py
@@ -0,0 +1,144 @@
+"""What this entry sees of the targets, reported to the dispatchers."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+from dandelionplank.messages import TargetReport
+from dandelionplank.router.tickets import TicketTask
+
+StallHandler = Callable[[], None]
+
+
+@dataclasses.dataclass(eq=False)
+class ObservedStream:
+    """An attempt whose answer is arriving.
+
+    :param stall: called once when it makes no progress for too long
+    """
+
+    pool: str
+    target: str
+    started_at_s: float
+    stall: StallHandler
+    tokens: int = 0
+    reported_tokens: int = 0
+    progress_at_s: float = 0
+    first_at_s: float = 0
+    is_stalled: bool = False
+
+    def advance(self, tokens: int, now_s: float) -> None:
+        """Count tokens that have arrived."""
+        self.tokens += tokens
+        self.progress_at_s = now_s
+        if not self.first_at_s:
+            self.first_at_s = now_s
+
+
+@dataclasses.dataclass
+class TargetWindow:
+    """Sums over the streams of one target in one report period."""
+
+    streams: int = 0
+    tokens: int = 0
+    stream_seconds: float = 0
+    first_tokens: int = 0
+    first_token_seconds: float = 0
+    waiting_first: int = 0
+    oldest_wait_s: float = 0
+
+
+class ObservationTask:
+    """Samples all open streams once a period.
+
+    Per chunk a stream only adds to its own fields; timers, comparisons and
+    reports are made once a period for all streams together.
+    """
+
+    def __init__(
+        self,
+        tickets: TicketTask,
+        period_s: float,
+        progress_timeout_s: float,
+    ) -> None:
+        """Start without streams."""
+        self.tickets = tickets
+        self.period_s = period_s
+        self.progress_timeout_s = progress_timeout_s
+        self.streams: set[ObservedStream] = set()
+        self.ended: list[ObservedStream] = []
+
+    def open(
+        self,
+        pool: str,
+        target: str,
+        stall: StallHandler,
+    ) -> ObservedStream:
+        """Begin to observe an attempt."""
+        now_s = time.monotonic()
+        stream = ObservedStream(pool, target, now_s, stall, progress_at_s=now_s)
+        self.streams.add(stream)
+        return stream
+
+    def close(self, stream: ObservedStream) -> None:
+        """End the observation of an attempt."""
+        self.streams.discard(stream)
+        self.ended.append(stream)
+
+    async def run(self) -> None:
+        """Report and look for stalled streams once a period."""
+        sampled_at_s = time.monotonic()
+        while True:
+            await asyncio.sleep(self.period_s)
+            now_s = time.monotonic()
+            self.report(sampled_at_s, now_s)
+            self.interrupt_stalled(now_s)
+            sampled_at_s = now_s
+
+    def report(self, since_s: float, now_s: float) -> None:
+        """Send the sums of a period to the dispatchers."""
+        windows: dict[tuple[str, str], TargetWindow] = {}
+        for stream in (*self.streams, *self.ended):
+            key = (stream.pool, stream.target)
+            window = windows.setdefault(key, TargetWindow())
+            _add_stream(window, stream, since_s, now_s)
+        self.ended.clear()
+        for (pool, target), window in windows.items():
+            view = self.tickets.view_of(pool)
+            self.tickets.links.send(
+                view.dispatcher,
+                TargetReport(pool, target, **dataclasses.asdict(window)),
+            )
+
+    def interrupt_stalled(self, now_s: float) -> None:
+        """Interrupt streams that made no progress for too long."""
+        for stream in tuple(self.streams):
+            silent_s = now_s - stream.progress_at_s
+            if silent_s > self.progress_timeout_s and not stream.is_stalled:
+                stream.is_stalled = True
+                stream.stall()
+
+
+def _add_stream(
+    window: TargetWindow,
+    stream: ObservedStream,
+    since_s: float,
+    now_s: float,
+) -> None:
+    """Add what a stream did in the period to its target's sums."""
+    new_tokens = stream.tokens - stream.reported_tokens
+    stream.reported_tokens = stream.tokens
+    window.streams += 1
+    if not stream.first_at_s:
+        window.waiting_first += 1
+        window.oldest_wait_s = max(
+            window.oldest_wait_s,
+            now_s - stream.started_at_s,
+        )
+        return
+    if stream.first_at_s >= since_s:
+        window.first_tokens += 1
+        window.first_token_seconds += stream.first_at_s - stream.started_at_s
+    window.tokens += new_tokens
+    window.stream_seconds += now_s - max(since_s, stream.first_at_s)
--- /dev/null
+++ b/src/dandelionplank/router/targets.py
@@ -0,0 +1,183 @@
+"""Connections to targets."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Mapping
+from typing import Self
+
+import aiohttp
+
+from dandelionplank.errors import ErrorCode, Outcome, TargetError
+from dandelionplank.routing.retries import AttemptState
+from dandelionplank.settings import CallerSettings
+from dandelionplank.targets import Target
+
+ATTEMPT_HEADER = 'X-Request-Id'
+RESUME_HEADER = 'X-Resume-Offset'
+NOT_RUN_HEADER = 'X-Not-Run'
+STEP = 'target'
+CANCEL_TIMEOUT_S = 2.0
+
+
+class Attempt:
+    """One attempt of a call at one target.
+
+    :param id: sent with the call and repeated in the answer
+    """
+
+    def __init__(self, attempt_id: str, target: Target) -> None:
+        """Start before anything is sent."""
+        self.id = attempt_id
+        self.target = target
+        self.state = AttemptState.NOT_SENT
+
+    def error(self, reason: str, code: ErrorCode) -> TargetError:
+        """Build an error that says whether the call may have run."""
+        outcome = Outcome.UNKNOWN
+        if self.state.surely_not_run:
+            outcome = Outcome.NOT_RUN
+        return TargetError(
+            reason,
+            step=STEP,
+            peer=self.target.name,
+            request_id=self.id,
+            code=code,
+            outcome=outcome,
+        )
+
+
+class TargetConnections:
+    """Sends calls to targets.
+
+    Calls that may not be repeated go on a new connection each: one that was
+    kept open may have gone silent. The sessions never send a call again by
+    themselves.
+
+    :param kept: session that keeps connections open
+    :param fresh: session that opens a connection for every call
+    """
+
+    def __init__(
+        self,
+        kept: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+    ) -> None:
+        """Keep the sessions."""
+        self.kept = kept
+        self.fresh = fresh
+        for session in (kept, fresh):
+            session._retry_connection = False  # noqa: SLF001
+
+    @classmethod
+    def from_settings(cls, settings: CallerSettings) -> Self:
+        """Build both sessions."""
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=settings.connect_timeout_s,
+        )
+        return cls(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15),
+                timeout=timeout,
+                auto_decompress=False,
+            ),
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                timeout=timeout,
+                auto_decompress=False,
+            ),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.kept.close()
+        await self.fresh.close()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        attempt: Attempt,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        *,
+        on_new_connection: bool = False,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a call and yield the answer once its headers are here.
+
+        :raises TargetError: with the outcome; ``not_run`` only if no byte
+            was sent or the target says that it did not run the call
+        """
+        session = self.fresh if on_new_connection else self.kept
+        request = session.request(
+            method,
+            f'{attempt.target.url}{path}',
+            data=body or None,
+            headers={**headers, ATTEMPT_HEADER: attempt.id},
+            allow_redirects=False,
+        )
+        response = await self._open(attempt, request)
+        try:
+            self._check(attempt, response)
+            yield response
+        except (aiohttp.ClientError, ConnectionError) as error:
+            attempt.state = AttemptState.UNKNOWN
+            raise attempt.error(str(error), ErrorCode.TARGET_FAILED) from error
+        finally:
+            response.close()
+
+    async def cancel(self, attempt: Attempt) -> None:
+        """Ask a target to drop an attempt whose connection is silent."""
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                url = f'{attempt.target.url}/v1/streams/{attempt.id}'
+                async with self.fresh.delete(url) as response:
+                    await response.read()
+
+    async def _open(
+        self,
+        attempt: Attempt,
+        request: 'aiohttp.client._RequestContextManager',
+    ) -> aiohttp.ClientResponse:
+        """Send the call and wait for the headers of the answer."""
+        try:
+            response = await request
+        except aiohttp.ClientConnectorError as error:
+            raise attempt.error(
+                str(error),
+                ErrorCode.TARGET_UNREACHABLE,
+            ) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise attempt.error(
+                str(error),
+                ErrorCode.TARGET_UNREACHABLE,
+            ) from error
+        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+            attempt.state = AttemptState.UNKNOWN
+            raise attempt.error(str(error), ErrorCode.TARGET_FAILED) from error
+        except BaseException:
+            attempt.state = AttemptState.UNKNOWN
+            raise
+        attempt.state = AttemptState.SENT
+        return response
+
+    def _check(
+        self,
+        attempt: Attempt,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Refuse answers of other attempts and note calls not run."""
+        echoed = response.headers.get(ATTEMPT_HEADER, attempt.id)
+        if echoed != attempt.id:
+            attempt.state = AttemptState.UNKNOWN
+            raise attempt.error(
+                f'answer of attempt {echoed}',
+                ErrorCode.ANSWER_MISMATCH,
+            )
+        if NOT_RUN_HEADER in response.headers:
+            attempt.state = AttemptState.REFUSED_UNRUN
+            raise attempt.error(
+                f'refused with status {response.status}',
+                ErrorCode.TARGET_REFUSED,
+            )
--- /dev/null
+++ b/src/dandelionplank/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of targets, limits and retries."""
--- /dev/null
+++ b/src/dandelionplank/routing/limits.py
@@ -0,0 +1,178 @@
+"""In-flight limit of each target, learned from what entries observe."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from statistics import median
+
+from dandelionplank.contracts import ServiceContract, ServiceKind
+from dandelionplank.messages import TargetReport
+from dandelionplank.targets import Target, TargetState
+
+MILLISECONDS = 1000.0
+INCREASE_PER_WINDOW = 0.5
+DECREASE_FACTOR = 0.85
+SLOW_MARGIN = 1.15
+FAST_MARGIN = 0.95
+DECREASE_PAUSE_S = 1.0
+SMOOTHING = 0.5
+STRAGGLER_RATIO = 2.5
+RECOVERED_RATIO = 1.6
+
+
+@dataclasses.dataclass
+class Window:
+    """Observations of one target since the last evaluation."""
+
+    tokens: int = 0
+    stream_seconds: float = 0
+    first_tokens: int = 0
+    first_token_seconds: float = 0
+    oldest_wait_s: float = 0
+
+    def add(self, report: TargetReport) -> None:
+        """Add an entry's report."""
+        self.tokens += report.tokens
+        self.stream_seconds += report.stream_seconds
+        self.first_tokens += report.first_tokens
+        self.first_token_seconds += report.first_token_seconds
+        self.oldest_wait_s = max(self.oldest_wait_s, report.oldest_wait_s)
+
+
+class TargetSlots:
+    """Slots of one target: how many there are and how many are taken."""
+
+    def __init__(self, target: Target, contract: ServiceContract) -> None:
+        """Start at the configured limit with no observation."""
+        self.target = target
+        self.contract = contract
+        self.limit = float(target.limit or contract.target_limit)
+        self.in_flight = 0
+        self.window = Window()
+        self.pace_s = 0.0
+        self.is_slow = False
+        self.slow_ratio = 1.0
+        self.failures = 0
+        self.blocked_until_s = 0.0
+        self.decreased_at_s = float('-inf')
+
+    @property
+    def effective_limit(self) -> int:
+        """Slots at present; a slow target keeps at least one as a probe."""
+        if self.is_slow:
+            return max(1, int(self.limit / self.slow_ratio))
+        return max(1, int(self.limit))
+
+    @property
+    def load(self) -> float:
+        """Share of the slots that would be taken by one call more."""
+        return (self.in_flight + 1) / self.effective_limit
+
+    def has_slot(self, now_s: float, overdraft: int = 0) -> bool:
+        """Tell whether a call may be sent now.
+
+        :param now_s: monotonic time
+        :param overdraft: slots beyond the limit that this call may use
+        """
+        if self.target.state is not TargetState.ACTIVE:
+            return False
+        if now_s < self.blocked_until_s:
+            return False
+        return self.in_flight < self.effective_limit + overdraft
+
+    def note_failure(self, now_s: float) -> None:
+        """Pause a target that failed, longer with every failure in a row."""
+        self.failures += 1
+        pause_s = min(5.0, 0.1 * 2**self.failures)
+        self.blocked_until_s = now_s + pause_s
+
+    def note_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.blocked_until_s = 0.0
+
+    def close_window(self) -> None:
+        """Fold the window's observations into the smoothed pace."""
+        sample = _pace_sample(self.window, self.contract.kind)
+        self.window = Window()
+        if sample <= 0:
+            return
+        if self.pace_s <= 0:
+            self.pace_s = sample
+        self.pace_s += SMOOTHING * (sample - self.pace_s)
+
+    def adapt(self, now_s: float, *, wanted: bool) -> None:
+        """Raise or lower the limit towards the time between tokens aimed at.
+
+        :param now_s: monotonic time
+        :param wanted: tickets wait, so that a higher limit would be used
+        """
+        if self.contract.kind is ServiceKind.PLAIN or self.is_slow:
+            return
+        aim_s = self.contract.inter_token_target_ms / MILLISECONDS
+        if self.pace_s > aim_s * SLOW_MARGIN:
+            self.lower(now_s)
+        elif wanted and 0 < self.pace_s < aim_s * FAST_MARGIN:
+            self.limit = min(
+                self.limit + INCREASE_PER_WINDOW,
+                float(self.contract.target_limit_max),
+            )
+
+    def lower(self, now_s: float) -> None:
+        """Lower the limit by a factor, at most once in a pause."""
+        if now_s - self.decreased_at_s < DECREASE_PAUSE_S:
+            return
+        self.decreased_at_s = now_s
+        self.limit = max(1.0, self.limit * DECREASE_FACTOR)
+
+
+def _pace_sample(window: Window, kind: ServiceKind) -> float:
+    """Return seconds per token or, for plain services, per answer."""
+    if kind is ServiceKind.PLAIN:
+        if window.first_tokens:
+            return window.first_token_seconds / window.first_tokens
+        return 0
+    if window.tokens:
+        return window.stream_seconds / window.tokens
+    return window.oldest_wait_s
+
+
+def find_stragglers(
+    slots: Mapping[str, TargetSlots],
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Compare each target's pace with the pool's median and mark slow ones.
+
+    :param slots: targets of one pool
+    :return: names that became slow, names that recovered
+    """
+    paces = [each.pace_s for each in slots.values() if each.pace_s > 0]
+    if len(paces) < 2:
+        return (), ()
+    usual = median(paces)
+    slowed = tuple(_newly_slow(slots.values(), usual))
+    recovered = tuple(_newly_recovered(slots.values(), usual))
+    return slowed, recovered
+
+
+def _newly_slow(slots: Iterable[TargetSlots], usual: float) -> list[str]:
+    """Mark targets that lag behind the usual pace."""
+    names = []
+    for each in slots:
+        ratio = each.pace_s / usual
+        if ratio < STRAGGLER_RATIO:
+            continue
+        each.slow_ratio = ratio
+        if not each.is_slow:
+            each.is_slow = True
+            names.append(each.target.name)
+    return names
+
+
+def _newly_recovered(slots: Iterable[TargetSlots], usual: float) -> list[str]:
+    """Unmark targets that keep the usual pace again."""
+    names = []
+    for each in slots:
+        if each.is_slow and each.pace_s < usual * RECOVERED_RATIO:
+            each.is_slow = False
+            each.slow_ratio = 1.0
+            names.append(each.target.name)
+    return names
--- /dev/null
+++ b/src/dandelionplank/settings.py
@@ -0,0 +1,241 @@
+"""Settings of one router: frozen types, read from YAML and validated."""
+
+import ipaddress
+import os
+import re
+from pathlib import Path
+from typing import Annotated, Any, Self, TypeVar
+
+import msgspec
+import yaml
+
+from dandelionplank.errors import ErrorCode, SettingsError
+
+STEP = 'settings'
+_PATH_PATTERN = re.compile(r' - at `\$(?P<path>[^`]*)`')
+_PART_PATTERN = re.compile(r'\.(?P<name>[^.\[]+)|\[(?P<index>\d+)\]')
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern='^[a-z0-9][a-z0-9._-]*$',
+        max_length=63,
+        description='lower-case letters, digits, dots, dashes, underscores',
+    ),
+]
+Digest = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+
+Model = TypeVar('Model')
+
+
+class Frozen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all validated types: immutable, unknown keys are errors."""
+
+
+class Address(Frozen, frozen=True):
+    """An IP address and a port of this machine or of another."""
+
+    ip: str
+    port: Port
+
+    def __post_init__(self) -> None:
+        """Refuse host names: the fleet talks by IP numbers."""
+        ipaddress.ip_address(self.ip)
+
+    @property
+    def text(self) -> str:
+        """The usual form ``ip:port``."""
+        return f'{self.ip}:{self.port}'
+
+    @classmethod
+    def from_text(cls, text: str) -> Self:
+        """Parse ``ip:port``."""
+        ip, _, port = text.rpartition(':')
+        return cls(ip, int(port))
+
+
+class InstanceSettings(Frozen, frozen=True):
+    """Who this router is and where it runs."""
+
+    id: Name
+    data_center: Name
+    region: Name
+
+
+class TlsSettings(Frozen, frozen=True):
+    """Files of a certificate, its key and the authority of the peers."""
+
+    certificate_file: str
+    key_file: str
+    authority_file: str = ''
+
+
+class ListenSettings(Frozen, frozen=True):
+    """Addresses on which the router listens."""
+
+    callers: Address
+    peers: Address
+    callers_tls: TlsSettings | None = None
+    peers_tls: TlsSettings | None = None
+    backlog_connections: PositiveInt = 4096
+
+
+class PlatformSettings(Frozen, frozen=True):
+    """Where the platform's services are."""
+
+    key_value_url: str
+    instance_list_url: str
+    key_prefix: str = 'dandelionplank/'
+    call_timeout_s: Positive = 2.0
+    instance_list_period_s: Positive = 1.0
+    authority_file: str = ''
+
+
+class CallerSettings(Frozen, frozen=True):
+    """Limits on what callers may send and how long they may wait."""
+
+    body_limit_bytes: PositiveInt = 4_194_304
+    header_limit_bytes: PositiveInt = 16_384
+    header_timeout_s: Positive = 10.0
+    body_timeout_s: Positive = 10.0
+    idle_timeout_s: Positive = 75.0
+    queue_timeout_s: Positive = 120.0
+    progress_timeout_s: Positive = 10.0
+    connect_timeout_s: Positive = 1.0
+    open_requests_per_account: PositiveInt = 4096
+
+
+class MembershipSettings(Frozen, frozen=True):
+    """Periods of failure detection."""
+
+    probe_period_s: Positive = 0.2
+    probe_timeout_s: Positive = 0.1
+    suspicion_s: Positive = 0.4
+    heartbeat_s: Positive = 0.5
+    link_timeout_s: Positive = 2.0
+
+
+class DispatchSettings(Frozen, frozen=True):
+    """Periods and policies of dispatching."""
+
+    policy: str = 'fair'
+    recovery_grace_s: Positive = 0.3
+    resync_period_s: Positive = 3.0
+    report_period_s: Positive = 0.25
+    fallback_limit_per_target: PositiveInt = 1
+    hedge_budget_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
+    retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+
+
+class LedgerSettings(Frozen, frozen=True):
+    """How use is kept."""
+
+    flush_period_s: Positive = 2.0
+    intent_shards: PositiveInt = 64
+    intent_retention_s: Positive = 86_400.0
+
+
+class AdministrationSettings(Frozen, frozen=True):
+    """Access of operators before any operator token is configured."""
+
+    bootstrap_token_sha256: Digest | None = None
+
+
+class Settings(Frozen, frozen=True):
+    """Everything one router reads at its start."""
+
+    instance: InstanceSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    callers: CallerSettings = CallerSettings()
+    membership: MembershipSettings = MembershipSettings()
+    dispatch: DispatchSettings = DispatchSettings()
+    ledger: LedgerSettings = LedgerSettings()
+    administration: AdministrationSettings = AdministrationSettings()
+    log_level: str = 'INFO'
+
+
+def load_settings(path: str | os.PathLike[str]) -> Settings:
+    """Read and validate the settings file of a router.
+
+    :param path: YAML file
+    :raises SettingsError: with file, line, path of the key, and reason
+    """
+    return load_yaml(path, Settings)
+
+
+def load_yaml(path: str | os.PathLike[str], model: type[Model]) -> Model:
+    """Read a YAML file into a validated type.
+
+    :param path: YAML file
+    :param model: frozen type that the document must match
+    :raises SettingsError: with file, line, path of the key, and reason
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(error), step=STEP, peer=str(path)) from error
+    return parse_yaml(text, model, origin=str(path))
+
+
+def parse_yaml(text: str, model: type[Model], *, origin: str) -> Model:
+    """Validate a YAML text.
+
+    :param text: the document
+    :param model: frozen type that the document must match
+    :param origin: file name for the error
+    :raises SettingsError: with file, line, path of the key, and reason
+    """
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise SettingsError(
+            f'{origin}: not valid YAML: {error}',
+            step=STEP,
+            peer=origin,
+        ) from error
+    try:
+        return msgspec.convert(document, model)
+    except msgspec.ValidationError as error:
+        raise _located_error(text, str(error), origin) from error
+
+
+def _located_error(text: str, reason: str, origin: str) -> SettingsError:
+    """Build an error that names the line and the path of the fault."""
+    found = _PATH_PATTERN.search(reason)
+    path = found.group('path') if found else ''
+    line = _line_of(text, path)
+    plain = _PATH_PATTERN.sub('', reason)
+    return SettingsError(
+        f'{origin}:{line}: {path.lstrip(".") or "document"}: {plain}',
+        step=STEP,
+        peer=origin,
+        code=ErrorCode.SETTINGS,
+    )
+
+
+def _line_of(text: str, path: str) -> int:
+    """Return the line, from one, of the deepest node on the path."""
+    node: Any = yaml.compose(text)
+    line = 1
+    for part in _PART_PATTERN.finditer(path):
+        child = _child_node(node, part)
+        if child is None:
+            break
+        node = child
+        line = node.start_mark.line + 1
+    return line
+
+
+def _child_node(node: Any, part: re.Match[str]) -> Any:
+    """Return the YAML node one step further on a path, or none."""
+    if isinstance(node, yaml.SequenceNode) and part.group('index'):
+        return node.value[int(part.group('index'))]
+    if isinstance(node, yaml.MappingNode):
+        for key, child in node.value:
+            if key.value == part.group('name'):
+                return child
+    return None
--- /dev/null
+++ b/src/dandelionplank/targets.py
@@ -0,0 +1,33 @@
+"""Targets: model engines and plain services that do the work."""
+
+import enum
+
+from dandelionplank.settings import Address, Frozen, Name
+
+
+class TargetState(enum.StrEnum):
+    """Whether a target may be given new work."""
+
+    ACTIVE = 'active'
+    DRAINING = 'draining'
+
+
+class Target(Frozen, frozen=True):
+    """One server of a service.
+
+    :param checks_fencing: it refuses orders with an old fencing number
+    :param limit: calls in flight it takes at first, zero for the contract's
+    """
+
+    name: Name
+    service: Name
+    address: Address
+    data_center: Name
+    state: TargetState = TargetState.ACTIVE
+    checks_fencing: bool = False
+    limit: int = 0
+
+    @property
+    def url(self) -> str:
+        """Base URL of the target."""
+        return f'http://{self.address.text}'
--- /dev/null
+++ b/src/dandelionplank_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of the served systems, with faults."""
--- /dev/null
+++ b/src/dandelionplank_standins/engine.py
@@ -0,0 +1,244 @@
+"""Stand-in of a model engine that batches continuously."""
+
+import asyncio
+import dataclasses
+import math
+import time
+from collections import OrderedDict
+from typing import Any
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from dandelionplank_standins.faults import FaultSwitch, drop_connection
+
+ATTEMPT_HEADER = 'X-Request-Id'
+RESUME_HEADER = 'X-Resume-Offset'
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 64
+PREFIX_BYTES = 1024
+KEPT_STREAMS = 2000
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineSpeed:
+    """How fast an engine works.
+
+    :param token_s: time between tokens while the batch is not too large
+    :param prefill_s_per_token: time per prompt token that is not cached
+    :param batch: streams that run at full speed together
+    """
+
+    token_s: float = 0.01
+    prefill_s_per_token: float = 0.00002
+    batch: int = 8
+    cached_prefixes: int = 64
+
+
+@dataclasses.dataclass
+class EngineStream:
+    """One stream of tokens, remembered so that it can be resumed."""
+
+    id: str
+    wanted: int
+    prompt_tokens: int
+    text: str
+    produced: int = 0
+    cancelled: bool = False
+
+
+class EngineStandin:
+    """Answers chat completions with counted tokens.
+
+    The answer to a prompt is a function of the prompt, so that a caller can
+    tell its own answer from another's.
+    """
+
+    def __init__(self, name: str, speed: EngineSpeed) -> None:
+        """Start idle."""
+        self.name = name
+        self.speed = speed
+        self.active = 0
+        self.peak = 0
+        self.tokens = 0
+        self.runs = 0
+        self.use: dict[str, int] = {}
+        self.streams: OrderedDict[str, EngineStream] = OrderedDict()
+        self.prefixes: OrderedDict[int, None] = OrderedDict()
+        self.busy_seconds = 0.0
+        self.started_at_s = time.monotonic()
+        self.application = web.Application(client_max_size=64_000_000)
+        self.switch = FaultSwitch.attach(self.application)
+        self.application.add_routes(
+            [
+                web.post('/v1/chat/completions', self.complete),
+                web.delete('/v1/streams/{id}', self.cancel),
+                web.get('/load', self.show_load),
+            ],
+        )
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Stream a completion, or the rest of one that broke off."""
+        await self.switch.before(request)
+        if self.switch.strikes(self.switch.faults.refuse):
+            return web.Response(status=503, headers={'X-Not-Run': 'busy'})
+        body = await request.read()
+        attempt = request.headers.get(ATTEMPT_HEADER, 'unknown')
+        offset = int(request.headers.get(RESUME_HEADER, 0))
+        stream = self.streams.get(attempt)
+        if offset and stream is None:
+            return web.json_response({'error': 'unknown stream'}, status=404)
+        if stream is None or not offset:
+            try:
+                stream = self._open_stream(attempt, msgspec.json.decode(body))
+            except (msgspec.DecodeError, KeyError, TypeError) as error:
+                return web.json_response({'error': str(error)}, status=400)
+            self.runs += 1
+        return await self._run(request, stream, offset)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Drop a stream whose connection is of no use any more."""
+        stream = self.streams.get(request.match_info['id'])
+        if stream:
+            stream.cancelled = True
+        return web.Response(text='ok\n')
+
+    async def show_load(self, _: web.Request) -> web.Response:
+        """Report the load and what was done so far."""
+        return web.json_response(
+            {
+                'name': self.name,
+                'active': self.active,
+                'peak': self.peak,
+                'tokens': self.tokens,
+                'runs': self.runs,
+                'busy_seconds': self.busy_seconds,
+                'age_seconds': time.monotonic() - self.started_at_s,
+            },
+        )
+
+    def _open_stream(self, attempt: str, document: Any) -> EngineStream:
+        """Plan the answer to a prompt."""
+        text = ''.join(
+            str(message['content']) for message in document['messages']
+        )
+        wanted = int(
+            document.get('max_completion_tokens')
+            or document.get('max_tokens')
+            or DEFAULT_OUTPUT_TOKENS,
+        )
+        prompt_tokens = math.ceil(len(text.encode()) / BYTES_PER_TOKEN)
+        digest = xxhash.xxh64_hexdigest(text.encode())
+        stream = EngineStream(attempt, wanted, prompt_tokens, digest)
+        self.streams[attempt] = stream
+        while len(self.streams) > KEPT_STREAMS:
+            self.streams.popitem(last=False)
+        return stream
+
+    async def _run(
+        self,
+        request: web.Request,
+        stream: EngineStream,
+        offset: int,
+    ) -> web.StreamResponse:
+        """Send the events of a stream."""
+        self.active += 1
+        self.peak = max(self.peak, self.active)
+        began_s = time.monotonic()
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                ATTEMPT_HEADER: stream.id,
+            },
+        )
+        try:
+            await self._prefill(stream, offset)
+            await response.prepare(request)
+            await self._send_tokens(request, response, stream, offset)
+            await response.write(_ending(stream))
+        except ConnectionError:
+            return response
+        finally:
+            self.active -= 1
+            self.busy_seconds += time.monotonic() - began_s
+        await response.write_eof()
+        return response
+
+    async def _prefill(self, stream: EngineStream, offset: int) -> None:
+        """Take the time to read the prompt unless its prefix is cached."""
+        if offset:
+            return
+        prefix = xxhash.xxh32_intdigest(stream.text.encode())
+        cached = prefix in self.prefixes
+        self.prefixes[prefix] = None
+        self.prefixes.move_to_end(prefix)
+        while len(self.prefixes) > self.speed.cached_prefixes:
+            self.prefixes.popitem(last=False)
+        share = 0.1 if cached else 1.0
+        duration_s = stream.prompt_tokens * self.speed.prefill_s_per_token
+        await asyncio.sleep(share * duration_s * self.switch.faults.slowdown)
+
+    async def _send_tokens(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        stream: EngineStream,
+        offset: int,
+    ) -> None:
+        """Send one event per token at the engine's pace."""
+        faults = self.switch.faults
+        stream.produced = offset
+        due_s = time.monotonic()
+        while stream.produced < stream.wanted:
+            faults = self.switch.faults
+            due_s = max(due_s + self._token_s(), time.monotonic() - 1)
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            if stream.cancelled:
+                drop_connection(request)
+            while faults.silent and not stream.cancelled:
+                await asyncio.sleep(0.05)
+                faults = self.switch.faults
+            if (
+                faults.cut_after
+                and stream.produced - offset >= faults.cut_after
+            ):
+                drop_connection(request)
+            await response.write(self._event(stream))
+            stream.produced += 1
+            self.tokens += 1
+
+    def _token_s(self) -> float:
+        """Return the time per token; a batch that is too large is slower."""
+        crowding = max(1.0, self.active / self.speed.batch)
+        return self.speed.token_s * crowding * self.switch.faults.slowdown
+
+    def _event(self, stream: EngineStream) -> bytes:
+        """Return the event of one token."""
+        identity = stream.id
+        if self.switch.faults.crossed:
+            identity = f'other-{stream.id[:-1]}'
+        word = f'{stream.text[:6]}:{stream.produced} '
+        return (
+            f'data: {{"id":"chatcmpl-{identity}",'
+            '"object":"chat.completion.chunk","model":"standin",'
+            f'"choices":[{{"index":0,"delta":{{"content":"{word}"}},'
+            '"finish_reason":null}]}\n\n'
+        ).encode()
+
+
+def _ending(stream: EngineStream) -> bytes:
+    """Return the usage event and the end mark."""
+    usage = {
+        'prompt_tokens': stream.prompt_tokens,
+        'completion_tokens': stream.wanted,
+        'total_tokens': stream.prompt_tokens + stream.wanted,
+    }
+    event = {
+        'id': f'chatcmpl-{stream.id}',
+        'object': 'chat.completion.chunk',
+        'model': 'standin',
+        'choices': [],
+        'usage': usage,
+    }
+    return b'data: %b\n\ndata: [DONE]\n\n' % msgspec.json.encode(event)
--- /dev/null
+++ b/src/dandelionplank_standins/plain.py
@@ -0,0 +1,64 @@
+"""Stand-in of a plain service that books and takes deposits."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from dandelionplank_standins.faults import FaultSwitch
+
+ATTEMPT_HEADER = 'X-Request-Id'
+DEPOSIT_HEADER = 'X-Deposit'
+
+
+class PlainStandin:
+    """Counts how often each deposit was run.
+
+    :param call_s: time that a call takes
+    """
+
+    def __init__(self, name: str, call_s: float) -> None:
+        """Start with nothing run."""
+        self.name = name
+        self.call_s = call_s
+        self.runs: dict[str, int] = {}
+        self.attempts: list[str] = []
+        self.active = 0
+        self.application = web.Application(client_max_size=64_000_000)
+        self.switch = FaultSwitch.attach(self.application)
+        self.application.add_routes(
+            [
+                web.get('/standin/runs', self.show_runs),
+                web.route('*', '/{path:.*}', self.serve),
+            ],
+        )
+
+    async def show_runs(self, _: web.Request) -> web.Response:
+        """Return how often each body was run."""
+        return web.json_response(self.runs)
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Run one call."""
+        await self.switch.before(request)
+        if self.switch.strikes(self.switch.faults.refuse):
+            return web.Response(status=503, headers={'X-Not-Run': 'busy'})
+        body = (await request.read()).decode(errors='replace')
+        attempt = request.headers.get(ATTEMPT_HEADER, '')
+        label = f'{request.method} {request.path} {body}'
+        self.runs[label] = self.runs.get(label, 0) + 1
+        self.active += 1
+        try:
+            duration_s = self.call_s * self.switch.faults.slowdown
+            await asyncio.sleep(duration_s)
+        finally:
+            self.active -= 1
+        self.switch.after(request)
+        answer: dict[str, Any] = {
+            'path': request.path,
+            'method': request.method,
+            'body': body,
+            'served_by': self.name,
+        }
+        if self.switch.faults.crossed:
+            attempt = f'other-{attempt}'
+        return web.json_response(answer, headers={ATTEMPT_HEADER: attempt})
