--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,9 @@
 	$(BIN)/python -m tests
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src bench tests
-	$(BIN)/ruff check src bench tests
-	$(BIN)/flake8 src bench tests
+	$(BIN)/ruff format --check src bench tests docs
+	$(BIN)/ruff check src bench tests docs
+	$(BIN)/flake8 src bench tests docs
 	$(BIN)/mypy
 
 bench: $(STAMP)
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -106,5 +106,6 @@
             outcome.wrong = True
         outcome.tokens += 1
     else:
-        outcome.charge = document['receipt']['charge']
-        outcome.receipt = document['receipt']['id']
+        receipt = document.get('receipt', {})
+        outcome.charge = receipt.get('charge', 0)
+        outcome.receipt = receipt.get('id', '')
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,49 @@
+"""A bare relay without queue or accounting, to compare costs with."""
+
+import itertools
+import sys
+
+import aiohttp
+import uvloop
+from aiohttp import web
+
+from dandelionplank_standins.commands import serve_until_signal
+
+
+class BareRelay:
+    """Passes chats on to engines in turn."""
+
+    def __init__(self, targets: list[str]) -> None:
+        """Keep the engines' addresses."""
+        self.targets = itertools.cycle(targets)
+        self.session: aiohttp.ClientSession | None = None
+        self.application = web.Application()
+        self.application.router.add_post('/v1/chat/completions', self.relay)
+
+    async def relay(self, request: web.Request) -> web.StreamResponse:
+        """Pass on one request and its answer."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+            )
+        body = await request.read()
+        async with self.session.post(
+            f'http://{next(self.targets)}/v1/chat/completions',
+            data=body,
+            headers={'Content-Type': 'application/json'},
+        ) as incoming:
+            response = web.StreamResponse(
+                status=incoming.status,
+                headers={'Content-Type': 'text/event-stream'},
+            )
+            await response.prepare(request)
+            while chunk := await incoming.content.readany():
+                await response.write(chunk)
+            await response.write_eof()
+        return response
+
+
+if __name__ == '__main__':
+    uvloop.run(
+        serve_until_signal({sys.argv[1]: BareRelay(sys.argv[2:]).application}),
+    )
--- /dev/null
+++ b/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Documentation and the program that makes a part of it."""
--- /dev/null
+++ b/docs/generate.py
@@ -0,0 +1,118 @@
+"""Writes the pages that are made from the code."""
+
+import sys
+from pathlib import Path
+from typing import Any, get_args, get_type_hints
+
+import msgspec
+
+from dandelionplank.errors import ErrorCode
+from dandelionplank.events import Event
+from dandelionplank.settings import Settings
+
+DOCS = Path(__file__).parent
+
+
+def events_page() -> str:
+    """Return the catalogue of log events."""
+    lines = [
+        '# Log events',
+        '',
+        'Each log line is one JSON object with `time`, `event` (the number),',
+        '`name` and the facts of the event. This page is made from',
+        '`dandelionplank.events` by `make docs`.',
+        '',
+        '| number | name | level | meaning |',
+        '|---|---|---|---|',
+    ]
+    lines.extend(
+        f'| {event.number} | {event.name.lower()} | {event.level.value} '
+        f'| {event.meaning} |'
+        for event in Event
+    )
+    return '\n'.join((*lines, ''))
+
+
+def errors_page() -> str:
+    """Return the catalogue of error codes."""
+    lines = [
+        '# Error codes',
+        '',
+        'A refusal is a JSON document `{"error": {...}}` with `code`, `type`,',
+        '`message`, `step`, `peer`, `request_id`, `outcome` (`not_run` or',
+        '`outcome_unknown`) and, where a retry helps, `retry_after_s`. This',
+        'page is made from `dandelionplank.errors` by `make docs`.',
+        '',
+        '| code | type | HTTP status | meaning |',
+        '|---|---|---|---|',
+    ]
+    lines.extend(
+        f'| {code.label} | {code.name.lower()} | {code.status.value} '
+        f'| {code.meaning} |'
+        for code in ErrorCode
+    )
+    return '\n'.join((*lines, ''))
+
+
+def settings_page() -> str:
+    """Return the list of all settings of a router."""
+    lines = [
+        '# Settings of a router',
+        '',
+        'One YAML file for each router; the unit stands at the end of a',
+        "setting's name. Check a file with `dandelionplank-check settings",
+        'FILE`. This page is made from `dandelionplank.settings` by',
+        '`make docs`.',
+        '',
+        '| setting | type | default |',
+        '|---|---|---|',
+        *_rows(Settings, ''),
+    ]
+    return '\n'.join((*lines, ''))
+
+
+def _rows(model: type[msgspec.Struct], prefix: str) -> list[str]:
+    """Return one row for each setting of a type and of the types within."""
+    rows = []
+    hints = get_type_hints(model)
+    for field in msgspec.structs.fields(model):
+        kind = _plain_type(hints[field.name])
+        path = f'{prefix}{field.name}'
+        if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+            rows.extend(_rows(kind, f'{path}.'))
+            continue
+        rows.append(f'| `{path}` | {kind.__name__} | {_default(field)} |')
+    return rows
+
+
+def _plain_type(hint: Any) -> Any:
+    """Return the type behind an optional one."""
+    choices = [each for each in get_args(hint) if each is not type(None)]
+    return choices[0] if choices else hint
+
+
+def _default(field: Any) -> str:
+    """Return a setting's default in words."""
+    if field.default is msgspec.NODEFAULT:
+        return 'required'
+    if field.default is None:
+        return 'none'
+    return f'`{field.default}`'
+
+
+PAGES = (
+    ('EVENTS.md', events_page),
+    ('ERRORS.md', errors_page),
+    ('SETTINGS.md', settings_page),
+)
+
+
+def main() -> None:
+    """Write all pages."""
+    for name, page in PAGES:
+        (DOCS / name).write_text(page(), encoding='utf-8')
+        sys.stdout.write(f'{name}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/dandelionplank/operators/language.py
+++ b/src/dandelionplank/operators/language.py
@@ -89,7 +89,7 @@
 
     def create_account(self, parts: list[Any]) -> CreateAccount:
         """Return a new account."""
-        name, owner, share = parts
+        name, owner, _keyword, share = parts
         return CreateAccount(name, owner, float(share or 1))
 
     def assignment(self, tokens: list[Token]) -> Assignment:
@@ -206,7 +206,6 @@
         'ADDRESS': 'an address such as 127.0.0.1:9000',
         'TOPIC': ', '.join(TOPICS),
         'SUBJECT': 'ACCOUNT, OWNER or SERVICE',
-        'SETTING': 'SHARE or QUEUE',
         'ACTION': 'DRAIN or RESUME',
     }
     return sorted(
--- a/src/dandelionplank/router/idle.py
+++ b/src/dandelionplank/router/idle.py
@@ -40,7 +40,7 @@
     def __init__(self, settings: CallerSettings) -> None:
         """Start without a server."""
         self.settings = settings
-        self.server: web.Server[Any] | None = None
+        self.server: web.Server | None = None
         self.uses: dict[Any, ConnectionUse] = {}
 
     def begin(self, connection: Any) -> None:
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -91,7 +91,9 @@
     served = dict.fromkeys(SHARES, 0.0)
     for number in range(300):
         for name in SHARES:
-            ticket = Ticket(f'{name}-{number}', name, costs[number % len(costs)][0])
+            ticket = Ticket(
+                f'{name}-{number}', name, costs[number % len(costs)][0]
+            )
             scheduler.enqueue('r', ticket, 0)
     running = grants_in(scheduler.schedule(0))
     for number in range(len(costs)):
@@ -213,7 +215,9 @@
         for number in range(10):
             scheduler.enqueue('r', Ticket(f'{name}-{number}', name, 100), 0)
     counters = (AccountCounter('small', 1e9),)
-    waiting = tuple(Ticket(f'small-{number}', 'small', 100) for number in range(10))
+    waiting = tuple(
+        Ticket(f'small-{number}', 'small', 100) for number in range(10)
+    )
     scheduler.sync('other', Sync(POOL, waiting, (), counters), 0)
     assert scheduler.cap_debt() == ('small',)
     floor = min(scheduler.counters.virtual.values())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,9 +23,7 @@
         number += 1
         router = fleet.routers[routers[number % len(routers)]]
         prompt = f'{account} {id(asyncio.current_task())} {number}'
-        outcome = await chat(
-            fleet.session, router.url, account, prompt, TOKENS
-        )
+        outcome = await chat(fleet.session, router.url, account, prompt, TOKENS)
         assert not outcome.wrong
         if outcome.whole and not until.is_set():
             counts[account] += outcome.tokens
@@ -38,7 +36,9 @@
     uneven = {'small': (0,), 'middle': (0, 1), 'large': (2,)}
     tasks = [
         asyncio.create_task(
-            keep_asking(fleet, account.name, uneven[account.name], until, counts)
+            keep_asking(
+                fleet, account.name, uneven[account.name], until, counts
+            )
         )
         for account in ACCOUNTS
         for _ in range(25)
