Nothing per chunk but the check; fast streams are passed on in blocks

Change: observers read the event count once a period; a stream that delivers within 4 ms is read together; a full queue is first scheduled, then judged.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -19,6 +19,12 @@
         self.session: aiohttp.ClientSession | None = None
         self.application = web.Application()
         self.application.router.add_post('/v1/chat/completions', self.relay)
+        self.application.on_cleanup.append(self.close)
+
+    async def close(self, _: web.Application) -> None:
+        """Close the connections to the engines."""
+        if self.session:
+            await self.session.close()
 
     async def relay(self, request: web.Request) -> web.StreamResponse:
         """Pass on one request and its answer."""
--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -127,9 +127,7 @@
         running = self.running.get(ticket.id)
         if running:
             return [Delivery(entry, self._grant_message(running))]
-        account = self.accounts.get(ticket.account)
-        limit = account.queue_limit if account else 0
-        if self.backlog.length_of(ticket.account) >= limit:
+        if self.is_full(ticket.account):
             refusal = Refuse(
                 self.pool,
                 ticket.id,
@@ -140,6 +138,12 @@
         self._admit(entry, ticket, now_s)
         return []
 
+    def is_full(self, account: str) -> bool:
+        """Tell whether an account's queue takes no further ticket."""
+        known = self.accounts.get(account)
+        limit = known.queue_limit if known else 0
+        return self.backlog.length_of(account) >= limit
+
     def cancel(self, ticket_id: str) -> None:
         """Withdraw a ticket that waits or give back a grant not used."""
         if self.backlog.remove(ticket_id) is None:
--- a/src/dandelionplank/router/callers.py
+++ b/src/dandelionplank/router/callers.py
@@ -82,10 +82,11 @@
 
         :raises CallerGoneError: the caller has disconnected
         """
+        response = self.response
         try:
-            if not self.response.prepared:
-                await self.response.prepare(self.request)
-            await self.response.write(block)
+            if not response.prepared:
+                await response.prepare(self.request)
+            await response.write(block)
         except ConnectionError as error:
             raise CallerGoneError(step='write') from error
 
--- a/src/dandelionplank/router/delivery.py
+++ b/src/dandelionplank/router/delivery.py
@@ -23,7 +23,7 @@
 from dandelionplank.metrics import METRICS
 from dandelionplank.router.calls import Call
 from dandelionplank.router.entry import Entry
-from dandelionplank.router.observations import ObservedStream
+from dandelionplank.router.observations import EventCount, ObservedStream
 from dandelionplank.router.sse import AnswerStream
 from dandelionplank.router.targets import RESUME_HEADER, Attempt
 from dandelionplank.routing.retries import may_try_again
@@ -34,6 +34,7 @@
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
 LEAST_WAIT_S = 0.01
+COALESCE_S = 0.004
 DETAIL_BYTES = 500
 STEP = 'answer'
 
@@ -184,8 +185,9 @@
             self.pool,
             attempt.target.name,
             self._interrupt,
+            answer,
         )
-        self.report_at = PROGRESS_TOKENS
+        self.report_at = 1
         failed = False
         try:
             await self._relay_with_resume(attempt, answer, observed, ticket)
@@ -282,21 +284,36 @@
         observed: ObservedStream,
         ticket: Ticket,
     ) -> None:
-        """Copy events from a target to the caller until the end mark."""
-        incoming = response.content
+        """Copy events from a target to the caller until the end mark.
+
+        Events of a stream that is faster than the pause are passed on
+        together; slower streams are never held back.
+        """
+        receive = response.content.readany
+        written_at_s = 0.0
         while not answer.is_whole:
-            chunk = await incoming.readany()
+            chunk = await receive()
             if not chunk:
                 return
-            passage = answer.feed(chunk)
-            observed.advance(passage.events, time.monotonic())
-            if passage.payload:
-                await self.sink.write(passage.payload)
+            block = answer.feed(chunk)
+            if block:
+                await self.sink.write(block)
+            now_s = time.monotonic()
+            if now_s - written_at_s < COALESCE_S:
+                await asyncio.sleep(COALESCE_S)
+                now_s += COALESCE_S
+            written_at_s = now_s
             if answer.events >= self.report_at:
-                self._report_progress(ticket, answer)
+                self._report_progress(ticket, answer, observed)
 
-    def _report_progress(self, ticket: Ticket, answer: AnswerStream) -> None:
-        """Report the cost when it has outgrown the estimate."""
+    def _report_progress(
+        self,
+        ticket: Ticket,
+        answer: AnswerStream,
+        observed: ObservedStream,
+    ) -> None:
+        """Note the first token; report a cost that outgrew its estimate."""
+        observed.note_first(time.monotonic())
         self.report_at = int(answer.events * PROGRESS_FACTOR) + PROGRESS_TOKENS
         cost = self._cost(Usage(0, answer.events))
         if cost > self.estimate:
@@ -369,15 +386,19 @@
         attempt: Attempt,
     ) -> PlainAnswer:
         """Send the call to one target and read the whole answer."""
+        counter = EventCount()
         observed = self.entry.observations.open(
             self.pool,
             attempt.target.name,
             lambda: None,
+            counter,
         )
         failed = True
         try:
             async with asyncio.timeout(self.call.contract.answer_timeout_s):
-                answer = await self._exchange(attempt, observed)
+                answer = await self._exchange(attempt)
+            counter.events = 1
+            observed.note_first(time.monotonic())
             failed = False
         except TimeoutError as error:
             raise attempt.error('silent', ErrorCode.TARGET_SILENT) from error
@@ -387,11 +408,7 @@
             self.entry.tickets.finish(ticket, self.pool, cost, failed=failed)
         return answer
 
-    async def _exchange(
-        self,
-        attempt: Attempt,
-        observed: ObservedStream,
-    ) -> PlainAnswer:
+    async def _exchange(self, attempt: Attempt) -> PlainAnswer:
         """Send the call and read the answer."""
         async with self.entry.connections.send(
             attempt,
@@ -402,7 +419,6 @@
             on_new_connection=not self.call.may_repeat,
         ) as response:
             body = await response.read()
-            observed.advance(1, time.monotonic())
         headers = {
             name: response.headers[name]
             for name in ('Content-Type', 'Location')
--- a/src/dandelionplank/router/dispatch.py
+++ b/src/dandelionplank/router/dispatch.py
@@ -186,6 +186,8 @@
         scheduler = dispatched.scheduler
         match message:
             case Enqueue():
+                if scheduler.is_full(message.ticket.account):
+                    self._schedule(scheduler.pool, now_s)
                 self._deliver(scheduler.enqueue(sender, message.ticket, now_s))
             case Cancel():
                 scheduler.cancel(message.ticket_id)
--- a/src/dandelionplank/router/observations.py
+++ b/src/dandelionplank/router/observations.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from dandelionplank.messages import TargetReport
 from dandelionplank.router.tickets import TicketTask
@@ -11,30 +12,50 @@
 StallHandler = Callable[[], None]
 
 
+class Counted(Protocol):
+    """Counts the events of an answer as they arrive."""
+
+    events: int
+
+
+@dataclasses.dataclass
+class EventCount:
+    """A count of events for answers that come in one piece."""
+
+    events: int = 0
+
+
 @dataclasses.dataclass(eq=False)
 class ObservedStream:
     """An attempt whose answer is arriving.
 
     :param stall: called once when it makes no progress for too long
+    :param answer: counts the events that have arrived
     """
 
     pool: str
     target: str
     started_at_s: float
     stall: StallHandler
-    tokens: int = 0
-    reported_tokens: int = 0
+    answer: Counted
+    seen_events: int = 0
     progress_at_s: float = 0
     first_at_s: float = 0
     is_stalled: bool = False
 
-    def advance(self, tokens: int, now_s: float) -> None:
-        """Count tokens that have arrived."""
-        self.tokens += tokens
-        self.progress_at_s = now_s
+    def note_first(self, now_s: float) -> None:
+        """Note when the first event arrived."""
         if not self.first_at_s:
             self.first_at_s = now_s
 
+    def take_new_events(self, now_s: float) -> int:
+        """Return how many events have arrived since the last sample."""
+        new = self.answer.events - self.seen_events
+        self.seen_events = self.answer.events
+        if new:
+            self.progress_at_s = now_s
+        return new
+
 
 @dataclasses.dataclass
 class TargetWindow:
@@ -52,8 +73,8 @@
 class ObservationTask:
     """Samples all open streams once a period.
 
-    Per chunk a stream only adds to its own fields; timers, comparisons and
-    reports are made once a period for all streams together.
+    Nothing is done per chunk: timers, comparisons and reports are made once
+    a period for all streams together.
     """
 
     def __init__(
@@ -74,10 +95,18 @@
         pool: str,
         target: str,
         stall: StallHandler,
+        answer: Counted,
     ) -> ObservedStream:
         """Begin to observe an attempt."""
         now_s = time.monotonic()
-        stream = ObservedStream(pool, target, now_s, stall, progress_at_s=now_s)
+        stream = ObservedStream(
+            pool,
+            target,
+            now_s,
+            stall,
+            answer,
+            progress_at_s=now_s,
+        )
         self.streams.add(stream)
         return stream
 
@@ -127,8 +156,7 @@
     now_s: float,
 ) -> None:
     """Add what a stream did in the period to its target's sums."""
-    new_tokens = stream.tokens - stream.reported_tokens
-    stream.reported_tokens = stream.tokens
+    new_tokens = stream.take_new_events(now_s)
     window.streams += 1
     if not stream.first_at_s:
         window.waiting_first += 1
--- a/src/dandelionplank/router/sse.py
+++ b/src/dandelionplank/router/sse.py
@@ -1,6 +1,5 @@
 """Server-sent events of a model's answer: checked, counted, passed on."""
 
-import dataclasses
 from typing import Any
 
 import msgspec
@@ -11,21 +10,15 @@
 SEPARATOR = b'\n\n'
 FIELD = b'data: '
 END_MARK = b'data: [DONE]'
-SPECIAL_MARKS = (b'"usage"', b'[DONE]', b'"error"')
+USAGE_MARK = b'"usage"'
+DONE_MARK = b'[DONE]'
+ERROR_MARK = b'"error"'
 STEP = 'answer'
 
 _DECODER = msgspec.json.Decoder()
 _ENCODER = msgspec.json.Encoder()
 
 
-@dataclasses.dataclass(frozen=True)
-class Passage:
-    """Whole events that may be passed on to the caller."""
-
-    payload: bytes
-    events: int
-
-
 class AnswerStream:
     """Checks the events of one attempt and holds back the end.
 
@@ -45,7 +38,7 @@
         self.usage_event: dict[str, Any] = {}
         self.is_whole = False
 
-    def feed(self, chunk: bytes) -> Passage:
+    def feed(self, chunk: bytes) -> bytes:
         """Take in bytes and return the whole events to pass on.
 
         :raises TargetError: an event belongs to another attempt, or the
@@ -58,9 +51,9 @@
             chunk, _, remainder = chunk.rpartition(SEPARATOR)
             self.remainder = remainder
             if not chunk:
-                return Passage(b'', 0)
+                return b''
             chunk += SEPARATOR
-        if any(mark in chunk for mark in SPECIAL_MARKS):
+        if USAGE_MARK in chunk or DONE_MARK in chunk or ERROR_MARK in chunk:
             chunk = self._hold_back(chunk)
         events = chunk.count(SEPARATOR)
         if self.marker and chunk.count(self.marker) < events:
@@ -71,7 +64,7 @@
                 outcome=Outcome.UNKNOWN,
             )
         self.events += events
-        return Passage(chunk, events)
+        return chunk
 
     @property
     def usage(self) -> Usage:
