--- a/src/dandelionplank/fairness/invariants.py
+++ b/src/dandelionplank/fairness/invariants.py
@@ -24,7 +24,7 @@
 def _slot_violations(scheduler: PoolScheduler) -> list[str]:
     """Check that the slots taken agree with the attempts that run."""
     taken: dict[str, int] = {}
-    for running in scheduler.running.values():
+    for running in scheduler.in_flight.attempts.values():
         taken[running.target] = taken.get(running.target, 0) + 1
     return [
         f'{name}: {slots.in_flight} slots taken, {taken.get(name, 0)} run'
@@ -37,7 +37,7 @@
     """Check that no ticket both waits and runs."""
     return [
         f'{ticket_id} waits and runs'
-        for ticket_id in scheduler.running
+        for ticket_id in scheduler.in_flight
         if ticket_id in scheduler.backlog
     ]
 
@@ -49,9 +49,9 @@
         for account, level in scheduler.counters.virtual.items()
         if not math.isfinite(level) or level < 0
     ]
-    total = sum(each.charged for each in scheduler.running.values())
-    if abs(total - scheduler.in_flight_cost) > TOLERANCE * max(1.0, total):
-        faults.append(f'in flight {scheduler.in_flight_cost}, sum {total}')
+    total = sum(each.charged for each in scheduler.in_flight.attempts.values())
+    if abs(total - scheduler.in_flight.cost) > TOLERANCE * max(1.0, total):
+        faults.append(f'in flight {scheduler.in_flight.cost}, sum {total}')
     return faults
 
 
--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -8,6 +8,7 @@
 from dandelionplank.errors import ErrorCode
 from dandelionplank.fairness.backlog import Backlog
 from dandelionplank.fairness.counters import VirtualCounters
+from dandelionplank.fairness.inflight import InFlight, Running
 from dandelionplank.fairness.order import AccountOrder, FairOrder
 from dandelionplank.fairness.queues import WaitingTicket
 from dandelionplank.messages import (
@@ -25,7 +26,6 @@
 )
 from dandelionplank.routing.limits import TargetSlots, find_stragglers
 from dandelionplank.routing.selection import (
-    Choice,
     PrefixMemory,
     choose_target,
 )
@@ -43,16 +43,6 @@
     message: Message
 
 
-@dataclasses.dataclass
-class Running:
-    """An attempt that holds a slot."""
-
-    ticket: Ticket
-    entry: str
-    target: str
-    charged: float
-
-
 @dataclasses.dataclass(frozen=True)
 class PaceChange:
     """Targets whose speed against their pool has changed."""
@@ -82,12 +72,9 @@
         self.accounts: Mapping[str, ClientAccount] = {}
         self.backlog = Backlog()
         self.counters = VirtualCounters()
-        self.running: dict[str, Running] = {}
+        self.in_flight = InFlight(self.counters, self.share_of)
         self.slots: dict[str, TargetSlots] = {}
         self.prefixes = PrefixMemory()
-        self.served: dict[str, float] = {}
-        self.in_flight_cost = 0.0
-        self.largest_in_flight = 0.0
 
     def configure(
         self,
@@ -109,8 +96,8 @@
             slots = known.get(target.name) or TargetSlots(target, contract)
             slots.target = target
             slots.contract = contract
+            slots.in_flight = self.in_flight.count_at(target.name)
             self.slots[target.name] = slots
-        self._recount_slots()
 
     def enqueue(
         self, entry: str, ticket: Ticket, now_s: float
@@ -124,8 +111,8 @@
         """
         if ticket.id in self.backlog:
             return []
-        running = self.running.get(ticket.id)
-        if running:
+        if ticket.id in self.in_flight:
+            running = self.in_flight.attempts[ticket.id]
             return [Delivery(entry, self._grant_message(running))]
         if self.is_full(ticket.account):
             refusal = Refuse(
@@ -151,13 +138,13 @@
 
     def progress(self, message: Progress) -> None:
         """Charge a running attempt that has outgrown its estimate."""
-        running = self.running.get(message.ticket_id)
+        running = self.in_flight.attempts.get(message.ticket_id)
         if running and message.cost > running.charged:
-            self._recharge(running, message.cost)
+            self.in_flight.recharge(running, message.cost)
 
     def finish(self, message: Done, now_s: float) -> None:
         """Free a slot and settle the charge."""
-        running = self.running.get(message.ticket_id)
+        running = self.in_flight.attempts.get(message.ticket_id)
         if running is None or running.target != message.target:
             return
         self._release(message.ticket_id, message.cost)
@@ -241,7 +228,7 @@
         """Limit what an account has to wait off after a merge of views."""
         return self.counters.cap_debt(
             self.backlog.accounts,
-            2 * max(self.largest_in_flight, self.contract.short_cost),
+            2 * max(self.in_flight.largest_cost, self.contract.short_cost),
         )
 
     def share_of(self, account: str) -> float:
@@ -294,42 +281,19 @@
         self.counters.serve(ticket.account)
         self.backlog.remove(ticket.id)
         running = Running(ticket, waiting.entry, choice.slots.target.name, 0)
-        self._occupy(running, choice)
+        self.in_flight.start(running)
+        choice.slots.in_flight += 1
+        self.prefixes.remember(ticket.prefix, running.target)
         return Delivery(
             waiting.entry,
             self._grant_message(running, choice.reason),
         )
 
-    def _occupy(self, running: Running, choice: Choice) -> None:
-        """Take a slot and charge the estimate."""
-        self.running[running.ticket.id] = running
-        choice.slots.in_flight += 1
-        self.prefixes.remember(running.ticket.prefix, running.target)
-        self._recharge(running, running.ticket.estimate)
-
-    def _recharge(self, running: Running, cost: float) -> None:
-        """Set the charge of a running attempt."""
-        account = running.ticket.account
-        difference = cost - running.charged
-        self.counters.hold(account, difference, self.share_of(account))
-        self.served[account] = self.served.get(account, 0) + difference
-        running.charged = cost
-        self.in_flight_cost += difference
-        self.largest_in_flight = max(
-            self.largest_in_flight,
-            self.in_flight_cost,
-        )
-
-    def _release(self, ticket_id: str, cost: float) -> None:
+    def _release(self, ticket_id: str, cost: float | None = None) -> None:
         """Settle the charge of an attempt and free its slot."""
-        running = self.running.get(ticket_id)
+        running = self.in_flight.end(ticket_id, cost)
         if running is None:
             return
-        self._recharge(running, cost)
-        self.running.pop(ticket_id)
-        self.in_flight_cost -= cost
-        account = running.ticket.account
-        self.counters.settle(account, cost, self.share_of(account))
         slots = self.slots.get(running.target)
         if slots:
             slots.in_flight -= 1
@@ -340,16 +304,12 @@
         Its charge is part of the counters that the entry reports.
         """
         ticket = attempt.ticket
-        if ticket.id in self.running:
+        if ticket.id in self.in_flight:
             return
         self.backlog.remove(ticket.id)
-        self.running[ticket.id] = Running(
-            ticket,
-            entry,
-            attempt.target,
-            attempt.charged,
+        self.in_flight.adopt(
+            Running(ticket, entry, attempt.target, attempt.charged),
         )
-        self.in_flight_cost += attempt.charged
         slots = self.slots.get(attempt.target)
         if slots:
             slots.in_flight += 1
@@ -364,22 +324,9 @@
         ]
         for ticket_id in gone:
             self.backlog.remove(ticket_id)
-        ended = [
-            running
-            for running in self.running.values()
-            if running.entry == entry and running.ticket.id not in keep
-        ]
-        for running in ended:
-            self._release(running.ticket.id, running.charged)
-
-    def _recount_slots(self) -> None:
-        """Count the calls in flight at each target anew."""
-        for slots in self.slots.values():
-            slots.in_flight = 0
-        for running in self.running.values():
-            held = self.slots.get(running.target)
-            if held:
-                held.in_flight += 1
+        for running in self.in_flight.of_entry(entry):
+            if running.ticket.id not in keep:
+                self._release(running.ticket.id)
 
     def _grant_message(self, running: Running, reason: str = '') -> Grant:
         """Describe a running attempt to its entry."""
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -221,7 +221,9 @@
     scheduler.sync('other', Sync(POOL, waiting, (), counters), 0)
     assert scheduler.cap_debt() == ('small',)
     floor = min(scheduler.counters.virtual.values())
-    cap = 2 * max(scheduler.largest_in_flight, scheduler.contract.short_cost)
+    cap = 2 * max(
+        scheduler.in_flight.largest_cost, scheduler.contract.short_cost
+    )
     assert scheduler.counters.virtual['small'] <= floor + cap
 
 
@@ -333,7 +335,7 @@
 
     @invariant()
     def slots_agree_with_the_entries(self):
-        assert set(self.scheduler.running) == set(self.running)
+        assert set(self.scheduler.in_flight) == set(self.running)
 
 
 def test_scheduler_keeps_its_invariants():
