--- a/bench/callers.py
+++ b/bench/callers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -9,6 +10,7 @@
 import xxhash
 
 EVENT_MARK = b'data: '
+TokenListener = Callable[[str, int], None]
 
 
 @dataclasses.dataclass
@@ -30,6 +32,7 @@
     charge: float = 0
     receipt: str = ''
     refusal: dict[str, Any] = dataclasses.field(default_factory=dict)
+    on_tokens: TokenListener | None = None
 
     @property
     def first_s(self) -> float:
@@ -54,9 +57,14 @@
     prompt: str,
     tokens: int,
     key: str = '',
+    on_tokens: TokenListener | None = None,
 ) -> ChatOutcome:
-    """Send a streamed chat and check every token of the answer."""
+    """Send a streamed chat and check every token of the answer.
+
+    :param on_tokens: told of the account and the tokens that arrive
+    """
     outcome = ChatOutcome(account, wanted=tokens, sent_at_s=time.monotonic())
+    outcome.on_tokens = on_tokens
     digest = xxhash.xxh64_hexdigest(prompt.encode())[:6]
     try:
         async with session.post(
@@ -86,8 +94,11 @@
     async for chunk in response.content.iter_any():
         buffer += chunk
         *events, buffer = buffer.split(b'\n\n')
+        before = outcome.tokens
         for event in events:
             _take_event(event.removeprefix(EVENT_MARK), outcome, digest)
+        if outcome.on_tokens:
+            outcome.on_tokens(outcome.account, outcome.tokens - before)
 
 
 def _take_event(event: bytes, outcome: ChatOutcome, digest: str) -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,6 +17,8 @@
 import msgspec
 import yaml
 
+from bench.links import LinkNetwork
+
 BINARIES = Path(sys.executable).parent
 OPERATOR_TOKEN = 'operator-token-of-the-bench'
 START_LIMIT_S = 30.0
@@ -54,7 +56,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class FleetPlan:
-    """Everything that a scenario starts."""
+    """Everything that a scenario starts.
+
+    :param link_delay_s: delay of the relays between routers, none for no
+        relays
+    """
 
     routers: int
     services: Sequence[ServicePlan]
@@ -62,6 +68,7 @@
     data_centers: Sequence[str] = ('brasov-a', 'brasov-b', 'sibiu-c')
     dispatch: dict[str, Any] = dataclasses.field(default_factory=dict)
     settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+    link_delay_s: float | None = None
 
 
 @dataclasses.dataclass
@@ -95,6 +102,7 @@
         self.list_url = f'http://127.0.0.1:{next(self.ports)}'
         self.targets: dict[str, list[str]] = {}
         self.session: aiohttp.ClientSession | None = None
+        self.network: LinkNetwork | None = None
 
     async def __aenter__(self) -> 'Fleet':
         """Start everything and wait until all routers are ready."""
@@ -106,6 +114,7 @@
             await self._start_standins()
             for number in range(self.plan.routers):
                 self.routers.append(self._plan_router(number))
+            await self._start_links()
             await self.announce(self.routers)
             await asyncio.gather(*map(self.start_router, self.routers))
             await self._apply_configuration()
@@ -121,9 +130,13 @@
 
     async def stop(self) -> None:
         """End all processes, routers first."""
+        if self.network:
+            self.network.join()
         routers = [each.process for each in self.routers if each.process]
         await asyncio.gather(*map(end_process, routers))
         await asyncio.gather(*map(end_process, self.processes))
+        if self.network:
+            await self.network.stop()
         if self.session:
             await self.session.close()
 
@@ -264,6 +277,12 @@
         for url in urls:
             await wait_open(_port_of(url))
 
+    async def _start_links(self) -> None:
+        """Put relays between the routers if the plan says so."""
+        if self.plan.link_delay_s is not None:
+            self.network = LinkNetwork(self, self.plan.link_delay_s)
+            await self.network.start()
+
     def _plan_router(self, number: int) -> RouterProcess:
         """Write the settings of one router."""
         identity = f'router-{number}'
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,456 @@
+"""Scenarios: a fleet, a load, what happens to them, and what is measured."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+import psutil
+
+from bench.callers import chat
+from bench.deposits import Deposits
+from bench.fleet import AccountPlan, Fleet, FleetPlan, ServicePlan
+from bench.load import (
+    CallerGroup,
+    Load,
+    longest_starvation,
+    percentile,
+    service_gap,
+)
+
+CHAT_TOKENS = 20
+FILE_TOKENS = 500
+TOKEN_MS = 10
+BATCH = 8
+SECONDS = 10.0
+TURN_S = 5.0
+WARM_UP_S = 1.0
+INPUT_WEIGHT = 0.25
+LARGE = 3
+ACCOUNTS = tuple(
+    AccountPlan(f'large-{n}', 'dobrescu', 4 if n == 0 else 2)
+    for n in range(LARGE)
+) + tuple(AccountPlan(f'small-{n}', 'rota-limpa', 1) for n in range(16 - LARGE))
+SHARES = {account.name: account.share for account in ACCOUNTS}
+Figures = dict[str, float]
+Hook = Callable[[Fleet, Load, Figures], Awaitable[None]]
+
+
+def deployment(region: str, policy: str) -> FleetPlan:
+    """Return the plan of one of the two deployments."""
+    routers, engines, plain, delay_s = {
+        'ro-centru': (4, 5, 3, 0.0005),
+        'nordeste': (5, 9, 4, 0.001),
+    }[region]
+    return FleetPlan(
+        routers,
+        (
+            ServicePlan(
+                'assistant',
+                'model',
+                engines,
+                {
+                    'models': ['standin'],
+                    'target_limit': BATCH,
+                    'target_limit_max': BATCH + 1,
+                    'inter_token_target_ms': TOKEN_MS * 1.2,
+                    'short_overdraft': 2,
+                    'short_cost': 200,
+                },
+                ('--token-ms', str(TOKEN_MS), '--batch', str(BATCH)),
+            ),
+            ServicePlan('booking', 'plain', plain),
+        ),
+        ACCOUNTS,
+        dispatch={'policy': policy},
+        link_delay_s=delay_s,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """One scenario.
+
+    :param groups: builds the load for a number of routers and engines
+    :param hook: what happens during the run
+    :param measures: names of the measures that the scenario is for
+    """
+
+    name: str
+    groups: Callable[[int, int], Sequence[CallerGroup]]
+    hook: Hook | None = None
+    seconds: float = SECONDS
+    deposits: bool = False
+    region: str = 'ro-centru'
+
+
+async def run_scenario(
+    scenario: Scenario,
+    policy: str,
+    seed: int,
+) -> tuple[Figures, Load]:
+    """Run a scenario under a policy and return its figures."""
+    plan = deployment(scenario.region, policy)
+    async with Fleet(plan) as fleet:
+        groups = scenario.groups(plan.routers, plan.services[0].targets)
+        load = Load(fleet, groups, seed)
+        figures: Figures = {}
+        if not scenario.deposits:
+            await measure_idle(fleet, figures)
+        links = await control_bytes(fleet)
+        deposits = Deposits(fleet, 'booking', seed)
+        tasks = [asyncio.create_task(load.run(scenario.seconds))]
+        if scenario.deposits:
+            tasks.append(asyncio.create_task(deposits.run()))
+        if scenario.hook:
+            tasks.append(
+                asyncio.create_task(scenario.hook(fleet, load, figures)),
+            )
+        await asyncio.sleep(WARM_UP_S)
+        before = await slot_seconds(fleet)
+        await asyncio.sleep(scenario.seconds - WARM_UP_S)
+        used = await slot_seconds(fleet) - before
+        sent = await control_bytes(fleet) - links
+        await asyncio.gather(
+            *tasks[:1], *tasks[2 if scenario.deposits else 1 :]
+        )
+        if scenario.deposits:
+            tasks[1].cancel()
+            figures.update(await deposits.judge())
+        engines = plan.services[0].targets
+        figures['utilisation'] = used / (
+            (scenario.seconds - WARM_UP_S) * engines * BATCH
+        )
+        per_daemon = sent / scenario.seconds / plan.routers
+        figures['control_bytes_per_second'] = per_daemon
+        measure_load(load, scenario, engines, figures)
+        figures['invariant_violations'] = await sum_metric(
+            fleet, 'invariant_violations_total'
+        )
+        return figures, load
+
+
+def measure_load(
+    load: Load,
+    scenario: Scenario,
+    engines: int,
+    figures: Figures,
+) -> None:
+    """Add what the callers saw."""
+    backlogged = {
+        group.account: SHARES[group.account]
+        for group in load.groups
+        if group.workers >= 20 and group.start_s == 0
+    }
+    largest = max(
+        group.tokens + INPUT_WEIGHT * group.prompt_bytes / 4
+        for group in load.groups
+    )
+    if len(backlogged) > 1:
+        since_s, until_s = 1.0, scenario.seconds
+        gap = service_gap(load.samples, backlogged, since_s, until_s)
+        in_flight = largest_in_flight(load, engines)
+        figures['fairness_gap_ratio'] = gap / (2 * in_flight)
+        figures['fairness_gap_requests'] = gap / largest
+        figures['starvation_seconds'] = longest_starvation(
+            load.samples, list(backlogged), since_s, until_s
+        )
+    outcomes = [outcome for _, outcome in load.outcomes]
+    figures['answers'] = sum(each.whole for each in outcomes)
+    figures['wrong_answers'] = sum(each.wrong for each in outcomes)
+    figures['cut_answers'] = sum(
+        each.status == 200 and not each.whole and not each.refusal
+        for each in outcomes
+    )
+
+
+def largest_in_flight(load: Load, engines: int) -> float:
+    """Return the largest cost in flight that the slots can hold."""
+    costs = sorted(
+        (
+            group.tokens + INPUT_WEIGHT * group.prompt_bytes / 4
+            for group in load.groups
+            for _ in range(max(group.workers, 1))
+        ),
+        reverse=True,
+    )
+    return sum(costs[: engines * BATCH])
+
+
+async def slot_seconds(fleet: Fleet) -> float:
+    """Return the slot time that the engines have used so far."""
+    total = 0.0
+    for url in fleet.targets['assistant']:
+        total += (await fleet.get(f'{url}/load'))['slot_seconds']
+    return total
+
+
+async def sum_metric(fleet: Fleet, *names: str) -> float:
+    """Return the sum of metrics over the routers that run."""
+    assert fleet.session is not None
+    total = 0.0
+    for router in fleet.routers:
+        if router.process is None or router.process.returncode is not None:
+            continue
+        async with fleet.session.get(f'{router.url}/metrics') as response:
+            text = await response.text()
+        for line in text.splitlines():
+            name, _, figure = line.rpartition(' ')
+            if name.removeprefix('dandelionplank_') in names:
+                total += float(figure)
+    return total
+
+
+async def control_bytes(fleet: Fleet) -> float:
+    """Return the bytes that routers have sent to each other."""
+    return await sum_metric(
+        fleet, 'link_bytes_sent_total', 'probe_bytes_sent_total'
+    )
+
+
+async def measure_idle(fleet: Fleet, figures: Figures) -> None:
+    """Measure what a daemon spends when there are no callers."""
+    processes = [
+        psutil.Process(router.process.pid)
+        for router in fleet.routers
+        if router.process
+    ]
+    before = [process.cpu_times() for process in processes]
+    await asyncio.sleep(3)
+    after = [process.cpu_times() for process in processes]
+    used = sum(
+        late.user + late.system - early.user - early.system
+        for early, late in zip(before, after, strict=True)
+    )
+    figures['control_core_share'] = used / 3 / len(processes)
+    figures['control_rss_mb'] = max(
+        process.memory_info().rss / 1_048_576 for process in processes
+    )
+
+
+def uneven(number: int, routers: int) -> Sequence[int]:
+    """Return the routers that an account's callers use: a few, unevenly."""
+    return tuple(range(number % routers + 1)) if number < LARGE else (0,)
+
+
+def backlog_groups(routers: int, engines: int) -> list[CallerGroup]:
+    """Return three large accounts that never stop asking."""
+    return [
+        CallerGroup(
+            f'large-{n}',
+            uneven(n, routers),
+            CHAT_TOKENS,
+            workers=engines * BATCH,
+            kind='large',
+        )
+        for n in range(LARGE)
+    ]
+
+
+def small_groups(
+    routers: int,
+    engines: int,
+    part: float,
+    tokens: int = CHAT_TOKENS,
+) -> list[CallerGroup]:
+    """Return small accounts that ask for a part of the capacity together."""
+    capacity = engines * BATCH / (tokens * TOKEN_MS / 1000)
+    count = 16 - LARGE
+    return [
+        CallerGroup(
+            f'small-{n}',
+            (n % routers,),
+            tokens,
+            rate=part * capacity / count,
+            kind='small',
+        )
+        for n in range(count)
+    ]
+
+
+def steady(routers: int, engines: int) -> list[CallerGroup]:
+    """Large accounts backlogged, small ones asking now and then."""
+    return backlog_groups(routers, engines) + small_groups(
+        routers, engines, 0.25
+    )
+
+
+def swing(routers: int, engines: int) -> list[CallerGroup]:
+    """The large accounts' demand rises fivefold within two seconds."""
+    crest = [
+        dataclasses.replace(group, start_s=TURN_S + 0.5 * index)
+        for index, group in enumerate(backlog_groups(routers, engines))
+    ]
+    calm = [
+        dataclasses.replace(group, workers=engines * BATCH // 10)
+        for group in backlog_groups(routers, engines)
+    ]
+    return crest + calm + small_groups(routers, engines, 0.25)
+
+
+def flood(routers: int, engines: int) -> list[CallerGroup]:
+    """One account sends ten times what the fleet can do."""
+    flooder = CallerGroup(
+        'large-1',
+        tuple(range(routers)),
+        CHAT_TOKENS,
+        workers=engines * BATCH * 6,
+        start_s=TURN_S,
+        kind='flood',
+    )
+    return [flooder, *small_groups(routers, engines, 0.4)]
+
+
+def files(routers: int, engines: int) -> list[CallerGroup]:
+    """Whole-file requests, fifty times a chat, between chats."""
+    long = [
+        CallerGroup(
+            f'large-{n}',
+            uneven(n, routers),
+            FILE_TOKENS,
+            prompt_bytes=8000,
+            workers=engines * BATCH,
+            start_s=TURN_S,
+            kind='file',
+        )
+        for n in range(2)
+    ]
+    return long + small_groups(routers, engines, 0.2)
+
+
+def half_load(routers: int, engines: int) -> list[CallerGroup]:
+    """All accounts ask at random for half of the capacity."""
+    return small_groups(routers, engines, 0.5)
+
+
+async def slow_one_target(fleet: Fleet, load: Load, figures: Figures) -> None:
+    """Slow one target tenfold for moments in the second half."""
+    del figures
+    await asyncio.sleep(TURN_S)
+    victim = fleet.targets['assistant'][0]
+    while load.elapsed_s < SECONDS - 0.5:
+        await fleet.set_faults(victim, slowdown=10.0)
+        await asyncio.sleep(1.5)
+        await fleet.set_faults(victim)
+        await asyncio.sleep(1.0)
+
+
+async def kill_dispatcher(fleet: Fleet, load: Load, figures: Figures) -> None:
+    """Kill the router that dispatches the model's pool."""
+    del load
+    await asyncio.sleep(TURN_S)
+    pools = (await fleet.run_statement('SHOW POOLS', 1))['rows']
+    name = next(row[3] for row in pools if row[1] == 'assistant')
+    victim = next(each for each in fleet.routers if each.id == name)
+    survivor = next(each for each in fleet.routers if each is not victim)
+    assert victim.process is not None
+    assert fleet.session is not None
+    victim.process.kill()
+    killed_at_s = time.monotonic()
+    while True:
+        outcome = await chat(
+            fleet.session, survivor.url, 'small-12', f'{killed_at_s}', 1
+        )
+        if outcome.whole:
+            break
+    figures['regrant_seconds'] = outcome.first_at_s - killed_at_s
+
+
+async def cut_and_join(fleet: Fleet, load: Load, figures: Figures) -> None:
+    """Cut the routers into two halves for a while."""
+    assert fleet.network is not None
+    half = len(fleet.routers) // 2
+    await asyncio.sleep(TURN_S / 2)
+    fleet.network.cut(fleet.routers[:half], fleet.routers[half:])
+    await asyncio.sleep(TURN_S)
+    fleet.network.join()
+    figures['joined_at_s'] = load.elapsed_s
+
+
+async def change_configuration(
+    fleet: Fleet,
+    load: Load,
+    figures: Figures,
+) -> None:
+    """Drain a target and change a share; measure both."""
+    del load
+    await asyncio.sleep(1)
+    victim = fleet.targets['assistant'][1]
+    began_s = time.monotonic()
+    await fleet.run_statement('DRAIN TARGET assistant-1')
+    last_run_s, runs = began_s, -1
+    while time.monotonic() - began_s < 3:
+        seen = (await fleet.get(f'{victim}/load'))['runs']
+        if seen != runs:
+            last_run_s, runs = time.monotonic(), seen
+        await asyncio.sleep(0.01)
+    figures['drain_seconds'] = last_run_s - began_s
+    began_s = time.monotonic()
+    await fleet.run_statement('SET ACCOUNT small-0 SHARE 3')
+    waiting = set(range(len(fleet.routers)))
+    while waiting:
+        for number in tuple(waiting):
+            rows = (await fleet.run_statement('SHOW ACCOUNTS', number))['rows']
+            if any(row[0] == 'small-0' and row[2] == 3 for row in rows):
+                waiting.discard(number)
+    figures['configuration_seconds'] = time.monotonic() - began_s
+
+
+async def stop_store(fleet: Fleet, load: Load, figures: Figures) -> None:
+    """Take the key-value service away for most of the run."""
+    del load, figures
+    await asyncio.sleep(1)
+    await fleet.set_faults(fleet.store_url, down=True)
+    await asyncio.sleep(SECONDS - 3)
+    await fleet.set_faults(fleet.store_url)
+
+
+def ratio_of(
+    load: Load,
+    kind: str,
+    percent: int,
+    *,
+    whole: bool,
+) -> float:
+    """Compare a percentile after the turn with the one before it."""
+    pick = load.durations if whole else load.first_tokens
+    before = percentile(pick(kind, 0.5, TURN_S), percent)
+    after = percentile(pick(kind, TURN_S, SECONDS), percent)
+    return after / before
+
+
+SCENARIOS = (
+    Scenario('steady', steady),
+    Scenario('steady_nordeste', steady, region='nordeste'),
+    Scenario('swing', swing),
+    Scenario('flood', flood),
+    Scenario('files', files),
+    Scenario('slowed', half_load, slow_one_target),
+    Scenario('killed', steady, kill_dispatcher, deposits=True),
+    Scenario('parted', steady, cut_and_join, seconds=16, deposits=True),
+    Scenario('changed', steady, change_configuration),
+    Scenario('store_out', steady, stop_store, deposits=True),
+)
+
+
+def add_ratios(scenario: Scenario, load: Load, figures: Figures) -> None:
+    """Add the figures that compare the two halves of a run."""
+    if scenario.name in {'swing', 'flood'}:
+        figures['crest_first_token_ratio'] = ratio_of(
+            load, 'small', 99, whole=False
+        )
+    if scenario.name == 'files':
+        figures['short_tail_ratio'] = ratio_of(load, 'small', 99, whole=True)
+    if scenario.name == 'slowed':
+        figures['slowed_tail_ratio'] = ratio_of(load, 'small', 99, whole=True)
+    if 'joined_at_s' in figures:
+        backlogged = {
+            group.account: SHARES[group.account]
+            for group in load.groups
+            if group.workers
+        }
+        since_s = figures.pop('joined_at_s') + 5
+        gap = service_gap(load.samples, backlogged, since_s, scenario.seconds)
+        figures['gap_ratio_after_join'] = gap / (
+            2 * largest_in_flight(load, len(load.fleet.targets['assistant']))
+        )
--- a/src/dandelionplank/fairness/inflight.py
+++ b/src/dandelionplank/fairness/inflight.py
@@ -33,6 +33,7 @@
         self.counters = counters
         self.share_of = share_of
         self.attempts: dict[str, Running] = {}
+        self.counts: dict[str, int] = {}
         self.cost = 0.0
         self.largest_cost = 0.0
 
@@ -46,12 +47,12 @@
 
     def start(self, running: Running) -> None:
         """Add an attempt and charge the estimate of its cost."""
-        self.attempts[running.ticket.id] = running
+        self._add(running)
         self.recharge(running, running.ticket.estimate)
 
     def adopt(self, running: Running) -> None:
         """Add an attempt whose charge the counters hold already."""
-        self.attempts[running.ticket.id] = running
+        self._add(running)
         self._add_cost(running.charged)
 
     def recharge(self, running: Running, cost: float) -> None:
@@ -76,6 +77,7 @@
         self.attempts.pop(ticket_id)
         self._add_cost(-running.charged)
         account = running.ticket.account
+        self._count(account, -1)
         share = self.share_of(account)
         self.counters.settle(account, running.charged, share)
         return running
@@ -94,6 +96,19 @@
             running.target == target for running in self.attempts.values()
         )
 
+    def _add(self, running: Running) -> None:
+        """Add an attempt."""
+        self.attempts[running.ticket.id] = running
+        self._count(running.ticket.account, 1)
+
+    def _count(self, account: str, change: int) -> None:
+        """Change the number of an account's attempts."""
+        count = self.counts.get(account, 0) + change
+        if count:
+            self.counts[account] = count
+        else:
+            self.counts.pop(account)
+
     def _add_cost(self, difference: float) -> None:
         """Change the cost in flight and keep its peak."""
         self.cost = max(0.0, self.cost + difference)
--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -33,6 +33,7 @@
 
 MILLISECONDS = 1000.0
 QUEUE_FULL_RETRY_S = 1.0
+LEAST_SHARES = 1e-9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -252,7 +253,11 @@
         return self._grant_overdraft(now_s)
 
     def _grant_overdraft(self, now_s: float) -> Delivery | None:
-        """Let a short ticket use a slot above the limit."""
+        """Let a short ticket use a slot above the limit.
+
+        Only accounts that hold fewer slots than their share of the pool may
+        do so, so that a backlogged account does not just raise the limit.
+        """
         extra = self.contract.short_overdraft
         if not extra:
             return None
@@ -263,11 +268,23 @@
         ]
         if not free:
             return None
+        slots_per_share = self._slots_per_share()
         for waiting in self.order.ranked(self.backlog, self.counters):
-            if waiting.ticket.estimate <= self.contract.short_cost:
+            if waiting.ticket.estimate > self.contract.short_cost:
+                continue
+            account = waiting.ticket.account
+            held = self.in_flight.counts.get(account, 0)
+            if held + 1 <= slots_per_share * self.share_of(account):
                 return self._grant(waiting, free)
         return None
 
+    def _slots_per_share(self) -> float:
+        """Return the slots due to an active account with a share of one."""
+        active = self.in_flight.counts.keys() | self.backlog.queues.keys()
+        shares = sum(map(self.share_of, active))
+        slots = sum(each.effective_limit for each in self.slots.values())
+        return slots / max(shares, LEAST_SHARES)
+
     def _grant(
         self,
         waiting: WaitingTicket,
--- a/src/dandelionplank/router/observations.py
+++ b/src/dandelionplank/router/observations.py
@@ -41,6 +41,7 @@
     seen_events: int = 0
     progress_at_s: float = 0
     first_at_s: float = 0
+    ended_at_s: float = 0
     is_stalled: bool = False
 
     def note_first(self, now_s: float) -> None:
@@ -113,6 +114,7 @@
     def close(self, stream: ObservedStream) -> None:
         """End the observation of an attempt."""
         self.streams.discard(stream)
+        stream.ended_at_s = time.monotonic()
         self.ended.append(stream)
 
     async def run(self) -> None:
@@ -156,17 +158,18 @@
     now_s: float,
 ) -> None:
     """Add what a stream did in the period to its target's sums."""
+    until_s = stream.ended_at_s or now_s
     new_tokens = stream.take_new_events(now_s)
     window.streams += 1
     if not stream.first_at_s:
         window.waiting_first += 1
         window.oldest_wait_s = max(
             window.oldest_wait_s,
-            now_s - stream.started_at_s,
+            until_s - stream.started_at_s,
         )
         return
     if stream.first_at_s >= since_s:
         window.first_tokens += 1
         window.first_token_seconds += stream.first_at_s - stream.started_at_s
     window.tokens += new_tokens
-    window.stream_seconds += now_s - max(since_s, stream.first_at_s)
+    window.stream_seconds += until_s - max(since_s, stream.first_at_s)
--- a/src/dandelionplank_standins/engine.py
+++ b/src/dandelionplank_standins/engine.py
@@ -66,7 +66,8 @@
         self.use: dict[str, int] = {}
         self.streams: OrderedDict[str, EngineStream] = OrderedDict()
         self.prefixes: OrderedDict[int, None] = OrderedDict()
-        self.busy_seconds = 0.0
+        self.slot_seconds = 0.0
+        self.counted_at_s = time.monotonic()
         self.started_at_s = time.monotonic()
         self.application = web.Application(client_max_size=64_000_000)
         self.switch = FaultSwitch.attach(self.application)
@@ -106,6 +107,7 @@
 
     async def show_load(self, _: web.Request) -> web.Response:
         """Report the load and what was done so far."""
+        self._count_slots(0)
         return web.json_response(
             {
                 'name': self.name,
@@ -113,7 +115,8 @@
                 'peak': self.peak,
                 'tokens': self.tokens,
                 'runs': self.runs,
-                'busy_seconds': self.busy_seconds,
+                'slot_seconds': self.slot_seconds,
+                'batch': self.speed.batch,
                 'age_seconds': time.monotonic() - self.started_at_s,
             },
         )
@@ -143,9 +146,8 @@
         offset: int,
     ) -> web.StreamResponse:
         """Send the events of a stream."""
-        self.active += 1
+        self._count_slots(1)
         self.peak = max(self.peak, self.active)
-        began_s = time.monotonic()
         response = web.StreamResponse(
             headers={
                 'Content-Type': 'text/event-stream',
@@ -160,11 +162,18 @@
         except ConnectionError:
             return response
         finally:
-            self.active -= 1
-            self.busy_seconds += time.monotonic() - began_s
+            self._count_slots(-1)
         await response.write_eof()
         return response
 
+    def _count_slots(self, change: int) -> None:
+        """Add up the slots in use until now, then change their number."""
+        now_s = time.monotonic()
+        used = min(self.active, self.speed.batch)
+        self.slot_seconds += used * (now_s - self.counted_at_s)
+        self.counted_at_s = now_s
+        self.active += change
+
     async def _prefill(self, stream: EngineStream, offset: int) -> None:
         """Take the time to read the prompt unless its prefix is cached."""
         if offset:
