Pause long streams for short work; move streams off slow targets

Cause: with slots full of files (50x a chat) a chat waited for a slot or for an overcrowded batch; with one engine in five slowed tenfold, streams sat on it to their end, and the tick that adapts limits ran only when the inbox was empty. Change: short work of an account below its share takes an overdraft slot and the dispatcher pauses a long stream there (cancel, resume at its offset); a stream that lags over a window moves to another engine with its cache; two such moves mark the target slow at once; copies of short calls probe it; the tick follows the clock.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -414,7 +414,7 @@
 ) -> float:
     """Compare a percentile after the turn with the one before it."""
     pick = load.durations if whole else load.first_tokens
-    before = percentile(pick(kind, 0.5, TURN_S), percent)
+    before = percentile(pick(kind, 0.5, TURN_S - 0.5), percent)
     after = percentile(pick(kind, TURN_S, SECONDS), percent)
     return after / before
 
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -29,6 +29,7 @@
     HEDGED = (206, Level.INFO, 'a second attempt was started')
     RESUMED = (207, Level.INFO, 'a silent stream was resumed')
     MISMATCH = (208, Level.ERROR, 'an answer belongs to another attempt')
+    MOVED = (209, Level.INFO, 'a stream was paused or moved to a target')
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fairness/inflight.py
+++ b/src/dandelionplank/fairness/inflight.py
@@ -15,6 +15,13 @@
     entry: str
     target: str
     charged: float
+    since_s: float = 0
+    is_pausing: bool = False
+
+    def is_pausable(self, short_cost: float, before_s: float) -> bool:
+        """Tell whether the attempt is long work that began before a time."""
+        is_long = self.charged > short_cost and self.ticket.may_repeat
+        return is_long and not self.is_pausing and self.since_s <= before_s
 
 
 class InFlight:
@@ -90,11 +97,17 @@
             if running.entry == entry
         ]
 
+    def at_target(self, target: str) -> list[Running]:
+        """Return the attempts at a target."""
+        return [
+            running
+            for running in self.attempts.values()
+            if running.target == target
+        ]
+
     def count_at(self, target: str) -> int:
         """Return the number of attempts at a target."""
-        return sum(
-            running.target == target for running in self.attempts.values()
-        )
+        return len(self.at_target(target))
 
     def _add(self, running: Running) -> None:
         """Add an attempt."""
--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -10,17 +10,20 @@
 from dandelionplank.fairness.counters import VirtualCounters
 from dandelionplank.fairness.inflight import InFlight, Running
 from dandelionplank.fairness.order import AccountOrder, FairOrder
+from dandelionplank.fairness.pauses import (
+    LONGEST_PAUSE_S,
+    PausedStreams,
+    choose_victim,
+)
 from dandelionplank.fairness.queues import WaitingTicket
 from dandelionplank.messages import (
     Done,
     Grant,
-    Handover,
     Message,
+    Pause,
+    Probe,
     Progress,
     Refuse,
-    RunningAttempt,
-    Sync,
-    TargetLimit,
     TargetReport,
     Ticket,
 )
@@ -34,6 +37,7 @@
 MILLISECONDS = 1000.0
 QUEUE_FULL_RETRY_S = 1.0
 LEAST_SHARES = 1e-9
+MOVE_OVERDRAFT = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +76,7 @@
         self.order: AccountOrder = order or FairOrder()
         self.accounts: Mapping[str, ClientAccount] = {}
         self.backlog = Backlog()
+        self.paused = PausedStreams()
         self.counters = VirtualCounters()
         self.in_flight = InFlight(self.counters, self.share_of)
         self.slots: dict[str, TargetSlots] = {}
@@ -110,20 +115,19 @@
         :param now_s: monotonic time
         :return: a refusal when the account's queue is full
         """
-        if ticket.id in self.backlog:
+        if ticket.id in self.backlog or ticket.id in self.paused:
             return []
         if ticket.id in self.in_flight:
             running = self.in_flight.attempts[ticket.id]
             return [Delivery(entry, self._grant_message(running))]
-        if self.is_full(ticket.account):
-            refusal = Refuse(
-                self.pool,
-                ticket.id,
-                ErrorCode.QUEUE_FULL.name,
-                QUEUE_FULL_RETRY_S,
-            )
-            return [Delivery(entry, refusal)]
-        self._admit(entry, ticket, now_s)
+        if ticket.avoid:
+            return [self._grant_elsewhere(entry, ticket, now_s)]
+        if ticket.pinned in self.slots:
+            self.paused.push(self._waiting(entry, ticket, now_s))
+        elif self.is_full(ticket.account):
+            return [self._refuse(entry, ticket, ErrorCode.QUEUE_FULL)]
+        else:
+            self._admit(entry, ticket, now_s)
         return []
 
     def is_full(self, account: str) -> bool:
@@ -134,8 +138,9 @@
 
     def cancel(self, ticket_id: str) -> None:
         """Withdraw a ticket that waits or give back a grant not used."""
-        if self.backlog.remove(ticket_id) is None:
-            self._release(ticket_id, 0)
+        waiting = self.backlog.remove(ticket_id)
+        if waiting is None and self.paused.remove(ticket_id) is None:
+            self.release(ticket_id, 0)
 
     def progress(self, message: Progress) -> None:
         """Charge a running attempt that has outgrown its estimate."""
@@ -148,7 +153,7 @@
         running = self.in_flight.attempts.get(message.ticket_id)
         if running is None or running.target != message.target:
             return
-        self._release(message.ticket_id, message.cost)
+        self.release(message.ticket_id, message.cost)
         slots = self.slots.get(message.target)
         if slots is None:
             return
@@ -179,80 +184,107 @@
         :param now_s: monotonic time
         :return: grants for the entries
         """
-        deliveries = []
+        deliveries = self._resume_paused(now_s)
+        deliveries.extend(self._probe_slow(now_s))
         while len(self.backlog):
-            delivery = self._grant_next(now_s)
-            if delivery is None:
+            granted = self._grant_next(now_s)
+            if not granted:
                 break
-            deliveries.append(delivery)
-        return deliveries
-
-    def sync(self, entry: str, message: Sync, now_s: float) -> list[Delivery]:
-        """Reconcile with all that an entry has outstanding.
-
-        :param entry: the instance that reports
-        :param message: its waiting tickets, running attempts and counters
-        :param now_s: monotonic time
-        :return: grants that the entry seems to have missed
-        """
-        self.counters.merge(message.counters)
-        running = {each.ticket.id: each for each in message.running}
-        waiting = {each.id: each for each in message.waiting}
-        self._forget_finished(entry, running.keys() | waiting.keys())
-        for attempt in running.values():
-            self._adopt(entry, attempt)
-        deliveries = []
-        for ticket in waiting.values():
-            deliveries.extend(self.enqueue(entry, ticket, now_s))
+            deliveries.extend(granted)
         return deliveries
 
-    def drop_entry(self, entry: str) -> None:
-        """Forget everything of an instance that has failed or moved on."""
-        self._forget_finished(entry, frozenset())
-
-    def take_over(self, message: Handover) -> None:
-        """Take in what the former dispatcher has learned."""
-        self.counters.merge(message.counters)
-        for learned in message.limits:
-            slots = self.slots.get(learned.target)
-            if slots:
-                slots.limit = learned.limit
-
-    def handover(self) -> Handover:
-        """Return what the next dispatcher should know."""
-        limits = tuple(
-            TargetLimit(name, slots.limit) for name, slots in self.slots.items()
-        )
-        return Handover(self.pool, self.counters.snapshot(), limits)
-
-    def cap_debt(self) -> tuple[str, ...]:
-        """Limit what an account has to wait off after a merge of views."""
-        return self.counters.cap_debt(
-            self.backlog.accounts,
-            2 * max(self.in_flight.largest_cost, self.contract.short_cost),
-        )
-
     def share_of(self, account: str) -> float:
         """Return an account's share, one where it is not configured."""
         known = self.accounts.get(account)
         return known.share if known else 1.0
 
+    def release(self, ticket_id: str, cost: float | None = None) -> None:
+        """Settle the charge of an attempt and free its slot."""
+        running = self.in_flight.end(ticket_id, cost)
+        if running is None:
+            return
+        slots = self.slots.get(running.target)
+        if slots:
+            slots.in_flight -= 1
+
     def _admit(self, entry: str, ticket: Ticket, now_s: float) -> None:
         """Put a new ticket into its account's queue."""
         if not self.backlog.length_of(ticket.account):
             self.counters.lift(ticket.account, self.backlog.accounts)
+        self.backlog.push(self._waiting(entry, ticket, now_s))
+
+    def _waiting(
+        self,
+        entry: str,
+        ticket: Ticket,
+        now_s: float,
+    ) -> WaitingTicket:
+        """Return a ticket with the time at which its wait began."""
         since_s = now_s - ticket.waited_ms / MILLISECONDS
-        self.backlog.push(WaitingTicket(ticket, entry, since_s))
+        return WaitingTicket(ticket, entry, since_s)
+
+    def _refuse(
+        self,
+        entry: str,
+        ticket: Ticket,
+        code: ErrorCode,
+    ) -> Delivery:
+        """Refuse a ticket."""
+        return Delivery(
+            entry,
+            Refuse(self.pool, ticket.id, code.name, QUEUE_FULL_RETRY_S),
+        )
 
-    def _grant_next(self, now_s: float) -> Delivery | None:
+    def _grant_next(self, now_s: float) -> list[Delivery]:
         """Grant one slot, if there is one that a waiting ticket may use."""
         free = [each for each in self.slots.values() if each.has_slot(now_s)]
         if free:
             waiting = self.order.best(self.backlog, self.counters)
-            return self._grant(waiting, free)
+            return [self._grant(waiting, free, now_s)]
         return self._grant_overdraft(now_s)
 
-    def _grant_overdraft(self, now_s: float) -> Delivery | None:
+    def _grant_elsewhere(
+        self,
+        entry: str,
+        ticket: Ticket,
+        now_s: float,
+    ) -> Delivery:
+        """Grant a slot at another target to a stream that is to move."""
+        left = self.slots.get(ticket.avoid)
+        if left:
+            left.note_late(now_s)
+        free = [
+            each
+            for each in self.slots.values()
+            if each.target.name != ticket.avoid
+            and not each.is_slow
+            and each.has_slot(now_s, MOVE_OVERDRAFT)
+        ]
+        if not free:
+            return self._refuse(entry, ticket, ErrorCode.NO_TARGET)
+        return self._grant(self._waiting(entry, ticket, now_s), free, now_s)
+
+    def _resume_paused(self, now_s: float) -> list[Delivery]:
+        """Let paused streams go on where their turn has come."""
+        deliveries: list[Delivery] = []
+        for name, slots in self.slots.items():
+            while slots.in_flight < slots.effective_limit:
+                waiting = self.paused.first_at(name)
+                if waiting is None or not self._is_due(waiting, now_s):
+                    break
+                self.paused.remove(waiting.ticket.id)
+                deliveries.append(self._grant(waiting, [slots], now_s))
+        return deliveries
+
+    def _is_due(self, paused: WaitingTicket, now_s: float) -> bool:
+        """Tell whether a paused stream goes before the queue."""
+        if not len(self.backlog) or now_s - paused.since_s > LONGEST_PAUSE_S:
+            return True
+        best = self.order.best(self.backlog, self.counters)
+        levels = self.counters.virtual
+        return levels[paused.ticket.account] <= levels[best.ticket.account]
+
+    def _grant_overdraft(self, now_s: float) -> list[Delivery]:
         """Let a short ticket use a slot above the limit.
 
         Only accounts that hold fewer slots than their share of the pool may
@@ -260,23 +292,42 @@
         """
         extra = self.contract.short_overdraft
         if not extra:
-            return None
+            return []
         free = [
             each
             for each in self.slots.values()
             if not each.is_slow and each.has_slot(now_s, extra)
         ]
         if not free:
-            return None
-        slots_per_share = self._slots_per_share()
+            return []
+        per_share = self._slots_per_share()
         for waiting in self.order.ranked(self.backlog, self.counters):
             if waiting.ticket.estimate > self.contract.short_cost:
                 continue
             account = waiting.ticket.account
             held = self.in_flight.counts.get(account, 0)
-            if held + 1 <= slots_per_share * self.share_of(account):
-                return self._grant(waiting, free)
-        return None
+            if held + 1 <= per_share * self.share_of(account):
+                granted = self._grant(waiting, free, now_s)
+                return [granted, *self._pause_for(waiting.ticket, now_s)]
+        return []
+
+    def _pause_for(self, ticket: Ticket, now_s: float) -> list[Delivery]:
+        """Pause a long stream at the target that took a short ticket."""
+        if not self.contract.can_resume:
+            return []
+        target = self.in_flight.attempts[ticket.id].target
+        per_share = self._slots_per_share()
+        victim = choose_victim(
+            self.in_flight.at_target(target),
+            self.in_flight,
+            lambda account: per_share * self.share_of(account),
+            self.contract.short_cost,
+            now_s,
+        )
+        if victim is None:
+            return []
+        victim.is_pausing = True
+        return [Delivery(victim.entry, Pause(self.pool, victim.ticket.id))]
 
     def _slots_per_share(self) -> float:
         """Return the slots due to an active account with a share of one."""
@@ -289,15 +340,20 @@
         self,
         waiting: WaitingTicket,
         free: list[TargetSlots],
-    ) -> Delivery | None:
+        now_s: float,
+    ) -> Delivery:
         """Move a ticket from its queue to a target."""
         choice = choose_target(waiting.ticket, free, self.prefixes)
-        if choice is None:
-            return None
         ticket = waiting.ticket
         self.counters.serve(ticket.account)
         self.backlog.remove(ticket.id)
-        running = Running(ticket, waiting.entry, choice.slots.target.name, 0)
+        running = Running(
+            ticket,
+            waiting.entry,
+            choice.slots.target.name,
+            charged=0,
+            since_s=now_s,
+        )
         self.in_flight.start(running)
         choice.slots.in_flight += 1
         self.prefixes.remember(ticket.prefix, running.target)
@@ -306,44 +362,28 @@
             self._grant_message(running, choice.reason),
         )
 
-    def _release(self, ticket_id: str, cost: float | None = None) -> None:
-        """Settle the charge of an attempt and free its slot."""
-        running = self.in_flight.end(ticket_id, cost)
-        if running is None:
-            return
-        slots = self.slots.get(running.target)
-        if slots:
-            slots.in_flight -= 1
-
-    def _adopt(self, entry: str, attempt: RunningAttempt) -> None:
-        """Count an attempt that an earlier dispatcher granted.
+    def _probe_slow(self, now_s: float) -> list[Delivery]:
+        """Try slow targets with copies of short calls that run elsewhere."""
+        deliveries = []
+        for name, slots in self.slots.items():
+            if not slots.needs_probe(now_s):
+                continue
+            model = self._probe_model()
+            if model:
+                slots.probed_at_s = now_s
+                probe = Probe(self.pool, model.ticket.id, name)
+                deliveries.append(Delivery(model.entry, probe))
+        return deliveries
 
-        Its charge is part of the counters that the entry reports.
-        """
-        ticket = attempt.ticket
-        if ticket.id in self.in_flight:
-            return
-        self.backlog.remove(ticket.id)
-        self.in_flight.adopt(
-            Running(ticket, entry, attempt.target, attempt.charged),
-        )
-        slots = self.slots.get(attempt.target)
-        if slots:
-            slots.in_flight += 1
-
-    def _forget_finished(self, entry: str, listed: Iterable[str]) -> None:
-        """Drop an entry's tickets that it no longer lists."""
-        keep = set(listed)
-        gone = [
-            each.ticket.id
-            for each in self.backlog.of_entry(entry)
-            if each.ticket.id not in keep
-        ]
-        for ticket_id in gone:
-            self.backlog.remove(ticket_id)
-        for running in self.in_flight.of_entry(entry):
-            if running.ticket.id not in keep:
-                self._release(running.ticket.id)
+    def _probe_model(self) -> Running | None:
+        """Return the latest short attempt that may be copied."""
+        if not self.contract.can_resume:
+            return None
+        for running in reversed(self.in_flight.attempts.values()):
+            is_short = running.charged <= self.contract.short_cost
+            if is_short and running.ticket.may_repeat:
+                return running
+        return None
 
     def _grant_message(self, running: Running, reason: str = '') -> Grant:
         """Describe a running attempt to its entry."""
--- a/src/dandelionplank/messages.py
+++ b/src/dandelionplank/messages.py
@@ -21,6 +21,9 @@
     :param waited_ms: how long it has waited when the message is sent
     :param prefix: fingerprint of the prompt's beginning, zero for none
     :param may_repeat: whether a second attempt is allowed
+    :param pinned: target that keeps the state of a paused stream
+    :param avoid: target that a running stream is to be moved away from; such
+        a ticket is granted at once or refused
     """
 
     id: str
@@ -29,6 +32,8 @@
     waited_ms: int = 0
     prefix: int = 0
     may_repeat: bool = False
+    pinned: str = ''
+    avoid: str = ''
 
 
 class RunningAttempt(msgspec.Struct, frozen=True, array_like=True):
@@ -84,6 +89,21 @@
     retry_after_s: float = 0
 
 
+class Pause(Message, frozen=True, tag=12):
+    """A running stream is to give its slot to short work for a while."""
+
+    pool: str
+    ticket_id: str
+
+
+class Probe(Message, frozen=True, tag=15):
+    """An entry is to try a slow target with a copy of a running call."""
+
+    pool: str
+    ticket_id: str
+    target: str
+
+
 class Progress(Message, frozen=True, tag=5):
     """The cost of a running attempt has outgrown its charge."""
 
@@ -186,6 +206,8 @@
     | Cancel
     | Grant
     | Refuse
+    | Pause
+    | Probe
     | Progress
     | Done
     | TargetReport
--- a/src/dandelionplank/router/callers.py
+++ b/src/dandelionplank/router/callers.py
@@ -25,11 +25,8 @@
 from dandelionplank.metrics import METRICS
 from dandelionplank.once.intents import Intent, StoredAnswer, Verdict
 from dandelionplank.router.calls import Call, parse_chat
-from dandelionplank.router.delivery import (
-    ChatDelivery,
-    PlainAnswer,
-    PlainDelivery,
-)
+from dandelionplank.router.chat import ChatDelivery
+from dandelionplank.router.delivery import PlainAnswer, PlainDelivery
 from dandelionplank.router.entry import Entry
 from dandelionplank.router.idle import IdleConnectionTask
 from dandelionplank.router.sse import AnswerStream, AnswerText, encode_event
@@ -143,7 +140,6 @@
         self.idle = idle
         self.settings = entry.settings.callers
         self.open_by_account: dict[str, int] = {}
-        self.background: set[asyncio.Task[Any]] = set()
 
     def routes(self) -> list[web.AbstractRouteDef]:
         """Return the routes of this interface."""
@@ -310,16 +306,10 @@
         if call.may_repeat and not call.key:
             return await serving
         task = asyncio.get_running_loop().create_task(serving)
-        self.background.add(task)
-        task.add_done_callback(self._finish_background)
+        self.entry.background.add(task)
+        task.add_done_callback(self.entry.finish_background)
         return await asyncio.shield(task)
 
-    def _finish_background(self, task: 'asyncio.Task[Any]') -> None:
-        """Forget a task and take note of its error."""
-        self.background.discard(task)
-        if not task.cancelled():
-            task.exception()
-
     async def _serve_unkeyed(self, call: Call) -> web.Response:
         """Run a call without a key."""
         answer, receipt = await PlainDelivery(self.entry, call).run()
--- a/src/dandelionplank/router/dispatch.py
+++ b/src/dandelionplank/router/dispatch.py
@@ -14,6 +14,7 @@
     ArrivalOrder,
     FairOrder,
 )
+from dandelionplank.fairness.recovery import SchedulerRecovery
 from dandelionplank.fairness.scheduler import Delivery, PoolScheduler
 from dandelionplank.instances import InstanceStatus
 from dandelionplank.logs import log_event
@@ -66,6 +67,7 @@
     """
 
     scheduler: PoolScheduler
+    recovery: SchedulerRecovery
     awaited: set[str]
     opens_at_s: float
     is_open: bool = False
@@ -127,13 +129,18 @@
             for dispatched in self.pools.values():
                 dispatched.awaited.discard(name)
                 if change.instance.status is InstanceStatus.DEAD:
-                    dispatched.scheduler.drop_entry(name)
+                    dispatched.recovery.drop_entry(name)
 
     async def run(self) -> None:
         """Handle messages and let time pass in the schedulers."""
+        ticked_at_s = 0.0
         while True:
             touched = await self._next_batch()
             now_s = time.monotonic()
+            if now_s - ticked_at_s > TICK_S:
+                ticked_at_s = now_s
+                self._tick(now_s)
+                touched = set(self.pools)
             for name in touched:
                 self._schedule(name, now_s)
 
@@ -145,7 +152,7 @@
         for name, dispatched in self.pools.items():
             ranked = rank_instances(f'pool/{name}', others)
             if ranked:
-                self.links.send(ranked[0], dispatched.scheduler.handover())
+                self.links.send(ranked[0], dispatched.recovery.handover())
 
     async def _next_batch(self) -> set[str]:
         """Handle all waiting messages and return the pools to schedule."""
@@ -154,8 +161,7 @@
             async with asyncio.timeout(TICK_S):
                 sender, message = await self.inbox.get()
         except TimeoutError:
-            self._tick()
-            return set(self.pools)
+            return touched
         touched.add(self._process(sender, message))
         while not self.inbox.empty():
             touched.add(self._process(*self.inbox.get_nowait()))
@@ -184,6 +190,7 @@
     ) -> None:
         """Apply one message to a scheduler."""
         scheduler = dispatched.scheduler
+        recovery = dispatched.recovery
         match message:
             case Enqueue():
                 if scheduler.is_full(message.ticket.account):
@@ -198,13 +205,13 @@
             case TargetReport():
                 scheduler.observe(message)
             case Sync():
-                self._deliver(scheduler.sync(sender, message, now_s))
+                self._deliver(recovery.sync(sender, message, now_s))
                 dispatched.awaited.discard(sender)
-                self._cap_debt(scheduler)
+                self._cap_debt(dispatched)
             case Withdraw():
-                scheduler.drop_entry(sender)
+                recovery.drop_entry(sender)
             case Handover():
-                scheduler.take_over(message)
+                recovery.take_over(message)
 
     def _open_pool(self, name: str, now_s: float) -> DispatchedPool | None:
         """Create a scheduler and ask the entries for their state."""
@@ -222,6 +229,7 @@
             awaited = set(self.membership.present) - {self.links.own}
         dispatched = DispatchedPool(
             scheduler,
+            SchedulerRecovery(scheduler),
             awaited,
             now_s + self.settings.recovery_grace_s,
         )
@@ -291,9 +299,8 @@
         for delivery in deliveries:
             self.links.send(delivery.instance, delivery.message)
 
-    def _tick(self) -> None:
+    def _tick(self, now_s: float) -> None:
         """Adapt limits, note stragglers and check the invariants."""
-        now_s = time.monotonic()
         for name, dispatched in self.pools.items():
             age_s = now_s - dispatched.adapted_at_s
             if age_s < self.settings.report_period_s:
@@ -336,11 +343,11 @@
             METRICS.add('invariant_violations_total')
             log_event(Event.INVARIANT_BROKEN, pool=name, fault=fault)
 
-    def _cap_debt(self, scheduler: PoolScheduler) -> None:
+    def _cap_debt(self, dispatched: DispatchedPool) -> None:
         """Cap debts after views have been merged."""
-        for account in scheduler.cap_debt():
+        for account in dispatched.recovery.cap_debt():
             log_event(
                 Event.DEBT_CAPPED,
-                pool=scheduler.pool,
+                pool=dispatched.scheduler.pool,
                 account=account,
             )
--- a/src/dandelionplank/router/entry.py
+++ b/src/dandelionplank/router/entry.py
@@ -1,8 +1,11 @@
 """What the tasks of one entry share while they serve calls."""
 
+import asyncio
 import dataclasses
 import itertools
 import time
+from collections.abc import Coroutine
+from typing import Any
 
 from dandelionplank.configuration.catalogue import Catalogue, Pool
 from dandelionplank.errors import ErrorCode, Outcome, RefusalError
@@ -38,14 +41,30 @@
     catalogue: Catalogue | None = None
     is_leaving: bool = False
     open_calls: int = 0
+    background: 'set[asyncio.Task[Any]]' = dataclasses.field(
+        default_factory=set,
+    )
     sequence: 'itertools.count[int]' = dataclasses.field(
         default_factory=itertools.count,
     )
 
     def __post_init__(self) -> None:
-        """Build the retry budget from the settings."""
+        """Build the budgets of repeated work from the settings."""
         ratio = self.settings.dispatch.retry_budget_ratio
         self.retries = RepeatBudget(ratio)
+        self.hedges = RepeatBudget(self.settings.dispatch.hedge_budget_ratio)
+
+    def start_background(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run something that no caller waits for."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.finish_background)
+
+    def finish_background(self, task: 'asyncio.Task[Any]') -> None:
+        """Forget a task and take note of its error."""
+        self.background.discard(task)
+        if not task.cancelled():
+            task.exception()
 
     def new_request_id(self) -> str:
         """Return an id that no other call of the fleet has."""
--- a/src/dandelionplank/router/observations.py
+++ b/src/dandelionplank/router/observations.py
@@ -3,13 +3,27 @@
 import asyncio
 import dataclasses
 import time
+from collections import deque
 from collections.abc import Callable
+from statistics import median
 from typing import Protocol
 
 from dandelionplank.messages import TargetReport
 from dandelionplank.router.tickets import TicketTask
 
 StallHandler = Callable[[], None]
+LateHandler = Callable[[str], None]
+SAMPLE_S = 0.05
+LATE_FACTOR = 4.0
+LATE_FLOOR_S = 0.05
+LATE_WINDOW_S = 0.12
+LATE_WINDOW_PACES = 8.0
+KEPT_SAMPLES = 40
+KEPT_FIRST_TOKENS = 200
+LEAST_FIRST_TOKENS = 20
+FIRST_TOKEN_QUANTILE = 0.95
+FIRST_TOKEN_FACTOR = 2.0
+PACE_SMOOTHING = 0.3
 
 
 class Counted(Protocol):
@@ -25,36 +39,81 @@
     events: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class EventSample:
+    """How many events had arrived at a moment."""
+
+    at_s: float
+    events: int
+
+
 @dataclasses.dataclass(eq=False)
 class ObservedStream:
     """An attempt whose answer is arriving.
 
-    :param stall: called once when it makes no progress for too long
     :param answer: counts the events that have arrived
+    :param stall: called once when it makes no progress for too long
+    :param late: called with the target when the stream lags behind its pool
+    :param is_short: its prompt is short, so a late first token means a slow
+        target
     """
 
     pool: str
     target: str
-    started_at_s: float
-    stall: StallHandler
     answer: Counted
+    stall: StallHandler | None = None
+    late: LateHandler | None = None
+    is_short: bool = False
+    started_at_s: float = dataclasses.field(default_factory=time.monotonic)
     seen_events: int = 0
+    last_events: int = 0
+    samples: deque[EventSample] = dataclasses.field(
+        default_factory=lambda: deque(maxlen=KEPT_SAMPLES),
+    )
     progress_at_s: float = 0
     first_at_s: float = 0
     ended_at_s: float = 0
     is_stalled: bool = False
 
+    def __post_init__(self) -> None:
+        """Count what an earlier segment of the answer has brought."""
+        self.progress_at_s = self.started_at_s
+        self.seen_events = self.answer.events
+        self.last_events = self.answer.events
+
     def note_first(self, now_s: float) -> None:
         """Note when the first event arrived."""
         if not self.first_at_s:
             self.first_at_s = now_s
 
-    def take_new_events(self, now_s: float) -> int:
-        """Return how many events have arrived since the last sample."""
+    def sample(self, now_s: float) -> None:
+        """Note how many events have arrived until now."""
+        events = self.answer.events
+        if events != self.last_events:
+            self.last_events = events
+            self.progress_at_s = now_s
+        if self.first_at_s:
+            self.samples.append(EventSample(now_s, events))
+
+    def lags(self, pace_s: float, now_s: float) -> bool:
+        """Tell whether events come far slower than usual.
+
+        :param pace_s: usual time between events
+        """
+        window_s = max(LATE_WINDOW_S, LATE_WINDOW_PACES * pace_s)
+        earlier = [
+            each for each in self.samples if each.at_s <= now_s - window_s
+        ]
+        if not earlier:
+            return False
+        span_s = now_s - earlier[-1].at_s
+        events = self.answer.events - earlier[-1].events
+        return events * LATE_FACTOR * pace_s < span_s
+
+    def take_new_events(self) -> int:
+        """Return how many events have arrived since the last report."""
         new = self.answer.events - self.seen_events
         self.seen_events = self.answer.events
-        if new:
-            self.progress_at_s = now_s
         return new
 
 
@@ -90,24 +149,11 @@
         self.progress_timeout_s = progress_timeout_s
         self.streams: set[ObservedStream] = set()
         self.ended: list[ObservedStream] = []
+        self.pace_s: dict[str, float] = {}
+        self.first_s: dict[str, deque[float]] = {}
 
-    def open(
-        self,
-        pool: str,
-        target: str,
-        stall: StallHandler,
-        answer: Counted,
-    ) -> ObservedStream:
+    def open(self, stream: ObservedStream) -> ObservedStream:
         """Begin to observe an attempt."""
-        now_s = time.monotonic()
-        stream = ObservedStream(
-            pool,
-            target,
-            now_s,
-            stall,
-            answer,
-            progress_at_s=now_s,
-        )
         self.streams.add(stream)
         return stream
 
@@ -118,14 +164,23 @@
         self.ended.append(stream)
 
     async def run(self) -> None:
-        """Report and look for stalled streams once a period."""
-        sampled_at_s = time.monotonic()
+        """Sample all streams; report them once a period."""
+        reported_at_s = time.monotonic()
         while True:
-            await asyncio.sleep(self.period_s)
+            await asyncio.sleep(SAMPLE_S)
             now_s = time.monotonic()
-            self.report(sampled_at_s, now_s)
-            self.interrupt_stalled(now_s)
-            sampled_at_s = now_s
+            self.sample(now_s)
+            if now_s - reported_at_s >= self.period_s:
+                self.report(reported_at_s, now_s)
+                reported_at_s = now_s
+
+    def sample(self, now_s: float) -> None:
+        """Look for streams that lag or have stalled."""
+        for stream in tuple(self.streams):
+            stream.sample(now_s)
+            if stream.late and self._is_late(stream, now_s):
+                stream.late(stream.target)
+        self.interrupt_stalled(now_s)
 
     def report(self, since_s: float, now_s: float) -> None:
         """Send the sums of a period to the dispatchers."""
@@ -134,7 +189,10 @@
             key = (stream.pool, stream.target)
             window = windows.setdefault(key, TargetWindow())
             _add_stream(window, stream, since_s, now_s)
+            if stream.is_short and stream.first_at_s >= since_s:
+                self._learn_first(stream)
         self.ended.clear()
+        self._learn_pace(windows)
         for (pool, target), window in windows.items():
             view = self.tickets.view_of(pool)
             self.tickets.links.send(
@@ -146,10 +204,48 @@
         """Interrupt streams that made no progress for too long."""
         for stream in tuple(self.streams):
             silent_s = now_s - stream.progress_at_s
-            if silent_s > self.progress_timeout_s and not stream.is_stalled:
-                stream.is_stalled = True
+            if silent_s < self.progress_timeout_s or stream.is_stalled:
+                continue
+            stream.is_stalled = True
+            if stream.stall:
                 stream.stall()
 
+    def _is_late(self, stream: ObservedStream, now_s: float) -> bool:
+        """Tell whether a stream lags behind the usual of its pool."""
+        if stream.first_at_s:
+            pace_s = self.pace_s.get(stream.pool)
+            return pace_s is not None and stream.lags(pace_s, now_s)
+        firsts = self.first_s.get(stream.pool, ())
+        if not stream.is_short or len(firsts) < LEAST_FIRST_TOKENS:
+            return False
+        usual_s = sorted(firsts)[int(len(firsts) * FIRST_TOKEN_QUANTILE)]
+        waited_s = now_s - stream.started_at_s
+        return waited_s > max(LATE_FLOOR_S, FIRST_TOKEN_FACTOR * usual_s)
+
+    def _learn_first(self, stream: ObservedStream) -> None:
+        """Keep how long a short prompt waited for its first token."""
+        firsts = self.first_s.setdefault(
+            stream.pool,
+            deque(maxlen=KEPT_FIRST_TOKENS),
+        )
+        firsts.append(stream.first_at_s - stream.started_at_s)
+
+    def _learn_pace(
+        self,
+        windows: dict[tuple[str, str], TargetWindow],
+    ) -> None:
+        """Keep each pool's usual time between tokens."""
+        samples: dict[str, list[float]] = {}
+        for (pool, _target), window in windows.items():
+            if window.tokens:
+                pace_s = window.stream_seconds / window.tokens
+                samples.setdefault(pool, []).append(pace_s)
+        for pool, paces in samples.items():
+            usual_s = median(paces)
+            present_s = self.pace_s.get(pool, usual_s)
+            change_s = PACE_SMOOTHING * (usual_s - present_s)
+            self.pace_s[pool] = present_s + change_s
+
 
 def _add_stream(
     window: TargetWindow,
@@ -159,7 +255,7 @@
 ) -> None:
     """Add what a stream did in the period to its target's sums."""
     until_s = stream.ended_at_s or now_s
-    new_tokens = stream.take_new_events(now_s)
+    new_tokens = stream.take_new_events()
     window.streams += 1
     if not stream.first_at_s:
         window.waiting_first += 1
--- /dev/null
+++ b/src/dandelionplank/router/probe.py
@@ -0,0 +1,66 @@
+"""Tries a slow target with a copy of a call, whose answer nobody gets."""
+
+import asyncio
+import contextlib
+import time
+
+from dandelionplank.errors import TargetError
+from dandelionplank.metrics import METRICS
+from dandelionplank.router.calls import Call
+from dandelionplank.router.entry import Entry
+from dandelionplank.router.observations import ObservedStream
+from dandelionplank.router.sse import AnswerStream
+from dandelionplank.router.targets import Attempt
+from dandelionplank.targets import Target
+
+PROBE_EVENTS = 8
+PROBE_TIMEOUT_S = 1.0
+
+
+class TargetProbe:
+    """Reads the first events of a copied call to see a target's pace.
+
+    The copy is charged to nobody and dropped after a few events.
+    """
+
+    def __init__(self, entry: Entry, call: Call, pool: str) -> None:
+        """Keep the call to copy."""
+        self.entry = entry
+        self.call = call
+        self.pool = pool
+
+    async def run(self, target: Target) -> None:
+        """Probe one target; the observations go to the dispatcher."""
+        METRICS.add('probes_total')
+        attempt = Attempt(f'{self.entry.new_request_id()}.probe', target)
+        answer = AnswerStream(attempt.id, stamped=False)
+        observed = self.entry.observations.open(
+            ObservedStream(self.pool, target.name, answer),
+        )
+        try:
+            with contextlib.suppress(TargetError, TimeoutError):
+                async with asyncio.timeout(PROBE_TIMEOUT_S):
+                    await self._read(attempt, answer, observed)
+        finally:
+            self.entry.observations.close(observed)
+
+    async def _read(
+        self,
+        attempt: Attempt,
+        answer: AnswerStream,
+        observed: ObservedStream,
+    ) -> None:
+        """Read a few events."""
+        async with self.entry.connections.send(
+            attempt,
+            self.call.method,
+            self.call.path,
+            self.call.headers,
+            self.call.body,
+        ) as response:
+            while answer.events < PROBE_EVENTS:
+                chunk = await response.content.readany()
+                if not chunk:
+                    return
+                answer.feed(chunk)
+                observed.note_first(time.monotonic())
--- a/src/dandelionplank/router/targets.py
+++ b/src/dandelionplank/router/targets.py
@@ -17,6 +17,7 @@
 NOT_RUN_HEADER = 'X-Not-Run'
 STEP = 'target'
 CANCEL_TIMEOUT_S = 2.0
+TRANSFER_TIMEOUT_S = 2.0
 KEEPALIVE_S = 15
 
 
@@ -138,6 +139,30 @@
                 async with self.fresh.delete(url) as response:
                     await response.read()
 
+    async def transfer(self, attempt: Attempt, target: Target) -> None:
+        """Bring the cache of a stopped stream to another target.
+
+        :raises TargetError: it could not be exported or imported
+        """
+        path = f'/v1/streams/{attempt.id}/cache'
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                async with self.kept.get(
+                    f'{attempt.target.url}{path}',
+                ) as exported:
+                    exported.raise_for_status()
+                    cache = await exported.read()
+                async with self.kept.put(
+                    f'{target.url}{path}',
+                    data=cache,
+                ) as imported:
+                    imported.raise_for_status()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise attempt.error(
+                f'cache transfer to {target.name}: {error}',
+                ErrorCode.TARGET_FAILED,
+            ) from error
+
     async def _open(
         self,
         attempt: Attempt,
--- a/src/dandelionplank/router/tickets.py
+++ b/src/dandelionplank/router/tickets.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,6 +16,8 @@
     Done,
     Enqueue,
     Grant,
+    Pause,
+    Probe,
     Progress,
     Refuse,
     RunningAttempt,
@@ -39,6 +42,18 @@
 PERIOD_S = 0.25
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptHandlers:
+    """What a running attempt does at its dispatcher's word.
+
+    :param pause: gives the slot to short work
+    :param probe: tries the named target with a copy of the call
+    """
+
+    pause: Callable[[], None]
+    probe: Callable[[str], None]
+
+
 @dataclasses.dataclass
 class Pending:
     """A ticket whose caller waits for a grant or an answer."""
@@ -50,6 +65,7 @@
     grant: Grant | None = None
     granted_by: str = ''
     cost: float = 0
+    handlers: AttemptHandlers | None = None
 
 
 @dataclasses.dataclass
@@ -85,7 +101,7 @@
         self.membership = membership
         self.pools: dict[str, PoolView] = {}
         links.subscribe(
-            (Grant, Refuse, SyncRequest, LinkOpened, LinkClosed),
+            (Grant, Pause, Probe, Refuse, SyncRequest, LinkOpened, LinkClosed),
             self.receive,
         )
         membership.listeners.append(self.on_members)
@@ -176,6 +192,17 @@
                 Cancel(self.name_at(view, pool), ticket.id),
             )
 
+    def attach(
+        self,
+        ticket: Ticket,
+        pool: str,
+        handlers: AttemptHandlers,
+    ) -> None:
+        """Set what is called for a running ticket at its dispatcher's word."""
+        pending = self.pools[pool].pending.get(ticket.id)
+        if pending:
+            pending.handlers = handlers
+
     def view_of(self, pool: str) -> PoolView:
         """Return this entry's view of a pool."""
         view = self.pools.get(pool)
@@ -199,6 +226,8 @@
         match message:
             case Grant():
                 self._on_grant(sender, message)
+            case Pause() | Probe():
+                self._on_order(message)
             case Refuse():
                 self._on_refuse(message)
             case SyncRequest():
@@ -311,6 +340,17 @@
             ),
         )
 
+    def _on_order(self, message: Pause | Probe) -> None:
+        """Pass a dispatcher's word on to a running attempt."""
+        pool = message.pool.removesuffix(FALLBACK_SUFFIX)
+        pending = self.view_of(pool).pending.get(message.ticket_id)
+        if pending is None or pending.handlers is None:
+            return
+        if isinstance(message, Probe):
+            pending.handlers.probe(message.target)
+        else:
+            pending.handlers.pause()
+
     def _on_sync_request(self, sender: str, request: SyncRequest) -> None:
         """Answer an instance that begins to dispatch a pool."""
         view = self.pools.get(request.pool)
--- a/src/dandelionplank/routing/limits.py
+++ b/src/dandelionplank/routing/limits.py
@@ -1,6 +1,7 @@
 """In-flight limit of each target, learned from what entries observe."""
 
 import dataclasses
+from collections import deque
 from collections.abc import Iterable, Mapping
 from statistics import median
 
@@ -18,6 +19,10 @@
 STRAGGLER_RATIO = 2.5
 RECOVERED_RATIO = 1.6
 FIRST_PAUSE_S = 0.1
+PROBE_PERIOD_S = 0.25
+LATE_STREAMS = 2
+LATE_PERIOD_S = 0.5
+LATE_RATIO = 4.0
 LONGEST_PAUSE_S = 5.0
 
 
@@ -56,6 +61,8 @@
         self.failures = 0
         self.blocked_until_s = 0.0
         self.decreased_at_s = float('-inf')
+        self.probed_at_s = 0.0
+        self.late_at_s: deque[float] = deque(maxlen=LATE_STREAMS)
 
     @property
     def effective_limit(self) -> int:
@@ -81,6 +88,31 @@
             return False
         return self.in_flight < self.effective_limit + overdraft
 
+    def needs_probe(self, now_s: float) -> bool:
+        """Tell whether a slow target should be tried again."""
+        waited_s = now_s - self.probed_at_s
+        return self.is_slow and waited_s > PROBE_PERIOD_S
+
+    def note_late(self, now_s: float) -> bool:
+        """Note that a stream leaves because the target lags.
+
+        Several such streams in a short time are believed at once, before
+        the reports of a whole period are in.
+
+        :return: whether the target has just become slow
+        """
+        self.late_at_s.append(now_s)
+        full = len(self.late_at_s) == LATE_STREAMS
+        if self.is_slow or not full:
+            return False
+        if now_s - self.late_at_s[0] > LATE_PERIOD_S:
+            return False
+        self.is_slow = True
+        self.slow_ratio = LATE_RATIO
+        self.pace_s *= LATE_RATIO
+        self.probed_at_s = now_s
+        return True
+
     def note_failure(self, now_s: float) -> None:
         """Pause a target that failed, longer with every failure in a row."""
         self.failures += 1
--- a/src/dandelionplank/routing/selection.py
+++ b/src/dandelionplank/routing/selection.py
@@ -53,16 +53,14 @@
     ticket: Ticket,
     candidates: Iterable[TargetSlots],
     prefixes: PrefixMemory,
-) -> Choice | None:
+) -> Choice:
     """Choose the least loaded target; a cached prefix breaks near ties.
 
     :param ticket: the request to place
-    :param candidates: targets with a free slot
+    :param candidates: targets with a free slot, at least one
     :param prefixes: what earlier requests have left in the caches
     """
     ordered = sorted(candidates, key=lambda each: (each.load, each.pace_s))
-    if not ordered:
-        return None
     best = ordered[0]
     passed = ','.join(
         f'{each.target.name}:{each.load:.2f}' for each in ordered[1:4]
--- a/src/dandelionplank_standins/engine.py
+++ b/src/dandelionplank_standins/engine.py
@@ -19,6 +19,7 @@
 DEFAULT_OUTPUT_TOKENS = 64
 PREFIX_BYTES = 1024
 KEPT_STREAMS = 2000
+EXPORT_S = 0.002
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +76,8 @@
             [
                 web.post('/v1/chat/completions', self.complete),
                 web.delete('/v1/streams/{id}', self.cancel),
+                web.get('/v1/streams/{id}/cache', self.export_cache),
+                web.put('/v1/streams/{id}/cache', self.import_cache),
                 web.get('/load', self.show_load),
             ],
         )
@@ -90,7 +93,10 @@
         stream = self.streams.get(attempt)
         if offset and stream is None:
             return web.json_response({'error': 'unknown stream'}, status=404)
-        if stream is None or not offset:
+        if stream is not None and offset:
+            stream = dataclasses.replace(stream, cancelled=False)
+            self.streams[attempt] = stream
+        else:
             try:
                 stream = self._open_stream(attempt, msgspec.json.decode(body))
             except (msgspec.DecodeError, KeyError, TypeError) as error:
@@ -105,6 +111,22 @@
             stream.cancelled = True
         return web.Response(text='ok\n')
 
+    async def export_cache(self, request: web.Request) -> web.Response:
+        """Return the state of a stream."""
+        stream = self.streams.get(request.match_info['id'])
+        if stream is None:
+            return web.json_response({'error': 'unknown stream'}, status=404)
+        await asyncio.sleep(EXPORT_S)
+        return web.json_response(dataclasses.asdict(stream))
+
+    async def import_cache(self, request: web.Request) -> web.Response:
+        """Take over the state of a stream from another engine."""
+        document = msgspec.json.decode(await request.read())
+        stream = EngineStream(**document)
+        self.streams[stream.id] = stream
+        await asyncio.sleep(EXPORT_S)
+        return web.Response(text='ok\n')
+
     async def show_load(self, _: web.Request) -> web.Response:
         """Report the load and what was done so far."""
         self._count_slots(0)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -15,6 +15,7 @@
 from dandelionplank.errors import ErrorCode
 from dandelionplank.fairness.counters import VirtualCounters
 from dandelionplank.fairness.invariants import find_violations
+from dandelionplank.fairness.recovery import SchedulerRecovery
 from dandelionplank.fairness.scheduler import PoolScheduler
 from dandelionplank.messages import (
     AccountCounter,
@@ -218,8 +219,9 @@
     waiting = tuple(
         Ticket(f'small-{number}', 'small', 100) for number in range(10)
     )
-    scheduler.sync('other', Sync(POOL, waiting, (), counters), 0)
-    assert scheduler.cap_debt() == ('small',)
+    recovery = SchedulerRecovery(scheduler)
+    recovery.sync('other', Sync(POOL, waiting, (), counters), 0)
+    assert recovery.cap_debt() == ('small',)
     floor = min(scheduler.counters.virtual.values())
     cap = 2 * max(
         scheduler.in_flight.largest_cost, scheduler.contract.short_cost
@@ -307,14 +309,15 @@
             if each.id in self.running
         )
         message = Sync(POOL, waiting, running, ())
-        self.deliver(self.scheduler.sync(entry, message, self.now_s))
+        recovery = SchedulerRecovery(self.scheduler)
+        self.deliver(recovery.sync(entry, message, self.now_s))
 
     @rule(entry=st.sampled_from(['r0', 'r1']))
     def entry_fails(self, entry):
         for ticket_id in self.entries[entry]:
             self.running.pop(ticket_id, None)
         self.entries[entry].clear()
-        self.scheduler.drop_entry(entry)
+        SchedulerRecovery(self.scheduler).drop_entry(entry)
 
     @rule(count=st.integers(2, 3))
     def restart_empty(self, count):
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -31,7 +31,8 @@
     sent = SentReports()
     task = ObservationTask(sent, 0.25, 10)
     answer = EventCount(20)
-    stream = ObservedStream('p', 't', 0.0, lambda: None, answer)
+    stream = ObservedStream('p', 't', answer, started_at_s=0.0)
+    stream.seen_events = 0
     stream.first_at_s = 0.01
     task.streams.add(stream)
     task.close(stream)
@@ -39,7 +40,7 @@
     task.report(0.0, 0.25)
     report = sent.reports[0]
     assert report.tokens == 20
-    assert abs(report.stream_seconds - 0.19) < 1e-9
+    assert round(report.stream_seconds * 1000) == 190
     task.report(0.25, 0.5)
     assert len(sent.reports) == 1
 
@@ -48,9 +49,32 @@
     """A stream without progress is interrupted when its time is over."""
     interrupted = []
     task = ObservationTask(SentReports(), 0.25, 10)
-    stream = task.open('p', 't', lambda: interrupted.append(1), EventCount())
+    stream = task.open(
+        ObservedStream(
+            'p', 't', EventCount(), stall=lambda: interrupted.append(1)
+        )
+    )
     task.interrupt_stalled(stream.started_at_s + 9)
     assert not interrupted
     for seconds in (11, 12):
         task.interrupt_stalled(stream.started_at_s + seconds)
-    assert interrupted == [1]
+    assert len(interrupted) == 1
+
+
+def test_a_stream_that_turns_slow_is_noticed_whatever_the_phase():
+    """A stream at a tenth of the usual pace lags, one at the pace does not."""
+    pace_s = 0.01
+    for phase in range(10):
+        answer = EventCount()
+        stream = ObservedStream('p', 't', answer, started_at_s=0)
+        stream.first_at_s = 0.01
+        late_at = None
+        for step in range(60):
+            now_s = 0.05 * step
+            slow_s = max(0.0, now_s - 1 - phase / 100)
+            answer.events = int(min(now_s, 1) * 100 + slow_s * 10)
+            stream.sample(now_s)
+            if late_at is None and stream.lags(pace_s, now_s):
+                late_at = now_s
+        assert late_at is not None
+        assert 11 <= round(late_at * 10) <= 13
