Several pools with late binding and account totals; fallback when cut off

Cause: a service was one pool only; an entry that could not reach a dispatcher which others still saw as alive waited for ever. Change: a waiting ticket is queued in further pools, twice as many each 30 ms, the first grant wins; dispatchers report cumulative charges to an aggregator and charge what other pools have charged; an entry cut off from a dispatcher grants itself one slot a target until the link is back. Accounts with fewer than 8 slots may use overdraft for short work.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -103,6 +103,10 @@
 
 def _take_event(event: bytes, outcome: ChatOutcome, digest: str) -> None:
     """Check one event."""
+    expected = b'"content":"%b:%d "' % (digest.encode(), outcome.tokens)
+    if outcome.tokens and expected in event:
+        outcome.tokens += 1
+        return
     if event == b'[DONE]':
         outcome.whole = outcome.tokens == outcome.wanted
         return
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -38,6 +38,7 @@
     TARGET_RECOVERED = (305, Level.INFO, 'a slow target has recovered')
     TARGET_DRAINING = (306, Level.INFO, 'a target receives no new work')
     DEBT_CAPPED = (307, Level.INFO, "an account's debt was capped")
+    FALLBACK = (308, Level.WARNING, 'a dispatcher cannot be reached')
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not answer')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is taken as failed')
--- a/src/dandelionplank/fairness/counters.py
+++ b/src/dandelionplank/fairness/counters.py
@@ -18,6 +18,7 @@
         """Start with no account."""
         self.virtual: dict[str, float] = {}
         self.in_flight: dict[str, float] = {}
+        self.charged_here: dict[str, float] = {}
         self.last_served = 0.0
 
     def charge(self, account: str, cost: float, share: float) -> float:
@@ -34,6 +35,8 @@
         """Charge work in flight, whose cost is an estimate until it ends."""
         held = self.in_flight.get(account, 0.0) + cost / share
         self.in_flight[account] = max(0.0, held)
+        charged = self.charged_here.get(account, 0.0) + cost / share
+        self.charged_here[account] = charged
         return self.charge(account, cost, share)
 
     def settle(self, account: str, cost: float, share: float) -> None:
@@ -108,6 +111,11 @@
             self.virtual[account] = ceiling
         return lowered
 
+    def absorb(self, rises: Iterable[AccountCounter]) -> None:
+        """Charge what other pools of the service have charged."""
+        for rise in rises:
+            self.charge(rise.account, rise.virtual, share=1)
+
     def snapshot(self) -> tuple[AccountCounter, ...]:
         """Return all counters for a handover."""
         return tuple(
--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -38,6 +38,7 @@
 QUEUE_FULL_RETRY_S = 1.0
 LEAST_SHARES = 1e-9
 MOVE_OVERDRAFT = 1
+SLOTS_FOR_SHORT_WORK = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -287,8 +288,8 @@
     def _grant_overdraft(self, now_s: float) -> list[Delivery]:
         """Let a short ticket use a slot above the limit.
 
-        Only accounts that hold fewer slots than their share of the pool may
-        do so, so that a backlogged account does not just raise the limit.
+        Only accounts that hold few slots, or fewer than their share of the
+        pool, may do so: a backlogged account would just raise the limit.
         """
         extra = self.contract.short_overdraft
         if not extra:
@@ -306,7 +307,8 @@
                 continue
             account = waiting.ticket.account
             held = self.in_flight.counts.get(account, 0)
-            if held + 1 <= per_share * self.share_of(account):
+            due = per_share * self.share_of(account)
+            if held < max(due - 1, SLOTS_FOR_SHORT_WORK):
                 granted = self._grant(waiting, free, now_s)
                 return [granted, *self._pause_for(waiting.ticket, now_s)]
         return []
--- a/src/dandelionplank/messages.py
+++ b/src/dandelionplank/messages.py
@@ -185,6 +185,26 @@
     limits: tuple[TargetLimit, ...]
 
 
+class PoolTotals(Message, frozen=True, tag=16):
+    """What a pool's dispatcher has charged since it began.
+
+    :param epoch: names the dispatcher's run
+    :param counters: cumulative charges of accounts that have changed
+    """
+
+    service: str
+    pool: str
+    epoch: str
+    counters: tuple[AccountCounter, ...]
+
+
+class ForeignTotals(Message, frozen=True, tag=17):
+    """What the other pools of the service have charged."""
+
+    pool: str
+    counters: tuple[AccountCounter, ...]
+
+
 class ConfigurationRequest(Message, frozen=True, tag=13):
     """The sender wants the manifest and the shards it lacks.
 
@@ -215,6 +235,8 @@
     | SyncRequest
     | Withdraw
     | Handover
+    | PoolTotals
+    | ForeignTotals
     | ConfigurationRequest
     | ConfigurationSnapshot
 )
--- a/src/dandelionplank/router/chat.py
+++ b/src/dandelionplank/router/chat.py
@@ -32,10 +32,10 @@
 from dandelionplank.router.delivery import Delivery
 from dandelionplank.router.entry import Entry
 from dandelionplank.router.observations import ObservedStream
+from dandelionplank.router.poolview import AttemptHandlers
 from dandelionplank.router.probe import TargetProbe
 from dandelionplank.router.sse import AnswerStream
 from dandelionplank.router.targets import RESUME_HEADER, Attempt
-from dandelionplank.router.tickets import AttemptHandlers
 from dandelionplank.targets import Target
 
 PROGRESS_FACTOR = 1.25
--- a/src/dandelionplank/router/daemon.py
+++ b/src/dandelionplank/router/daemon.py
@@ -19,6 +19,7 @@
 from dandelionplank.platform.etcd import EtcdStore
 from dandelionplank.platform.instancelist import HttpInstanceList
 from dandelionplank.router.administration import AdministrationInterface
+from dandelionplank.router.aggregation import AggregationTask
 from dandelionplank.router.callers import CallerInterface
 from dandelionplank.router.configuration import ConfigurationTask
 from dandelionplank.router.dispatch import DispatchTask
@@ -72,6 +73,7 @@
             self.links,
             self.membership,
         )
+        self.aggregation = AggregationTask(self.links)
         tickets = TicketTask(settings.dispatch, self.links, self.membership)
         prefix = settings.platform.key_prefix
         self.repository = ConfigurationRepository(store, prefix)
@@ -145,6 +147,7 @@
             self.membership.run(),
             self.configuration.run(),
             self.dispatch.run(),
+            self.dispatch.run_totals(),
             self.entry.tickets.run(),
             self.entry.observations.run(),
             self.use.run(),
--- a/src/dandelionplank/router/delivery.py
+++ b/src/dandelionplank/router/delivery.py
@@ -16,6 +16,7 @@
 from dandelionplank.router.calls import Call
 from dandelionplank.router.entry import Entry
 from dandelionplank.router.observations import EventCount, ObservedStream
+from dandelionplank.router.poolview import configured_name
 from dandelionplank.router.targets import Attempt
 from dandelionplank.routing.retries import may_try_again
 from dandelionplank.targets import Target
@@ -41,7 +42,8 @@
         """Estimate the cost and find the pool."""
         self.entry = entry
         self.call = call
-        self.pool = entry.pool_for(call).name
+        self.pools = entry.pools_for(call)
+        self.pool = self.pools[0]
         self.estimate = entry.estimator.estimate(
             call.account.name,
             call.contract,
@@ -75,11 +77,13 @@
             avoid=avoid,
         )
         self.attempts += 1
+        must_stay = pinned or avoid
         grant = await self.entry.tickets.acquire(
             ticket,
-            self.pool,
+            (self.pool,) if must_stay else self.pools,
             timeout_s or max(LEAST_WAIT_S, limit_s - waited_s),
         )
+        self.pool = configured_name(grant.pool)
         try:
             target = self.entry.target_named(grant.target, ticket)
         except DandelionplankError:
--- a/src/dandelionplank/router/dispatch.py
+++ b/src/dandelionplank/router/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+import uuid
 from collections.abc import Mapping
 from types import MappingProxyType
 
@@ -16,14 +17,18 @@
 )
 from dandelionplank.fairness.recovery import SchedulerRecovery
 from dandelionplank.fairness.scheduler import Delivery, PoolScheduler
+from dandelionplank.fairness.totals import ForeignCharges
 from dandelionplank.instances import InstanceStatus
 from dandelionplank.logs import log_event
 from dandelionplank.messages import (
+    AccountCounter,
     Cancel,
     Done,
     Enqueue,
+    ForeignTotals,
     Handover,
     Message,
+    PoolTotals,
     Progress,
     Sync,
     SyncRequest,
@@ -33,12 +38,12 @@
 from dandelionplank.metrics import METRICS
 from dandelionplank.router.links import LinkEvent, Links
 from dandelionplank.router.membership import MembersChanged, MembershipTask
-from dandelionplank.routing.rendezvous import rank_instances
+from dandelionplank.router.poolview import FALLBACK_SUFFIX, configured_name
+from dandelionplank.routing.rendezvous import pick_instance, rank_instances
 from dandelionplank.settings import DispatchSettings
 
 TICK_S = 0.05
 CHECK_PERIOD_S = 1.0
-FALLBACK_SUFFIX = '~fallback'
 POOL_MESSAGES = (
     Enqueue,
     Cancel,
@@ -48,7 +53,9 @@
     Sync,
     Withdraw,
     Handover,
+    ForeignTotals,
 )
+OPENING_MESSAGES = (Enqueue, Sync, Handover)
 ORDERS: Mapping[str, type[AccountOrder]] = MappingProxyType(
     {
         'fair': FairOrder,
@@ -72,6 +79,24 @@
     opens_at_s: float
     is_open: bool = False
     adapted_at_s: float = 0
+    epoch: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex)
+    foreign: ForeignCharges = dataclasses.field(
+        default_factory=ForeignCharges,
+    )
+    reported: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def news(self) -> tuple[AccountCounter, ...]:
+        """Return the accounts whose charges changed since the last report."""
+        charged = self.scheduler.counters.charged_here
+        changed = {
+            account: level
+            for account, level in charged.items()
+            if self.reported.get(account) != level
+        }
+        self.reported.update(changed)
+        return tuple(
+            AccountCounter(account, level) for account, level in changed.items()
+        )
 
 
 class DispatchTask:
@@ -131,6 +156,13 @@
                 if change.instance.status is InstanceStatus.DEAD:
                     dispatched.recovery.drop_entry(name)
 
+    async def run_totals(self) -> None:
+        """Report to the aggregators of services that have several pools."""
+        while True:
+            await asyncio.sleep(self.settings.totals_period_s)
+            if self.catalogue and self.settings.policy == 'fair':
+                self._report_totals(self.catalogue)
+
     async def run(self) -> None:
         """Handle messages and let time pass in the schedulers."""
         ticked_at_s = 0.0
@@ -173,7 +205,7 @@
         name: str = message.pool  # type: ignore[attr-defined]
         dispatched = self.pools.get(name)
         if dispatched is None:
-            if isinstance(message, Withdraw | TargetReport | Done | Cancel):
+            if not isinstance(message, OPENING_MESSAGES):
                 return name
             dispatched = self._open_pool(name, now_s)
         if dispatched is None:
@@ -212,6 +244,9 @@
                 recovery.drop_entry(sender)
             case Handover():
                 recovery.take_over(message)
+            case ForeignTotals():
+                rises = dispatched.foreign.take(message.counters)
+                scheduler.counters.absorb(rises)
 
     def _open_pool(self, name: str, now_s: float) -> DispatchedPool | None:
         """Create a scheduler and ask the entries for their state."""
@@ -243,7 +278,7 @@
         """Return the configured pool behind a scheduler's name."""
         if self.catalogue is None:
             return None
-        return self.catalogue.pools.get(name.removesuffix(FALLBACK_SUFFIX))
+        return self.catalogue.pools.get(configured_name(name))
 
     def _configure_pool(self, name: str, scheduler: PoolScheduler) -> None:
         """Give a scheduler its accounts and its targets."""
@@ -251,7 +286,7 @@
         if self.catalogue is None:
             return
         targets = pool.targets if pool else ()
-        divisor = self._limit_divisor(name)
+        divisor = self._limit_divisor()
         contract = self.catalogue.services.get(
             pool.service if pool else '',
             scheduler.contract,
@@ -265,15 +300,15 @@
                 if target.name not in self.leaving_targets
             ],
         )
-        if divisor > 1:
-            for slots in scheduler.slots.values():
-                usual = slots.target.limit or contract.target_limit
+        for slots in scheduler.slots.values():
+            usual = slots.target.limit or contract.target_limit
+            if name.endswith(FALLBACK_SUFFIX):
+                slots.limit = float(self.settings.fallback_limit_per_target)
+            elif divisor > 1:
                 slots.limit = max(1.0, usual / divisor)
 
-    def _limit_divisor(self, name: str) -> int:
+    def _limit_divisor(self) -> int:
         """Return by how much this instance must divide the limits."""
-        if FALLBACK_SUFFIX in name:
-            return 1_000
         if self.settings.policy == 'fair':
             return 1
         return max(1, len(self.membership.present))
@@ -294,6 +329,25 @@
             )
         self._deliver(dispatched.scheduler.schedule(now_s))
 
+    def _report_totals(self, catalogue: Catalogue) -> None:
+        """Send what has changed to the aggregator of each service."""
+        for name, dispatched in self.pools.items():
+            pool = self._find_pool(name)
+            if (
+                pool is None
+                or len(catalogue.pools_of_service[pool.service]) < 2
+            ):
+                continue
+            role = f'total/{pool.service}'
+            aggregator = pick_instance(role, self.membership.present)
+            message = PoolTotals(
+                pool.service,
+                name,
+                dispatched.epoch,
+                dispatched.news(),
+            )
+            self.links.send(aggregator, message)
+
     def _deliver(self, deliveries: list[Delivery]) -> None:
         """Send messages to the entries."""
         for delivery in deliveries:
@@ -306,7 +360,8 @@
             if age_s < self.settings.report_period_s:
                 continue
             dispatched.adapted_at_s = now_s
-            if self.settings.policy == 'fair':
+            is_fallback = name.endswith(FALLBACK_SUFFIX)
+            if self.settings.policy == 'fair' and not is_fallback:
                 self._adapt(name, dispatched.scheduler, now_s)
             self._check(name, dispatched, now_s)
 
--- a/src/dandelionplank/router/entry.py
+++ b/src/dandelionplank/router/entry.py
@@ -3,11 +3,12 @@
 import asyncio
 import dataclasses
 import itertools
+import random
 import time
 from collections.abc import Coroutine
 from typing import Any
 
-from dandelionplank.configuration.catalogue import Catalogue, Pool
+from dandelionplank.configuration.catalogue import Catalogue
 from dandelionplank.errors import ErrorCode, Outcome, RefusalError
 from dandelionplank.fairness.cost import CostEstimator, Usage
 from dandelionplank.ledger.usage import Receipt, UseLedger
@@ -17,6 +18,7 @@
 from dandelionplank.router.observations import ObservationTask
 from dandelionplank.router.targets import TargetConnections
 from dandelionplank.router.tickets import TicketTask
+from dandelionplank.routing.rendezvous import pick_instance
 from dandelionplank.routing.retries import RepeatBudget
 from dandelionplank.settings import Settings
 from dandelionplank.targets import Target
@@ -50,6 +52,7 @@
 
     def __post_init__(self) -> None:
         """Build the budgets of repeated work from the settings."""
+        self.rng = random.Random(self.incarnation)
         ratio = self.settings.dispatch.retry_budget_ratio
         self.retries = RepeatBudget(ratio)
         self.hedges = RepeatBudget(self.settings.dispatch.hedge_budget_ratio)
@@ -83,8 +86,12 @@
             )
         return self.catalogue
 
-    def pool_for(self, call: Call) -> Pool:
-        """Return the pool in which a call is queued.
+    def pools_for(self, call: Call) -> tuple[str, ...]:
+        """Return the pools in which a call may run, the preferred one first.
+
+        With several pools, the first is the better of two choices: the one
+        that the prompt's prefix points to, and one at random. The others
+        follow in random order.
 
         :raises RefusalError: the service has no target
         """
@@ -98,7 +105,14 @@
                 outcome=Outcome.NOT_RUN,
                 retry_after_s=1,
             )
-        return pools[0]
+        names = [pool.name for pool in pools]
+        if len(names) == 1:
+            return (names[0],)
+        self.rng.shuffle(names)
+        preferred = pick_instance(f'prefix/{call.prefix}', names)
+        first = min(preferred, names[0], key=self._waiting_in)
+        names.remove(first)
+        return (first, *names)
 
     def target_named(self, name: str, ticket: Ticket) -> Target:
         """Return a granted target.
@@ -128,3 +142,7 @@
         )
         self.ledger.record(receipt, time.time())
         return receipt
+
+    def _waiting_in(self, pool: str) -> int:
+        """Return how many of this entry's tickets wait in a pool."""
+        return len(self.tickets.view_of(pool).waiting())
--- a/src/dandelionplank/router/tickets.py
+++ b/src/dandelionplank/router/tickets.py
@@ -1,11 +1,8 @@
 """Tickets of this entry's callers: waiting for a grant or running."""
 
 import asyncio
-import dataclasses
 import time
-from collections.abc import Callable
-
-import msgspec
+from collections.abc import Sequence
 
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.events import Event
@@ -16,17 +13,17 @@
     Done,
     Enqueue,
     Grant,
+    Message,
     Pause,
     Probe,
     Progress,
     Refuse,
-    RunningAttempt,
     Sync,
     SyncRequest,
     Ticket,
     Withdraw,
 )
-from dandelionplank.router.dispatch import FALLBACK_SUFFIX
+from dandelionplank.metrics import METRICS
 from dandelionplank.router.links import (
     LinkClosed,
     LinkEvent,
@@ -34,58 +31,19 @@
     Links,
 )
 from dandelionplank.router.membership import MembersChanged, MembershipTask
+from dandelionplank.router.poolview import (
+    MILLISECONDS,
+    AttemptHandlers,
+    Pending,
+    PoolView,
+    configured_name,
+)
 from dandelionplank.routing.rendezvous import pick_instance
 from dandelionplank.settings import DispatchSettings
 
-MILLISECONDS = 1000
-UNREACHABLE_S = 1.5
 PERIOD_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True)
-class AttemptHandlers:
-    """What a running attempt does at its dispatcher's word.
-
-    :param pause: gives the slot to short work
-    :param probe: tries the named target with a copy of the call
-    """
-
-    pause: Callable[[], None]
-    probe: Callable[[str], None]
-
-
-@dataclasses.dataclass
-class Pending:
-    """A ticket whose caller waits for a grant or an answer."""
-
-    ticket: Ticket
-    pool: str
-    since_s: float
-    granted: asyncio.Future[Grant]
-    grant: Grant | None = None
-    granted_by: str = ''
-    cost: float = 0
-    handlers: AttemptHandlers | None = None
-
-
-@dataclasses.dataclass
-class PoolView:
-    """What this entry knows of a pool: its dispatcher and its tickets."""
-
-    dispatcher: str
-    pending: dict[str, Pending] = dataclasses.field(default_factory=dict)
-    counters: dict[str, float] = dataclasses.field(default_factory=dict)
-    synced_at_s: float = 0
-    unreachable_since_s: float = 0
-
-    def known_counters(self) -> tuple[AccountCounter, ...]:
-        """Return the accounts' virtual counters as last heard."""
-        return tuple(
-            AccountCounter(account, virtual)
-            for account, virtual in self.counters.items()
-        )
-
-
 class TicketTask:
     """Owns this entry's tickets and keeps the dispatchers informed."""
 
@@ -109,42 +67,38 @@
     async def acquire(
         self,
         ticket: Ticket,
-        pool: str,
+        pools: Sequence[str],
         timeout_s: float,
     ) -> Grant:
         """Wait for a target.
 
+        The ticket is queued in the first pool. While it waits it is queued
+        in further ones, twice as many each time; the first grant wins.
+
         :param ticket: the request
-        :param pool: pool in which it is queued
+        :param pools: pools in which it may run, the preferred one first
         :param timeout_s: longest wait
         :raises RefusalError: the queue is full or the wait too long
         """
-        view = self.view_of(pool)
-        pending = Pending(
-            ticket,
-            pool,
-            time.monotonic(),
-            asyncio.get_running_loop().create_future(),
-        )
-        view.pending[ticket.id] = pending
-        self.links.send(
-            view.dispatcher,
-            Enqueue(self.name_at(view, pool), ticket),
-        )
+        granted = asyncio.get_running_loop().create_future()
+        winner = ''
         try:
             async with asyncio.timeout(timeout_s):
-                return await pending.granted
-        except BaseException as error:
-            self.abandon(ticket, pool)
-            if isinstance(error, TimeoutError):
-                raise RefusalError(
-                    step='queue',
-                    peer=pool,
-                    request_id=ticket.id,
-                    code=ErrorCode.QUEUE_TIMEOUT,
-                    retry_after_s=1,
-                ) from error
-            raise
+                grant = await self._wait_in(ticket, pools, granted)
+            winner = configured_name(grant.pool)
+        except TimeoutError as error:
+            raise RefusalError(
+                step='queue',
+                peer=pools[0],
+                request_id=ticket.id,
+                code=ErrorCode.QUEUE_TIMEOUT,
+                retry_after_s=1,
+            ) from error
+        finally:
+            for pool in pools:
+                if pool != winner:
+                    self.abandon(ticket, pool)
+        return grant
 
     def progress(self, ticket: Ticket, pool: str, cost: float) -> None:
         """Report that a running attempt has outgrown its charge."""
@@ -153,10 +107,7 @@
         if pending is None:
             return
         pending.cost = cost
-        self.links.send(
-            view.dispatcher,
-            Progress(self.name_at(view, pool), ticket.id, cost),
-        )
+        self._send(view, Progress(view.remote_name, ticket.id, cost))
 
     def finish(
         self,
@@ -171,26 +122,16 @@
         pending = view.pending.pop(ticket.id, None)
         if pending is None or pending.grant is None:
             return
-        self.links.send(
-            view.dispatcher,
-            Done(
-                self.name_at(view, pool),
-                ticket.id,
-                pending.grant.target,
-                cost,
-                failed,
-            ),
-        )
+        target = pending.grant.target
+        done = Done(view.remote_name, ticket.id, target, cost, failed)
+        self._send(view, done)
 
     def abandon(self, ticket: Ticket, pool: str) -> None:
         """Withdraw a ticket that has not run."""
-        view = self.pools[pool]
-        pending = view.pending.pop(ticket.id, None)
-        if pending:
-            self.links.send(
-                view.dispatcher,
-                Cancel(self.name_at(view, pool), ticket.id),
-            )
+        view = self.pools.get(pool)
+        pending = view.pending.pop(ticket.id, None) if view else None
+        if view and pending:
+            self._send(view, Cancel(view.remote_name, ticket.id))
 
     def attach(
         self,
@@ -207,7 +148,7 @@
         """Return this entry's view of a pool."""
         view = self.pools.get(pool)
         if view is None:
-            view = PoolView(self.dispatcher_of(pool))
+            view = PoolView(pool, self.dispatcher_of(pool))
             self.pools[pool] = view
         return view
 
@@ -217,10 +158,6 @@
             return self.links.own
         return pick_instance(f'pool/{pool}', self.membership.present)
 
-    def name_at(self, view: PoolView, pool: str) -> str:
-        """Return the pool's name at the dispatcher in use."""
-        return f'{pool}{FALLBACK_SUFFIX}' if view.unreachable_since_s else pool
-
     def receive(self, sender: str, message: LinkEvent) -> None:
         """Handle one message of a dispatcher or a change of a link."""
         match message:
@@ -233,14 +170,17 @@
             case SyncRequest():
                 self._on_sync_request(sender, message)
             case LinkOpened():
-                self._sync_all(sender)
+                self._on_link_opened(sender)
             case LinkClosed():
                 self.membership.hint_failure(sender)
 
     def on_members(self, _: MembersChanged) -> None:
         """Move tickets to the instances that dispatch their pools now."""
-        for pool, view in self.pools.items():
-            self._move(pool, view, self.dispatcher_of(pool))
+        for view in self.pools.values():
+            dispatcher = self.dispatcher_of(view.name)
+            is_same = dispatcher == view.dispatcher
+            if not is_same and not view.is_fallback:
+                self._move(view, dispatcher)
 
     def move_all(self) -> None:
         """Move tickets after this instance's own status has changed."""
@@ -251,13 +191,13 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             now_s = time.monotonic()
-            for pool, view in self.pools.items():
+            for view in self.pools.values():
+                self._check_reach(view, now_s)
                 if now_s - view.synced_at_s > self.settings.resync_period_s:
-                    self.sync(pool, view)
+                    self.sync(view)
 
     def sync(
         self,
-        pool: str,
         view: PoolView,
         counters: tuple[AccountCounter, ...] = (),
     ) -> None:
@@ -266,33 +206,49 @@
         :param counters: sent only to a dispatcher that is new to the pool,
             since charges given back later would be undone by a merge
         """
-        now_s = time.monotonic()
-        view.synced_at_s = now_s
-        waiting = tuple(
-            _aged(pending, now_s)
-            for pending in view.pending.values()
-            if pending.grant is None
-        )
-        running = tuple(
-            RunningAttempt(
-                pending.ticket,
-                pending.grant.target,
-                max(pending.cost, pending.grant.charged),
-            )
-            for pending in view.pending.values()
-            if pending.grant is not None
-        )
-        self.links.send(
-            view.dispatcher,
-            Sync(self.name_at(view, pool), waiting, running, counters),
+        view.synced_at_s = time.monotonic()
+        self._send(
+            view,
+            Sync(view.remote_name, view.waiting(), view.running(), counters),
         )
 
+    async def _wait_in(
+        self,
+        ticket: Ticket,
+        pools: Sequence[str],
+        granted: asyncio.Future[Grant],
+    ) -> Grant:
+        """Queue a ticket in more and more pools until it is granted."""
+        self._enqueue(ticket, pools[0], granted)
+        queued = 1
+        while queued < len(pools):
+            period_s = self.settings.further_pool_after_s
+            done, _waiting = await asyncio.wait({granted}, timeout=period_s)
+            if done:
+                break
+            for pool in pools[queued : 2 * queued]:
+                self._enqueue(ticket, pool, granted)
+                METRICS.add('further_pools_total')
+            queued *= 2
+        return await granted
+
+    def _enqueue(
+        self,
+        ticket: Ticket,
+        pool: str,
+        granted: asyncio.Future[Grant],
+    ) -> None:
+        """Queue a ticket in one pool."""
+        view = self.view_of(pool)
+        pending = Pending(ticket, pool, time.monotonic(), granted)
+        view.pending[ticket.id] = pending
+        self._send(view, Enqueue(view.remote_name, ticket))
+
     def _on_grant(self, sender: str, grant: Grant) -> None:
         """Start a granted ticket or decline the grant."""
-        pool = grant.pool.removesuffix(FALLBACK_SUFFIX)
-        view = self.view_of(pool)
+        view = self.view_of(configured_name(grant.pool))
         pending = view.pending.get(grant.ticket_id)
-        if pending is None or pending.granted.cancelled():
+        if pending is None:
             self._decline(sender, grant)
             return
         if pending.grant is not None:
@@ -301,6 +257,10 @@
                 self._decline(sender, grant)
             return
         view.counters[pending.ticket.account] = grant.virtual
+        if pending.granted.done():
+            view.pending.pop(grant.ticket_id)
+            self._decline(sender, grant)
+            return
         pending.grant = grant
         pending.granted_by = sender
         pending.granted.set_result(grant)
@@ -324,12 +284,27 @@
             Done(grant.pool, grant.ticket_id, grant.target, 0),
         )
 
+    def _on_order(self, message: Pause | Probe) -> None:
+        """Pass a dispatcher's word on to a running attempt."""
+        view = self.view_of(configured_name(message.pool))
+        pending = view.pending.get(message.ticket_id)
+        if pending is None or pending.handlers is None:
+            return
+        if isinstance(message, Probe):
+            pending.handlers.probe(message.target)
+        else:
+            pending.handlers.pause()
+
     def _on_refuse(self, refusal: Refuse) -> None:
-        """Fail a ticket that the dispatcher does not queue."""
-        pool = refusal.pool.removesuffix(FALLBACK_SUFFIX)
-        pending = self.view_of(pool).pending.get(refusal.ticket_id)
+        """Fail a ticket that no dispatcher queues."""
+        pool = configured_name(refusal.pool)
+        pending = self.view_of(pool).pending.pop(refusal.ticket_id, None)
         if pending is None or pending.granted.done():
             return
+        if any(
+            refusal.ticket_id in each.pending for each in self.pools.values()
+        ):
+            return
         pending.granted.set_exception(
             RefusalError(
                 step='queue',
@@ -340,52 +315,66 @@
             ),
         )
 
-    def _on_order(self, message: Pause | Probe) -> None:
-        """Pass a dispatcher's word on to a running attempt."""
-        pool = message.pool.removesuffix(FALLBACK_SUFFIX)
-        pending = self.view_of(pool).pending.get(message.ticket_id)
-        if pending is None or pending.handlers is None:
-            return
-        if isinstance(message, Probe):
-            pending.handlers.probe(message.target)
-        else:
-            pending.handlers.pause()
-
     def _on_sync_request(self, sender: str, request: SyncRequest) -> None:
         """Answer an instance that begins to dispatch a pool."""
         view = self.pools.get(request.pool)
         if view is None:
             self.links.send(sender, Sync(request.pool, (), (), ()))
-        elif view.dispatcher == sender:
-            self.sync(request.pool, view, view.known_counters())
+        elif view.dispatcher == sender and not view.is_fallback:
+            self.sync(view, view.known_counters())
         else:
             counters = view.known_counters()
             self.links.send(sender, Sync(request.pool, (), (), counters))
 
-    def _sync_all(self, peer: str) -> None:
+    def _on_link_opened(self, peer: str) -> None:
         """Report to a dispatcher whose link has just been opened."""
-        for pool, view in self.pools.items():
-            if view.dispatcher == peer:
-                self.sync(pool, view)
+        for view in self.pools.values():
+            if view.is_fallback and self.dispatcher_of(view.name) == peer:
+                self._leave_fallback(view, peer)
+            elif view.dispatcher == peer:
+                view.unreachable_since_s = 0
+                self.sync(view)
 
-    def _move(self, pool: str, view: PoolView, dispatcher: str) -> None:
-        """Report a pool's tickets to another dispatcher."""
-        if dispatcher == view.dispatcher:
-            return
-        self._withdraw(pool, view)
+    def _check_reach(self, view: PoolView, now_s: float) -> None:
+        """Grant to ourselves while a pool's dispatcher cannot be reached.
+
+        The members may still take it as alive, because others reach it.
+        """
+        if view.is_fallback:
+            dispatcher = self.dispatcher_of(view.name)
+            if dispatcher == self.links.own:
+                self._leave_fallback(view, dispatcher)
+            else:
+                self.links.send(dispatcher, Withdraw(view.name))
+        elif self.links.is_open(view.dispatcher) or not view.waiting():
+            view.unreachable_since_s = 0
+        elif not view.unreachable_since_s:
+            view.unreachable_since_s = now_s
+        elif now_s - view.unreachable_since_s > self.settings.fallback_after_s:
+            self._enter_fallback(view)
+
+    def _enter_fallback(self, view: PoolView) -> None:
+        """Begin to grant a few slots to ourselves."""
+        log_event(Event.FALLBACK, pool=view.name, dispatcher=view.dispatcher)
+        view.is_fallback = True
+        view.dispatcher = self.links.own
+        self.sync(view, view.known_counters())
+
+    def _leave_fallback(self, view: PoolView, dispatcher: str) -> None:
+        """Return to the pool's dispatcher."""
+        self._send(view, Withdraw(view.remote_name))
+        view.is_fallback = False
+        view.unreachable_since_s = 0
         view.dispatcher = dispatcher
-        self.sync(pool, view, view.known_counters())
+        self.sync(view, view.known_counters())
 
-    def _withdraw(self, pool: str, view: PoolView) -> None:
-        """Tell the former dispatcher that the tickets have moved."""
+    def _move(self, view: PoolView, dispatcher: str) -> None:
+        """Report a pool's tickets to another dispatcher."""
         if view.dispatcher in self.membership.present:
-            self.links.send(
-                view.dispatcher,
-                Withdraw(self.name_at(view, pool)),
-            )
-
+            self._send(view, Withdraw(view.remote_name))
+        view.dispatcher = dispatcher
+        self.sync(view, view.known_counters())
 
-def _aged(pending: Pending, now_s: float) -> Ticket:
-    """Return a waiting ticket with its waiting time up to now."""
-    waited_ms = int((now_s - pending.since_s) * MILLISECONDS)
-    return msgspec.structs.replace(pending.ticket, waited_ms=waited_ms)
+    def _send(self, view: PoolView, message: Message) -> None:
+        """Send a message to a pool's dispatcher."""
+        self.links.send(view.dispatcher, message)
--- a/src/dandelionplank/settings.py
+++ b/src/dandelionplank/settings.py
@@ -128,6 +128,9 @@
     resync_period_s: Positive = 3.0
     report_period_s: Positive = 0.25
     fallback_limit_per_target: PositiveInt = 1
+    fallback_after_s: Positive = 1.0
+    further_pool_after_s: Positive = 0.03
+    totals_period_s: Positive = 1.0
     hedge_budget_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
     retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
 
