--- a/src/dandelionplank_standins/engine.py
+++ b/src/dandelionplank_standins/engine.py
@@ -181,11 +181,11 @@
             await response.prepare(request)
             await self._send_tokens(request, response, stream, offset)
             await response.write(_ending(stream))
+            await response.write_eof()
         except ConnectionError:
             return response
         finally:
             self._count_slots(-1)
-        await response.write_eof()
         return response
 
     def _count_slots(self, change: int) -> None:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -54,7 +54,7 @@
     """
     totals = ServiceTotals()
     charged = {'p0': 0, 'p1': 0, 'p2': 0}
-    heard = {pool: 0.0 for pool in charged}
+    heard = dict.fromkeys(charged, 0.0)
     foreign = {pool: ForeignCharges() for pool in charged}
     lost = False
     for step, (pool, rise) in enumerate(rises):
