Statements that can be recomputed; smaller modules

Change: periods are closed over the digests of their records, each naming the period before; PRINT and VERIFY STATEMENT, COMPARE USE WITH TARGETS, EXPLAIN REQUEST, tokens with roles; an export for checks outside the fleet. Sinks, refusals, reports and routing decisions became modules of their own.

Measured: tampered records (changed, missing, doubled, added) are named in unit tests and in a running fleet; a router killed under load loses at most the unflushed seconds and charges no receipt twice.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -53,7 +53,7 @@
     INTENT_WRITTEN = (600, Level.INFO, 'an intent was recorded')
     INTENT_REPEATED = (601, Level.INFO, 'a key was used again')
     USE_FLUSHED = (602, Level.DEBUG, 'cumulative use was written')
-    USE_FOLDED = (603, Level.INFO, 'use of an ended incarnation was folded')
+    PERIOD_CLOSED = (603, Level.INFO, 'a period of use was closed')
     LEASE_HELD = (700, Level.INFO, 'this instance leads placement')
     LEASE_LOST = (701, Level.WARNING, 'this instance leads no longer')
     PLACED = (702, Level.INFO, 'a target was given an order')
--- a/src/dandelionplank/ledger/repository.py
+++ b/src/dandelionplank/ledger/repository.py
@@ -1,12 +1,13 @@
 """Stored use: each incarnation writes its own values."""
 
+import contextlib
 from typing import Protocol
 
 import msgspec
 
 from dandelionplank.errors import StoreConflictError, StoreError
+from dandelionplank.ledger.closing import ClosedPeriod
 from dandelionplank.ledger.usage import (
-    PERIOD_S,
     UseKey,
     UseRecord,
     UseRow,
@@ -19,6 +20,7 @@
     put_settled,
 )
 
+PERIOD_DIGITS = 12
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(UseRecord)
 
@@ -29,6 +31,12 @@
     async def totals(self, since_s: float) -> dict[UseKey, UseRow]:
         """Return the use of all periods that end after a time."""
 
+    async def records(self, since_s: float) -> list[UseRecord]:
+        """Return the records of all periods that end after a time."""
+
+    async def closures(self, since_s: float) -> list[ClosedPeriod]:
+        """Return the closed periods that end after a time, in order."""
+
 
 class UseRepository:
     """Writes and reads records of use.
@@ -37,10 +45,20 @@
     :param prefix: prefix of all keys of this fleet
     """
 
-    def __init__(self, store: KeyValueStore, prefix: str) -> None:
-        """Start without known revisions."""
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        period_s: int,
+    ) -> None:
+        """Start without known revisions.
+
+        :param period_s: length of a period
+        """
         self.store = store
         self.prefix = f'{prefix}use/'
+        self.closed_prefix = f'{prefix}closed/'
+        self.period_s = period_s
         self.revisions: dict[str, int] = {}
 
     async def write(self, record: UseRecord) -> None:
@@ -71,7 +89,7 @@
         :raises StoreError: the service did not answer
         """
         stored = await self.store.scan(self.prefix)
-        first = int(since_s) - PERIOD_S
+        first = int(since_s) - self.period_s
         return [
             record
             for record in map(decode_record, stored)
@@ -82,9 +100,46 @@
         """Return the use of all periods that end after a time."""
         return sum_rows(await self.records(since_s))
 
+    async def closures(self, since_s: float) -> list[ClosedPeriod]:
+        """Return the closed periods that end after a time, in order.
+
+        :raises StoreError: the service did not answer
+        """
+        stored = await self.store.scan(self.closed_prefix)
+        first = int(since_s) - self.period_s
+        closures = [
+            msgspec.json.decode(each.payload, type=ClosedPeriod)
+            for each in stored
+        ]
+        return [each for each in closures if each.period > first]
+
+    async def close(self, closure: ClosedPeriod) -> None:
+        """Store a closed period; one that is closed already stays.
+
+        :raises StoreError: close it again later
+        """
+        with contextlib.suppress(StoreConflictError):
+            await put_settled(
+                self.store,
+                f'{self.closed_prefix}{closure.period:0{PERIOD_DIGITS}d}',
+                _ENCODER.encode(closure),
+                ABSENT,
+            )
+
+    async def forget_before(self, at_s: float) -> None:
+        """Delete records and closed periods that ended before a time.
+
+        :raises StoreError: delete the rest later
+        """
+        for prefix in (self.prefix, self.closed_prefix):
+            for stored in await self.store.scan(prefix):
+                period = int(stored.key.removeprefix(prefix)[:PERIOD_DIGITS])
+                if period + self.period_s < at_s:
+                    await self.store.delete(stored.key)
+
     def key_of(self, period: int, incarnation: str) -> str:
         """Return the key of a record."""
-        return f'{self.prefix}{period:012d}/{incarnation}'
+        return f'{self.prefix}{period:0{PERIOD_DIGITS}d}/{incarnation}'
 
 
 def decode_record(stored: StoredValue) -> UseRecord:
--- a/src/dandelionplank/ledger/usage.py
+++ b/src/dandelionplank/ledger/usage.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-PERIOD_S = 600
 DIGEST_BYTES = 16
 HEX_BASE = 16
 DIGEST_MODULUS = 1 << (8 * DIGEST_BYTES)
@@ -71,9 +70,13 @@
 class UseLedger:
     """Counts the use of one incarnation."""
 
-    def __init__(self, incarnation: str) -> None:
-        """Start with nothing counted."""
+    def __init__(self, incarnation: str, period_s: int) -> None:
+        """Start with nothing counted.
+
+        :param period_s: length of a period
+        """
         self.incarnation = incarnation
+        self.period_s = period_s
         self.rows: dict[UseKey, UseRow] = {}
         self.dirty: set[int] = set()
 
@@ -82,7 +85,7 @@
 
         :param at_s: Unix time at which the answer ended
         """
-        period = int(at_s) // PERIOD_S * PERIOD_S
+        period = int(at_s) // self.period_s * self.period_s
         key = UseKey(period, receipt.account, receipt.service)
         row = self.rows.get(key) or UseRow(key, 0, 0, 0, 0, '0')
         self.rows[key] = UseRow(
--- a/src/dandelionplank/operators/changes.py
+++ b/src/dandelionplank/operators/changes.py
@@ -6,8 +6,14 @@
 
 import msgspec
 
-from dandelionplank.accounts import CallerKey, ClientAccount, Owner
+from dandelionplank.accounts import (
+    CallerKey,
+    ClientAccount,
+    OperatorToken,
+    Owner,
+)
 from dandelionplank.configuration.model import Configuration
+from dandelionplank.contracts import ServiceContract
 from dandelionplank.errors import StatementError
 from dandelionplank.operators.statements import (
     ChangeStatement,
@@ -15,17 +21,23 @@
     CreateKey,
     CreateOwner,
     CreateTarget,
+    CreateToken,
     DropAccount,
     DropTarget,
+    DropToken,
     RevokeKey,
     SetAccount,
+    SetService,
     SetTarget,
 )
 from dandelionplank.settings import Address
 from dandelionplank.targets import Target, TargetState
 
 STEP = 'change'
-Named = TypeVar('Named', bound=Owner | ClientAccount | Target)
+Named = TypeVar(
+    'Named',
+    bound=Owner | ClientAccount | Target | ServiceContract | OperatorToken,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +70,21 @@
             case CreateTarget() | DropTarget() | SetTarget():
                 targets = _change_targets(before.targets, statement)
                 return msgspec.structs.replace(before, targets=targets)
+            case SetService():
+                services = _with_service(before.services, statement)
+                return msgspec.structs.replace(before, services=services)
+            case CreateToken():
+                token = OperatorToken(
+                    statement.name,
+                    self.key_digest,
+                    statement.role,
+                    statement.owner,
+                )
+                tokens = _added(before.tokens, token)
+                return msgspec.structs.replace(before, tokens=tokens)
+            case DropToken():
+                tokens = _removed(before.tokens, statement.name)
+                return msgspec.structs.replace(before, tokens=tokens)
             case CreateKey():
                 accounts = _with_key(before, statement, self.key_digest)
             case CreateAccount() | DropAccount() | SetAccount() | RevokeKey():
@@ -108,6 +135,21 @@
     return _replaced(accounts, _validated(account))
 
 
+def _with_service(
+    services: tuple[ServiceContract, ...],
+    statement: SetService,
+) -> tuple[ServiceContract, ...]:
+    """Return the services with one service's settings changed."""
+    service = find_named(services, statement.name)
+    for assignment in statement.assignments:
+        level = int(assignment.level)
+        if assignment.setting == 'limit':
+            service = msgspec.structs.replace(service, target_limit=level)
+        else:
+            service = msgspec.structs.replace(service, short_overdraft=level)
+    return _replaced(services, _validated(service))
+
+
 def _with_key(
     before: Configuration,
     statement: CreateKey,
--- a/src/dandelionplank/operators/executor.py
+++ b/src/dandelionplank/operators/executor.py
@@ -2,29 +2,41 @@
 
 import dataclasses
 import time
-from collections.abc import Callable, Iterable, Mapping
-from types import MappingProxyType
-from typing import Any, Protocol
 
 import msgspec
 
 from dandelionplank.accounts import OperatorToken, digest_secret, new_secret
-from dandelionplank.configuration.catalogue import Catalogue
-from dandelionplank.configuration.model import Configuration
 from dandelionplank.configuration.repository import (
     Command,
     ConfigurationRepository,
 )
 from dandelionplank.errors import ErrorCode, StatementError
-from dandelionplank.instances import Instance
+from dandelionplank.ledger.closing import (
+    Statement as OwnerBill,
+)
+from dandelionplank.ledger.closing import (
+    build_statement,
+    find_faults,
+)
 from dandelionplank.ledger.repository import UseReader
-from dandelionplank.ledger.usage import UseKey, UseRow
 from dandelionplank.operators.changes import Change
 from dandelionplank.operators.language import parse_statement
+from dandelionplank.operators.reports import (
+    LISTS,
+    FleetView,
+    difference_table,
+    format_time,
+    statement_table,
+    use_table,
+)
 from dandelionplank.operators.statements import (
     ChangeStatement,
+    CompareUse,
     CreateAccount,
     CreateKey,
+    CreateToken,
+    Explain,
+    OwnerStatement,
     Query,
     ShowUse,
     Statement,
@@ -35,21 +47,6 @@
 ROLES_THAT_CHANGE = ('operator', 'administrator')
 
 
-class FleetView(Protocol):
-    """What reports need to know of the running fleet."""
-
-    @property
-    def catalogue(self) -> Catalogue:
-        """The configuration in force."""
-
-    @property
-    def instances(self) -> tuple[Instance, ...]:
-        """All instances that are known."""
-
-    def dispatcher_of(self, pool: str) -> str:
-        """Return the instance that dispatches a pool."""
-
-
 class StatementRequest(msgspec.Struct, frozen=True):
     """A statement as it reaches the administration API.
 
@@ -93,10 +90,65 @@
         if isinstance(query, ShowUse):
             totals = await self.use.totals(time.time() - query.since_s)
             return use_table(query, totals, self.fleet.catalogue)
+        if isinstance(query, OwnerStatement):
+            return await self._owner_statement(query)
+        if isinstance(query, CompareUse):
+            return await self._compare(query)
+        if isinstance(query, Explain):
+            return await self.fleet.explain(query.request_id)
         if query.topic == 'history':
             return await self._history()
         return LISTS[query.topic](self.fleet)
 
+    async def statement(self, owner: str, since_s: float) -> OwnerBill:
+        """Build an owner's statement from what is stored.
+
+        :param since_s: Unix time of its beginning
+        """
+        accounts = [
+            account.name
+            for account in self.fleet.catalogue.accounts.values()
+            if account.owner == owner
+        ]
+        return build_statement(
+            owner,
+            accounts,
+            await self.use.closures(since_s),
+            await self.use.records(since_s),
+        )
+
+    async def _owner_statement(self, query: OwnerStatement) -> Table:
+        """Print an owner's statement, or recompute it."""
+        since_s = time.time() - query.since_s
+        statement = await self.statement(query.owner, since_s)
+        if query.verb == 'verify':
+            faults = find_faults(statement)
+            note = f'{len(statement.closures)} closed periods recomputed'
+            return Table(('fault',), tuple((each,) for each in faults), note)
+        return statement_table(statement)
+
+    async def _compare(self, query: CompareUse) -> Table:
+        """Set use as charged beside use as the targets report it."""
+        totals = await self.use.totals(time.time() - query.since_s)
+        charged: dict[str, int] = {}
+        for key, row in totals.items():
+            tokens = charged.get(key.service, 0) + row.output_tokens
+            charged[key.service] = tokens
+        reported = await self.fleet.reported_tokens()
+        return Table(
+            ('service', 'charged_tokens', 'reported_tokens', 'not_charged'),
+            tuple(
+                (
+                    service,
+                    charged.get(service, 0),
+                    tokens,
+                    tokens - charged.get(service, 0),
+                )
+                for service, tokens in sorted(reported.items())
+            ),
+            'targets count since they started, cancelled work included',
+        )
+
     async def _change(
         self,
         request: StatementRequest,
@@ -104,7 +156,8 @@
         token: OperatorToken,
     ) -> Table:
         """Make a change and describe it."""
-        secret = new_secret() if isinstance(statement, CreateKey) else ''
+        has_secret = isinstance(statement, CreateKey | CreateToken)
+        secret = new_secret() if has_secret else ''
         change = Change(statement, digest_secret(secret) if secret else '')
         if request.dry_run:
             loaded = await self.repository.load()
@@ -132,7 +185,7 @@
         rows = tuple(
             (
                 record.revision,
-                _format_time(record.at_s),
+                format_time(record.at_s),
                 record.operator,
                 record.statement,
                 record.command_id,
@@ -144,6 +197,8 @@
 
     def _authorize(self, statement: Statement, token: OperatorToken) -> None:
         """Refuse changes beyond the operator's role and owner."""
+        if isinstance(statement, CreateToken) and token.role != 'administrator':
+            raise _forbidden('only an administrator may create tokens')
         if token.role not in ROLES_THAT_CHANGE:
             raise _forbidden(f'role {token.role} may not change anything')
         if not token.owner:
@@ -161,170 +216,6 @@
         return account.owner if account else ''
 
 
-def use_table(
-    query: ShowUse,
-    totals: dict[UseKey, UseRow],
-    catalogue: Catalogue,
-) -> Table:
-    """Group use by the columns asked for."""
-    groups: dict[tuple[str, ...], list[float]] = {}
-    for key, row in totals.items():
-        facts = _facts_of(key, catalogue)
-        if query.subject and facts[query.subject] != query.name:
-            continue
-        group = tuple(facts[column] for column in query.by)
-        sums = groups.setdefault(group, [0, 0, 0, 0])
-        figures = (row.calls, row.input_tokens, row.output_tokens, row.cost)
-        for index, figure in enumerate(figures):
-            sums[index] += figure
-    rows = tuple(
-        (*group, *map(int, sums[:3]), round(sums[3], 2))
-        for group, sums in sorted(groups.items())
-    )
-    columns = (*query.by, 'calls', 'input_tokens', 'output_tokens', 'charge')
-    return Table(columns, rows)
-
-
-def difference_table(before: Configuration, after: Configuration) -> Table:
-    """List the objects that a change would alter."""
-    rows: list[tuple[str, ...]] = []
-    for kind in ('owners', 'accounts', 'services', 'targets', 'tokens'):
-        old = {each.name: each for each in getattr(before, kind)}
-        new = {each.name: each for each in getattr(after, kind)}
-        rows.extend(
-            (kind, name, _describe(old.get(name)), _describe(new.get(name)))
-            for name in sorted(old.keys() | new.keys())
-            if old.get(name) != new.get(name)
-        )
-    return Table(('kind', 'name', 'before', 'after'), tuple(rows))
-
-
-def _facts_of(key: UseKey, catalogue: Catalogue) -> dict[str, str]:
-    """Return the columns by which use can be grouped."""
-    account = catalogue.accounts.get(key.account)
-    return {
-        'account': key.account,
-        'owner': account.owner if account else '',
-        'service': key.service,
-        'period': _format_time(key.period),
-    }
-
-
-def _list_accounts(fleet: FleetView) -> Table:
-    """List client accounts."""
-    return Table(
-        ('account', 'owner', 'share', 'queue_limit', 'keys'),
-        tuple(
-            (
-                each.name,
-                each.owner,
-                each.share,
-                each.queue_limit,
-                ' '.join(key.id for key in each.keys),
-            )
-            for each in _by_name(fleet.catalogue.accounts.values())
-        ),
-    )
-
-
-def _list_owners(fleet: FleetView) -> Table:
-    """List owners."""
-    owners = fleet.catalogue.configuration.owners
-    return Table(('owner',), tuple((each.name,) for each in _by_name(owners)))
-
-
-def _list_services(fleet: FleetView) -> Table:
-    """List services."""
-    return Table(
-        ('service', 'kind', 'models', 'target_limit'),
-        tuple(
-            (
-                each.name,
-                each.kind.value,
-                ' '.join(each.models),
-                each.target_limit,
-            )
-            for each in _by_name(fleet.catalogue.services.values())
-        ),
-    )
-
-
-def _list_targets(fleet: FleetView) -> Table:
-    """List targets."""
-    return Table(
-        ('target', 'service', 'address', 'data_center', 'state'),
-        tuple(
-            (
-                each.name,
-                each.service,
-                each.address.text,
-                each.data_center,
-                each.state.value,
-            )
-            for each in _by_name(fleet.catalogue.targets.values())
-        ),
-    )
-
-
-def _list_instances(fleet: FleetView) -> Table:
-    """List instances."""
-    return Table(
-        ('instance', 'data_center', 'status', 'address'),
-        tuple(
-            (
-                each.id,
-                each.data_center,
-                each.status.name.lower(),
-                each.address,
-            )
-            for each in sorted(fleet.instances, key=lambda each: each.id)
-        ),
-    )
-
-
-def _list_pools(fleet: FleetView) -> Table:
-    """List pools and who dispatches them."""
-    return Table(
-        ('pool', 'service', 'targets', 'dispatcher'),
-        tuple(
-            (
-                pool.name,
-                pool.service,
-                len(pool.targets),
-                fleet.dispatcher_of(pool.name),
-            )
-            for pool in _by_name(fleet.catalogue.pools.values())
-        ),
-    )
-
-
-LISTS: Mapping[str, Callable[[FleetView], Table]] = MappingProxyType(
-    {
-        'accounts': _list_accounts,
-        'owners': _list_owners,
-        'services': _list_services,
-        'targets': _list_targets,
-        'instances': _list_instances,
-        'pools': _list_pools,
-    }
-)
-
-
-def _by_name(members: Iterable[Any]) -> list[Any]:
-    """Sort objects by their names."""
-    return sorted(members, key=lambda each: each.name)
-
-
-def _describe(member: object) -> str:
-    """Return an object in one line, nothing if it does not exist."""
-    return msgspec.json.encode(member).decode() if member else ''
-
-
-def _format_time(at_s: float) -> str:
-    """Return a time in the usual form, UTC."""
-    return time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime(at_s))
-
-
 def _forbidden(reason: str) -> StatementError:
     """Return a refusal for lack of rights."""
     return StatementError(reason, step=STEP, code=ErrorCode.FORBIDDEN)
--- a/src/dandelionplank/operators/language.py
+++ b/src/dandelionplank/operators/language.py
@@ -10,14 +10,20 @@
 from dandelionplank.errors import ErrorCode, StatementError
 from dandelionplank.operators.statements import (
     Assignment,
+    CompareUse,
     CreateAccount,
     CreateKey,
     CreateOwner,
     CreateTarget,
+    CreateToken,
     DropAccount,
     DropTarget,
+    DropToken,
+    Explain,
+    OwnerStatement,
     RevokeKey,
     SetAccount,
+    SetService,
     SetTarget,
     Show,
     ShowUse,
@@ -83,6 +89,36 @@
         """Return a question for a list."""
         return Show(str(tokens[0]).lower())
 
+    def statement_of(self, parts: list[Any]) -> OwnerStatement:
+        """Return a question for an owner's statement."""
+        verb, owner, since_s = parts
+        return OwnerStatement(
+            str(verb).lower(),
+            owner,
+            since_s or OwnerStatement.since_s,
+        )
+
+    def compare(self, parts: list[Any]) -> CompareUse:
+        """Return a question for use as the targets report it."""
+        return CompareUse(parts[0] or CompareUse.since_s)
+
+    def explain(self, tokens: list[Token]) -> Explain:
+        """Return a question for a request's way."""
+        return Explain(str(tokens[0]))
+
+    def set_service(self, parts: list[Any]) -> SetService:
+        """Return a change of a service."""
+        return SetService(parts[0], tuple(parts[1:]))
+
+    def create_token(self, parts: list[Any]) -> CreateToken:
+        """Return a new operator token."""
+        name, role, owner = parts
+        return CreateToken(name, str(role).lower(), owner or '')
+
+    def drop_token(self, parts: list[Any]) -> DropToken:
+        """Return the end of an operator token."""
+        return DropToken(parts[0])
+
     def create_owner(self, parts: list[Any]) -> CreateOwner:
         """Return a new owner."""
         return CreateOwner(parts[0])
@@ -96,6 +132,10 @@
         """Return a new level of a setting."""
         return Assignment(str(tokens[0]).lower(), float(tokens[1]))
 
+    def service_setting(self, tokens: list[Token]) -> Assignment:
+        """Return a new level of a service's setting."""
+        return Assignment(str(tokens[0]).lower(), float(tokens[1]))
+
     def set_account(self, parts: list[Any]) -> SetAccount:
         """Return a change of an account."""
         return SetAccount(parts[0], tuple(parts[1:]))
@@ -207,6 +247,9 @@
         'TOPIC': ', '.join(TOPICS),
         'SUBJECT': 'ACCOUNT, OWNER or SERVICE',
         'ACTION': 'DRAIN or RESUME',
+        'STATEMENT_VERB': 'PRINT or VERIFY',
+        'ROLE': 'READER, OPERATOR or ADMINISTRATOR',
+        'REQUEST': 'a request id',
     }
     return sorted(
         described.get(name, name.lstrip('_'))
--- a/src/dandelionplank/operators/statements.py
+++ b/src/dandelionplank/operators/statements.py
@@ -26,19 +26,29 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class CreateOwner:
-    """A new owner."""
+class OwnerStatement:
+    """An owner's statement, printed or recomputed.
 
-    name: str
+    :param verb: ``print`` or ``verify``
+    """
+
+    verb: str
+    owner: str
+    since_s: float = 86_400
 
 
 @dataclasses.dataclass(frozen=True)
-class CreateAccount:
-    """A new client account."""
+class CompareUse:
+    """Use as charged beside use as the targets report it."""
 
-    name: str
-    owner: str
-    share: float = 1.0
+    since_s: float = 86_400
+
+
+@dataclasses.dataclass(frozen=True)
+class Explain:
+    """Why a request went where it did."""
+
+    request_id: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +59,46 @@
     level: float
 
 
+@dataclasses.dataclass(frozen=True)
+class SetService:
+    """A change of a service's settings."""
+
+    name: str
+    assignments: tuple[Assignment, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class CreateToken:
+    """A new operator token; its secret is shown once."""
+
+    name: str
+    role: str
+    owner: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class DropToken:
+    """The end of an operator token."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class CreateOwner:
+    """A new owner."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class CreateAccount:
+    """A new client account."""
+
+    name: str
+    owner: str
+    share: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True)
 class SetAccount:
     """A change of an account's settings."""
@@ -112,7 +162,7 @@
     name: str
 
 
-Query = ShowUse | Show
+Query = ShowUse | Show | OwnerStatement | CompareUse | Explain
 ChangeStatement = (
     CreateOwner
     | CreateAccount
@@ -123,6 +173,9 @@
     | SetTarget
     | CreateTarget
     | DropTarget
+    | SetService
+    | CreateToken
+    | DropToken
 )
 Statement = Query | ChangeStatement
 
--- a/src/dandelionplank/router/administration.py
+++ b/src/dandelionplank/router/administration.py
@@ -10,6 +10,7 @@
     Command,
     ConfigurationRepository,
 )
+from dandelionplank.contracts import ServiceKind
 from dandelionplank.errors import (
     DandelionplankError,
     ErrorCode,
@@ -20,13 +21,16 @@
 from dandelionplank.ledger.repository import UseRepository
 from dandelionplank.logs import log_event
 from dandelionplank.operators.executor import Executor, StatementRequest
-from dandelionplank.router.callers import describe_error, log_failure
+from dandelionplank.operators.statements import Table
 from dandelionplank.router.entry import Entry
 from dandelionplank.router.membership import MembershipTask
+from dandelionplank.router.refusals import log_failure
+from dandelionplank.router.sinks import describe_error
 from dandelionplank.settings import parse_yaml
 
 STATEMENTS_PATH = '/admin/v1/statements'
 CONFIGURATION_PATH = '/admin/v1/configuration'
+EXPORT_PATH = '/admin/v1/owners/{owner}/statement'
 BOOTSTRAP = OperatorToken('bootstrap', digest_secret(''), 'administrator')
 _REQUEST = msgspec.json.Decoder(StatementRequest)
 
@@ -53,6 +57,24 @@
         """Return the instance that dispatches a pool."""
         return self.entry.tickets.dispatcher_of(pool)
 
+    async def explain(self, request_id: str) -> Table:
+        """Return how a request that came in here was routed."""
+        steps = self.entry.tickets.decisions.on_request(request_id)
+        columns = ('ticket', 'pool', 'target', 'dispatcher', 'why', 'waited_ms')
+        note = '' if steps else 'not known to this router; ask the entry'
+        return Table(columns, steps, note)
+
+    async def reported_tokens(self) -> dict[str, int]:
+        """Return the output tokens that model engines report, by service."""
+        totals: dict[str, int] = {}
+        for target in self.catalogue.targets.values():
+            contract = self.catalogue.services[target.service]
+            if contract.kind is ServiceKind.MODEL:
+                load = await self.entry.connections.read_load(target)
+                tokens = totals.get(target.service, 0) + load.tokens
+                totals[target.service] = tokens
+        return totals
+
 
 class AdministrationInterface:
     """Serves operators."""
@@ -75,6 +97,7 @@
         return [
             web.post(STATEMENTS_PATH, self.run_statement),
             web.put(CONFIGURATION_PATH, self.replace_configuration),
+            web.get(EXPORT_PATH, self.export_statement),
         ]
 
     async def run_statement(self, request: web.Request) -> web.Response:
@@ -95,6 +118,22 @@
             content_type='application/json',
         )
 
+    async def export_statement(self, request: web.Request) -> web.Response:
+        """Return a statement with everything needed to recompute it."""
+        try:
+            self._authenticate(request)
+            since_s = float(request.query.get('since_s', '0'))
+            statement = await self.executor.statement(
+                request.match_info['owner'],
+                since_s,
+            )
+        except DandelionplankError as error:
+            return _refuse(error)
+        return web.Response(
+            body=msgspec.json.encode(statement),
+            content_type='application/json',
+        )
+
     async def replace_configuration(
         self,
         request: web.Request,
--- a/src/dandelionplank/router/callers.py
+++ b/src/dandelionplank/router/callers.py
@@ -6,7 +6,6 @@
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
 from aiohttp import web
 
 from dandelionplank.accounts import ClientAccount, digest_secret
@@ -21,7 +20,6 @@
 from dandelionplank.events import Event
 from dandelionplank.fairness.cost import RequestSize
 from dandelionplank.ledger.usage import Receipt
-from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.once.intents import Intent, StoredAnswer, Verdict
 from dandelionplank.router.calls import Call, parse_chat
@@ -29,11 +27,16 @@
 from dandelionplank.router.delivery import PlainAnswer, PlainDelivery
 from dandelionplank.router.entry import Entry
 from dandelionplank.router.idle import IdleConnectionTask
-from dandelionplank.router.sse import AnswerStream, AnswerText, encode_event
+from dandelionplank.router.refusals import log_failure, refuse
+from dandelionplank.router.sinks import (
+    CHARGE_HEADER,
+    RECEIPT_HEADER,
+    REQUEST_HEADER,
+    EventSink,
+    TextSink,
+    receipt_headers,
+)
 
-REQUEST_HEADER = 'X-Request-Id'
-RECEIPT_HEADER = 'X-Receipt-Id'
-CHARGE_HEADER = 'X-Charge'
 REPLAY_HEADER = 'X-Replayed'
 KEY_HEADER = 'Idempotency-Key'
 KEY_LIMIT = 255
@@ -50,84 +53,6 @@
 )
 
 
-class EventSink:
-    """Sends the events of an answer to a caller as they come.
-
-    :param request: the caller's request
-    :param call: the call that is served
-    """
-
-    def __init__(self, request: web.Request, call: Call) -> None:
-        """Prepare the headers; nothing is sent before the first event."""
-        self.request = request
-        self.response = web.StreamResponse(
-            headers={
-                'Content-Type': 'text/event-stream',
-                'Cache-Control': 'no-cache',
-                REQUEST_HEADER: call.id,
-                RECEIPT_HEADER: f'r-{call.id}',
-            },
-        )
-
-    @property
-    def is_started(self) -> bool:
-        """Whether the caller has been given a part of the answer."""
-        return self.response.prepared
-
-    async def write(self, block: bytes) -> None:
-        """Send whole events.
-
-        :raises CallerGoneError: the caller has disconnected
-        """
-        response = self.response
-        try:
-            if not response.prepared:
-                await response.prepare(self.request)
-            await response.write(block)
-        except ConnectionError as error:
-            raise CallerGoneError(step='write') from error
-
-    async def finish(self, answer: AnswerStream, receipt: Receipt) -> None:
-        """Send usage, charge and the end mark."""
-        await self.write(answer.ending(receipt.id, receipt.cost))
-        try:
-            await self.response.write_eof()
-        except ConnectionError as error:
-            raise CallerGoneError(step='write') from error
-
-    async def fail(self, error: DandelionplankError) -> None:
-        """Send an error event in place of the end mark."""
-        await self.write(encode_event(describe_error(error)))
-        await self.response.write_eof()
-
-
-class TextSink:
-    """Collects an answer for a caller that does not stream."""
-
-    def __init__(self, call: Call) -> None:
-        """Start empty."""
-        self.call = call
-        self.text = AnswerText()
-        self.response: web.Response | None = None
-
-    @property
-    def is_started(self) -> bool:
-        """Whether a part of the answer is here that cannot be taken back."""
-        return bool(self.text.parts)
-
-    async def write(self, block: bytes) -> None:
-        """Take whole events."""
-        self.text.add(block)
-
-    async def finish(self, answer: AnswerStream, receipt: Receipt) -> None:
-        """Build the response."""
-        self.response = web.Response(
-            body=self.text.body(answer.usage, receipt.id, receipt.cost),
-            content_type='application/json',
-            headers=_receipt_headers(self.call.id, receipt),
-        )
-
-
 class CallerInterface:
     """Serves callers: chat completions and plain services."""
 
@@ -424,54 +349,6 @@
             self.counts.pop(self.account)
 
 
-def describe_error(error: DandelionplankError) -> dict[str, Any]:
-    """Return the JSON form of an error."""
-    described: dict[str, Any] = {
-        'code': error.code.label,
-        'type': error.code.name.lower(),
-        'message': error.reason,
-        'step': error.step,
-        'peer': error.peer,
-        'request_id': error.request_id,
-        'outcome': error.outcome.value,
-    }
-    if error.retry_after_s:
-        described['retry_after_s'] = error.retry_after_s
-    return {'error': described}
-
-
-def refuse(error: DandelionplankError, request_id: str) -> web.Response:
-    """Return a refusal and write its log line."""
-    log_failure(Event.REFUSED, error, request_id)
-    METRICS.add('refusals_total', code=error.code.label)
-    headers = {REQUEST_HEADER: request_id}
-    if error.retry_after_s:
-        headers['Retry-After'] = str(max(1, round(error.retry_after_s)))
-    return web.Response(
-        status=error.code.status,
-        body=msgspec.json.encode(describe_error(error)),
-        content_type='application/json',
-        headers=headers,
-    )
-
-
-def log_failure(
-    event: Event,
-    error: DandelionplankError,
-    request_id: str,
-) -> None:
-    """Write the log line of a call that failed."""
-    log_event(
-        event,
-        request=request_id,
-        code=error.code.label,
-        step=error.step,
-        peer=error.peer,
-        outcome=error.outcome.value,
-        why=error.reason,
-    )
-
-
 def _idempotency_key(request: web.Request) -> str:
     """Return the caller's idempotency key, empty if there is none."""
     key: str = request.headers.get(KEY_HEADER, '')
@@ -484,15 +361,6 @@
     return key
 
 
-def _receipt_headers(request_id: str, receipt: Receipt) -> dict[str, str]:
-    """Return the headers that state the charge."""
-    return {
-        REQUEST_HEADER: request_id,
-        RECEIPT_HEADER: receipt.id,
-        CHARGE_HEADER: f'{receipt.cost:g}',
-    }
-
-
 def _plain_response(
     request_id: str,
     answer: PlainAnswer,
@@ -502,7 +370,7 @@
     return web.Response(
         status=answer.status,
         body=answer.body,
-        headers={**answer.headers, **_receipt_headers(request_id, receipt)},
+        headers={**answer.headers, **receipt_headers(request_id, receipt)},
     )
 
 
--- a/src/dandelionplank/router/daemon.py
+++ b/src/dandelionplank/router/daemon.py
@@ -21,6 +21,7 @@
 from dandelionplank.router.administration import AdministrationInterface
 from dandelionplank.router.aggregation import AggregationTask
 from dandelionplank.router.callers import CallerInterface
+from dandelionplank.router.closing import ClosingTask
 from dandelionplank.router.configuration import ConfigurationTask
 from dandelionplank.router.dispatch import DispatchTask
 from dandelionplank.router.entry import Entry
@@ -99,13 +100,18 @@
                 incarnation,
                 self._is_alive,
             ),
-            UseLedger(incarnation),
+            UseLedger(incarnation, settings.ledger.period_s),
         )
         self.use = UseTask(
             self.entry.ledger,
-            UseRepository(store, prefix),
+            UseRepository(store, prefix, settings.ledger.period_s),
             settings.ledger.flush_period_s,
         )
+        self.closing = ClosingTask(
+            self.use.repository,
+            settings.ledger,
+            self.membership,
+        )
         self.idle = IdleConnectionTask(settings.callers)
         self.configuration.listeners.append(self._configure)
         self.stopping = asyncio.Event()
@@ -151,6 +157,7 @@
             self.entry.tickets.run(),
             self.entry.observations.run(),
             self.use.run(),
+            self.closing.run(),
             self._follow_list(),
             self.idle.run(),
         ):
--- /dev/null
+++ b/src/dandelionplank/router/sinks.py
@@ -0,0 +1,117 @@
+"""Where answers go: to a caller as they come, or collected into one."""
+
+from typing import Any
+
+from aiohttp import web
+
+from dandelionplank.errors import CallerGoneError, DandelionplankError
+from dandelionplank.ledger.usage import Receipt
+from dandelionplank.router.calls import Call
+from dandelionplank.router.sse import AnswerStream, AnswerText, encode_event
+
+REQUEST_HEADER = 'X-Request-Id'
+RECEIPT_HEADER = 'X-Receipt-Id'
+CHARGE_HEADER = 'X-Charge'
+
+
+class EventSink:
+    """Sends the events of an answer to a caller as they come.
+
+    :param request: the caller's request
+    :param call: the call that is served
+    """
+
+    def __init__(self, request: web.Request, call: Call) -> None:
+        """Prepare the headers; nothing is sent before the first event."""
+        self.request = request
+        self.response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-cache',
+                REQUEST_HEADER: call.id,
+                RECEIPT_HEADER: f'r-{call.id}',
+            },
+        )
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller has been given a part of the answer."""
+        return self.response.prepared
+
+    async def write(self, block: bytes) -> None:
+        """Send whole events.
+
+        :raises CallerGoneError: the caller has disconnected
+        """
+        response = self.response
+        try:
+            if not response.prepared:
+                await response.prepare(self.request)
+            await response.write(block)
+        except ConnectionError as error:
+            raise CallerGoneError(step='write') from error
+
+    async def finish(self, answer: AnswerStream, receipt: Receipt) -> None:
+        """Send usage, charge and the end mark."""
+        await self.write(answer.ending(receipt.id, receipt.cost))
+        try:
+            await self.response.write_eof()
+        except ConnectionError as error:
+            raise CallerGoneError(step='write') from error
+
+    async def fail(self, error: DandelionplankError) -> None:
+        """Send an error event in place of the end mark."""
+        await self.write(encode_event(describe_error(error)))
+        await self.response.write_eof()
+
+
+class TextSink:
+    """Collects an answer for a caller that does not stream."""
+
+    def __init__(self, call: Call) -> None:
+        """Start empty."""
+        self.call = call
+        self.text = AnswerText()
+        self.response: web.Response | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a part of the answer is here that cannot be taken back."""
+        return bool(self.text.parts)
+
+    async def write(self, block: bytes) -> None:
+        """Take whole events."""
+        self.text.add(block)
+
+    async def finish(self, answer: AnswerStream, receipt: Receipt) -> None:
+        """Build the response."""
+        self.response = web.Response(
+            body=self.text.body(answer.usage, receipt.id, receipt.cost),
+            content_type='application/json',
+            headers=receipt_headers(self.call.id, receipt),
+        )
+
+
+def describe_error(error: DandelionplankError) -> dict[str, Any]:
+    """Return the JSON form of an error."""
+    described: dict[str, Any] = {
+        'code': error.code.label,
+        'type': error.code.name.lower(),
+        'message': error.reason,
+        'step': error.step,
+        'peer': error.peer,
+        'request_id': error.request_id,
+        'outcome': error.outcome.value,
+    }
+    if error.retry_after_s:
+        described['retry_after_s'] = error.retry_after_s
+    return {'error': described}
+
+
+def receipt_headers(request_id: str, receipt: Receipt) -> dict[str, str]:
+    """Return the headers that state the charge."""
+    return {
+        REQUEST_HEADER: request_id,
+        RECEIPT_HEADER: receipt.id,
+        CHARGE_HEADER: f'{receipt.cost:g}',
+    }
--- a/src/dandelionplank/router/targets.py
+++ b/src/dandelionplank/router/targets.py
@@ -6,6 +6,7 @@
 from typing import Self
 
 import aiohttp
+import msgspec
 
 from dandelionplank.errors import ErrorCode, Outcome, TargetError
 from dandelionplank.routing.retries import AttemptState
@@ -21,6 +22,16 @@
 KEEPALIVE_S = 15
 
 
+class TargetLoad(msgspec.Struct, frozen=True):
+    """What an engine reports of itself, with a lag.
+
+    :param tokens: output tokens since it started
+    """
+
+    active: int = 0
+    tokens: int = 0
+
+
 class Attempt:
     """One attempt of a call at one target.
 
@@ -163,6 +174,15 @@
                 ErrorCode.TARGET_FAILED,
             ) from error
 
+    async def read_load(self, target: Target) -> TargetLoad:
+        """Return what a target says of its load, zeros without an answer."""
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                async with self.kept.get(f'{target.url}/load') as response:
+                    body = await response.read()
+                    return msgspec.json.decode(body, type=TargetLoad)
+        return TargetLoad()
+
     async def _open(
         self,
         attempt: Attempt,
--- a/src/dandelionplank/router/tickets.py
+++ b/src/dandelionplank/router/tickets.py
@@ -24,6 +24,7 @@
     Withdraw,
 )
 from dandelionplank.metrics import METRICS
+from dandelionplank.router.decisions import DecisionLog
 from dandelionplank.router.links import (
     LinkClosed,
     LinkEvent,
@@ -32,7 +33,6 @@
 )
 from dandelionplank.router.membership import MembersChanged, MembershipTask
 from dandelionplank.router.poolview import (
-    MILLISECONDS,
     AttemptHandlers,
     Pending,
     PoolView,
@@ -58,6 +58,7 @@
         self.links = links
         self.membership = membership
         self.pools: dict[str, PoolView] = {}
+        self.decisions = DecisionLog()
         links.subscribe(
             (Grant, Pause, Probe, Refuse, SyncRequest, LinkOpened, LinkClosed),
             self.receive,
@@ -264,18 +265,7 @@
         pending.grant = grant
         pending.granted_by = sender
         pending.granted.set_result(grant)
-        log_event(
-            Event.ROUTED,
-            request=grant.ticket_id,
-            account=pending.ticket.account,
-            pool=grant.pool,
-            target=grant.target,
-            dispatcher=sender,
-            why=grant.reason,
-            waited_ms=round(
-                (time.monotonic() - pending.since_s) * MILLISECONDS
-            ),
-        )
+        self.decisions.note(pending, sender, grant)
 
     def _decline(self, sender: str, grant: Grant) -> None:
         """Give back a grant that is not needed."""
--- a/src/dandelionplank/router/use.py
+++ b/src/dandelionplank/router/use.py
@@ -6,7 +6,7 @@
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
 from dandelionplank.ledger.repository import UseRepository
-from dandelionplank.ledger.usage import PERIOD_S, UseLedger
+from dandelionplank.ledger.usage import UseLedger
 from dandelionplank.logs import log_event
 
 KEPT_PERIODS = 3
@@ -49,7 +49,7 @@
 
     def _forget_old(self) -> None:
         """Drop periods that are written and will not change any more."""
-        first = int(time.time()) - KEPT_PERIODS * PERIOD_S
+        first = int(time.time()) - KEPT_PERIODS * self.ledger.period_s
         if self.ledger.dirty:
             first = min(first, *self.ledger.dirty)
         self.ledger.forget_before(first)
--- a/src/dandelionplank/settings.py
+++ b/src/dandelionplank/settings.py
@@ -139,6 +139,9 @@
     """How use is kept."""
 
     flush_period_s: Positive = 2.0
+    period_s: PositiveInt = 600
+    close_after_s: Positive = 1200.0
+    retention_s: Positive = 3_456_000.0
     intent_shards: PositiveInt = 64
     intent_retention_s: Positive = 86_400.0
 
