--- a/bench/deposits.py
+++ b/bench/deposits.py
@@ -20,10 +20,17 @@
     with the same key.
     """
 
-    def __init__(self, fleet: Fleet, service: str, seed: int) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        service: str,
+        seed: int,
+        account: str = 'large-0',
+    ) -> None:
         """Start without deposits."""
         self.fleet = fleet
         self.service = service
+        self.account = account
         self.rng = random.Random(seed)
         self.words: dict[str, list[str]] = {}
         self.calls: set[asyncio.Task[None]] = set()
@@ -34,7 +41,12 @@
             await asyncio.sleep(PERIOD_S)
             label = uuid.uuid4().hex
             keyed = self.rng.random() < 2 / 3
-            routers = self.rng.sample(self.fleet.routers, 2 if keyed else 1)
+            running = [
+                each
+                for each in self.fleet.routers
+                if each.process and each.process.returncode is None
+            ]
+            routers = self.rng.sample(running, 2 if keyed else 1)
             for router in routers:
                 call = self._take(router.url, label, keyed=keyed)
                 task = asyncio.create_task(call)
@@ -63,7 +75,7 @@
 
     async def _take(self, url: str, label: str, *, keyed: bool) -> None:
         """Take one deposit and note what the router says of it."""
-        headers = {'Authorization': 'Bearer key-of-large-0'}
+        headers = {'Authorization': f'Bearer key-of-{self.account}'}
         if keyed:
             headers['Idempotency-Key'] = label
         assert self.fleet.session is not None
--- a/src/dandelionplank/commands/check.py
+++ b/src/dandelionplank/commands/check.py
@@ -6,12 +6,19 @@
 from pathlib import Path
 
 import cyclopts
+import msgspec
 
 from dandelionplank.configuration.model import (
     Configuration,
     check_consistency,
 )
 from dandelionplank.errors import DandelionplankError
+from dandelionplank.ledger.closing import (
+    Statement,
+    compare_receipts,
+    find_faults,
+    sum_receipts,
+)
 from dandelionplank.settings import load_settings, load_yaml
 
 EXIT_INVALID = 2
@@ -48,6 +55,33 @@
         _check(path, partial(_load_configuration, path))
 
 
+@app.command(name='statement')
+def check_statement(file: Path, receipts: Path | None = None) -> None:
+    """Recompute an exported statement, and compare it with own receipts.
+
+    Exits with status 2 and names each fault: records that were changed, are
+    missing or doubled, totals that do not follow, receipts that differ.
+
+    :param file: JSON, as written by ``dandelionplankctl export``
+    :param receipts: JSON lines with id, account, service and cost of each
+        receipt that the owner holds
+    """
+    try:
+        statement = msgspec.json.decode(file.read_bytes(), type=Statement)
+        faults = find_faults(statement)
+        if receipts:
+            held = sum_receipts(receipts.read_bytes())
+            faults.extend(compare_receipts(statement, held))
+    except (OSError, msgspec.DecodeError) as error:
+        faults = [str(error)]
+    for fault in faults:
+        sys.stderr.write(f'{file}: {fault}\n')
+    if faults:
+        raise SystemExit(EXIT_INVALID)
+    lines = len(statement.lines)
+    sys.stdout.write(f'{file}: {lines} lines follow from the records\n')
+
+
 def _load_configuration(path: Path) -> None:
     """Load a configuration and check its references."""
     check_consistency(load_yaml(path, Configuration))
--- a/src/dandelionplank/commands/ctl.py
+++ b/src/dandelionplank/commands/ctl.py
@@ -1,6 +1,7 @@
 """The operators' command line."""
 
 import sys
+import time
 import uuid
 from enum import StrEnum
 from http import HTTPStatus
@@ -14,6 +15,7 @@
 from cyclopts import Parameter
 
 from dandelionplank.errors import DandelionplankError, StatementError
+from dandelionplank.operators.language import parse_duration_s
 from dandelionplank.operators.statements import Table
 from dandelionplank.operators.tables import format_json, format_table
 
@@ -95,6 +97,14 @@
         revision: int = msgspec.json.decode(body)['revision']
         return revision
 
+    async def export(self, owner: str, since_s: float) -> bytes:
+        """Return an owner's statement with everything to recompute it."""
+        return await self._send(
+            'GET',
+            f'/admin/v1/owners/{owner}/statement?since_s={since_s}',
+            b'',
+        )
+
     async def _send(
         self,
         method: str,
@@ -205,6 +215,35 @@
     sys.stdout.write(f'revision {revision}\n')
 
 
+@app.command(name='export')
+def export_statement(
+    owner: str,
+    path: Path,
+    *,
+    since: str = '30d',
+    url: Url = DEFAULT_URL,
+    token: Token = '',
+) -> None:
+    """Write an owner's statement with all records to a file.
+
+    Check it, anywhere, with ``dandelionplank-check statement FILE``.
+
+    :param owner: the owner
+    :param path: file to write
+    :param since: length of the past, such as 30d
+    :param url: base URL of any router
+    :param token: the operator's token
+    """
+    begins_s = time.time() - parse_duration_s(since)
+    try:
+        body = uvloop.run(Client(url, token).export(owner, begins_s))
+    except DandelionplankError as error:
+        sys.stderr.write(f'{error.reason}\n')
+        raise SystemExit(EXIT_REFUSED) from error
+    path.write_bytes(body)
+    sys.stdout.write(f'{path}: {len(body)} bytes\n')
+
+
 def _prompt(client: Client, chosen: Format) -> None:
     """Read statements from a prompt until end of file."""
     from dandelionplank.operators.prompt import (  # noqa: PLC0415
--- a/src/dandelionplank/ledger/closing.py
+++ b/src/dandelionplank/ledger/closing.py
@@ -13,8 +13,10 @@
 from dandelionplank.ledger.usage import (
     DIGEST_MODULUS,
     HEX_BASE,
+    Receipt,
     UseRecord,
     UseRow,
+    add_digest,
     sum_rows,
 )
 
@@ -185,6 +187,21 @@
     return faults
 
 
+def sum_receipts(lines: bytes) -> dict[tuple[str, str], tuple[int, str]]:
+    """Count receipts and add up their digests, by account and service.
+
+    :param lines: one JSON receipt a line
+    :raises msgspec.DecodeError: a line is not a receipt
+    """
+    sums: dict[tuple[str, str], tuple[int, str]] = {}
+    decoder = msgspec.json.Decoder(Receipt)
+    for receipt in decoder.decode_lines(lines):
+        key = (receipt.account, receipt.service)
+        count, digest = sums.get(key, (0, '0'))
+        sums[key] = (count + 1, add_digest(digest, receipt.digest))
+    return sums
+
+
 def _line(row: UseRow, *, is_closed: bool) -> StatementLine:
     """Return the line of a row."""
     return StatementLine(
--- a/src/dandelionplank/router/chat.py
+++ b/src/dandelionplank/router/chat.py
@@ -143,10 +143,7 @@
         self.settled_cost = 0
         try:
             await self._run_segment(attempt, place, answer)
-            while self.interruption in {
-                Interruption.PAUSED,
-                Interruption.MOVED,
-            }:
+            while not answer.is_whole:
                 place = await self._go_on(attempt, answer)
                 await self._run_segment(attempt, place, answer)
         except (asyncio.CancelledError, CallerGoneError):
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -78,6 +78,8 @@
         assert body['error']['step']
     status, body = await post(fleet, CHAT, chat_document('x' * 5_000_000, 3))
     assert (status, body['error']['type']) == (413, 'too_large')
+    logs = [router.log_path.read_text() for router in fleet.routers]
+    assert not any('key-of-' in text or 'wrong' in text for text in logs)
     status, body = await post(fleet, '/services/none/x', {})
     assert (status, body['error']['type']) == (404, 'unknown_service')
     await eventually(lambda: idle_fleet(fleet))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import tempfile
 import time
+from pathlib import Path
 
 import msgspec
 from hypothesis import given
@@ -10,6 +12,7 @@
 
 from bench.callers import chat
 from bench.fleet import FleetPlan
+from dandelionplank.commands.check import app as check_app
 from dandelionplank.errors import StoreConflictError
 from dandelionplank.ledger.closing import (
     build_statement,
@@ -116,6 +119,30 @@
     ]
 
 
+def run_check(*arguments):
+    """Run the checking command and return its exit status."""
+    try:
+        check_app([*map(str, arguments)], exit_on_error=False)
+    except SystemExit as error:
+        return error.code
+    return 0
+
+
+def test_exported_statement_is_checked_outside_the_fleet():
+    """The owner's own check accepts honest files and refuses others."""
+    statement, issued = sample_statement()
+    directory = Path(tempfile.mkdtemp())
+    honest, forged = directory / 'honest.json', directory / 'forged.json'
+    held = directory / 'receipts.jsonl'
+    honest.write_bytes(msgspec.json.encode(statement))
+    forged.write_bytes(honest.read_bytes().replace(b'10.0', b'99.0'))
+    held.write_bytes(b'\n'.join(map(msgspec.json.encode, issued)))
+    assert run_check('statement', honest, '--receipts', held) == 0
+    assert run_check('statement', forged) == 2
+    held.write_bytes(b'\n'.join(map(msgspec.json.encode, issued[1:])))
+    assert run_check('statement', honest, '--receipts', held) == 2
+
+
 def tampered(statement, change):
     """Return a statement with its records changed."""
     records = change(list(statement.records))
