Mend the test of the exported statement

Cause: the forged file of the test did not differ from the honest one, so the test failed. Measured: it passes with a figure that occurs in the file, and the check refuses it. Conclusion: the check was right.

--- a/src/dandelionplank/commands/check.py
+++ b/src/dandelionplank/commands/check.py
@@ -56,18 +56,18 @@
 
 
 @app.command(name='statement')
-def check_statement(file: Path, receipts: Path | None = None) -> None:
+def check_statement(path: Path, receipts: Path | None = None) -> None:
     """Recompute an exported statement, and compare it with own receipts.
 
     Exits with status 2 and names each fault: records that were changed, are
     missing or doubled, totals that do not follow, receipts that differ.
 
-    :param file: JSON, as written by ``dandelionplankctl export``
+    :param path: JSON, as written by ``dandelionplankctl export``
     :param receipts: JSON lines with id, account, service and cost of each
         receipt that the owner holds
     """
     try:
-        statement = msgspec.json.decode(file.read_bytes(), type=Statement)
+        statement = msgspec.json.decode(path.read_bytes(), type=Statement)
         faults = find_faults(statement)
         if receipts:
             held = sum_receipts(receipts.read_bytes())
@@ -75,11 +75,11 @@
     except (OSError, msgspec.DecodeError) as error:
         faults = [str(error)]
     for fault in faults:
-        sys.stderr.write(f'{file}: {fault}\n')
+        sys.stderr.write(f'{path}: {fault}\n')
     if faults:
         raise SystemExit(EXIT_INVALID)
     lines = len(statement.lines)
-    sys.stdout.write(f'{file}: {lines} lines follow from the records\n')
+    sys.stdout.write(f'{path}: {lines} lines follow from the records\n')
 
 
 def _load_configuration(path: Path) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -122,7 +122,7 @@
 def run_check(*arguments):
     """Run the checking command and return its exit status."""
     try:
-        check_app([*map(str, arguments)], exit_on_error=False)
+        check_app(list(map(str, arguments)), exit_on_error=False)
     except SystemExit as error:
         return error.code
     return 0
@@ -135,7 +135,7 @@
     honest, forged = directory / 'honest.json', directory / 'forged.json'
     held = directory / 'receipts.jsonl'
     honest.write_bytes(msgspec.json.encode(statement))
-    forged.write_bytes(honest.read_bytes().replace(b'10.0', b'99.0'))
+    forged.write_bytes(honest.read_bytes().replace(b'21.0', b'22.0'))
     held.write_bytes(b'\n'.join(map(msgspec.json.encode, issued)))
     assert run_check('statement', honest, '--receipts', held) == 0
     assert run_check('statement', forged) == 2
