--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -36,34 +36,54 @@
 Hook = Callable[[Fleet, Load, Figures], Awaitable[None]]
 
 
+@dataclasses.dataclass(frozen=True)
+class DeploymentSize:
+    """How large a deployment is.
+
+    :param delay_s: one-way delay between routers
+    """
+
+    routers: int
+    engines: int
+    plain: int
+    delay_s: float
+    token_ms: int = TOKEN_MS
+    pool_size: int = 32
+
+
+SIZES = {
+    'ro-centru': DeploymentSize(4, 5, 3, 0.0005),
+    'nordeste': DeploymentSize(5, 9, 4, 0.001),
+    'four-pools': DeploymentSize(8, 24, 3, 0.001, 40, 6),
+}
+
+
 def deployment(region: str, policy: str) -> FleetPlan:
     """Return the plan of one of the two deployments."""
-    routers, engines, plain, delay_s = {
-        'ro-centru': (4, 5, 3, 0.0005),
-        'nordeste': (5, 9, 4, 0.001),
-    }[region]
+    size = SIZES[region]
     return FleetPlan(
-        routers,
+        size.routers,
         (
             ServicePlan(
                 'assistant',
                 'model',
-                engines,
+                size.engines,
                 {
                     'models': ['standin'],
                     'target_limit': BATCH,
                     'target_limit_max': BATCH + 1,
-                    'inter_token_target_ms': TOKEN_MS * 1.2,
+                    'inter_token_target_ms': size.token_ms * 1.2,
+                    'pool_size': size.pool_size,
                     'short_overdraft': 2,
                     'short_cost': 200,
                 },
-                ('--token-ms', str(TOKEN_MS), '--batch', str(BATCH)),
+                ('--token-ms', str(size.token_ms), '--batch', str(BATCH)),
             ),
-            ServicePlan('booking', 'plain', plain),
+            ServicePlan('booking', 'plain', size.plain),
         ),
         ACCOUNTS,
         dispatch={'policy': policy},
-        link_delay_s=delay_s,
+        link_delay_s=size.delay_s,
     )
 
 
@@ -275,6 +295,13 @@
     )
 
 
+def steady_in_pools(routers: int, engines: int) -> list[CallerGroup]:
+    """The steady load for engines of a quarter of the speed."""
+    return backlog_groups(routers, engines) + small_groups(
+        routers, engines, 0.25 * TOKEN_MS / SIZES['four-pools'].token_ms
+    )
+
+
 def swing(routers: int, engines: int) -> list[CallerGroup]:
     """The large accounts' demand rises fivefold within two seconds."""
     crest = [
@@ -423,6 +450,7 @@
 SCENARIOS = (
     Scenario('steady', steady),
     Scenario('steady_nordeste', steady, region='nordeste'),
+    Scenario('four_pools', steady_in_pools, region='four-pools'),
     Scenario('swing', swing),
     Scenario('flood', flood),
     Scenario('files', files),
--- a/src/dandelionplank/commands/ctl.py
+++ b/src/dandelionplank/commands/ctl.py
@@ -24,13 +24,7 @@
 TIMEOUT_S = 30.0
 TRIES = 3
 
-app = cyclopts.App(
-    name='dandelionplankctl',
-    help=(
-        'Ask the fleet and change its configuration.\n\n'
-        "Example: dandelionplankctl 'SHOW USE BY ACCOUNT SINCE 1h'"
-    ),
-)
+app = cyclopts.App(name='dandelionplankctl')
 
 
 class Format(StrEnum):
@@ -158,14 +152,20 @@
     dry_run: bool = False,
     expected_revision: int | None = None,
 ) -> None:
-    """Run one statement, or open a prompt if none is given.
+    """Ask the fleet and change its configuration.
+
+    Runs one statement, or opens a prompt if none is given.
+
+    Example: ``dandelionplankctl 'SHOW USE BY ACCOUNT SINCE 1h'``
 
     Statements: SHOW USE [BY ACCOUNT, OWNER, SERVICE, PERIOD] [FOR ACCOUNT a]
     [SINCE 1h]; SHOW ACCOUNTS | OWNERS | SERVICES | TARGETS | INSTANCES |
     POOLS | HISTORY; CREATE OWNER o; CREATE ACCOUNT a OWNER o [SHARE n];
     SET ACCOUNT a SHARE n; DROP ACCOUNT a; CREATE KEY k FOR ACCOUNT a
     [EXPIRES IN 30d]; REVOKE KEY k FOR ACCOUNT a; CREATE TARGET t SERVICE s
-    AT ip:port IN data-center; DRAIN TARGET t; RESUME TARGET t.
+    AT ip:port IN data-center; DRAIN TARGET t; RESUME TARGET t; PRINT or
+    VERIFY STATEMENT FOR OWNER o; EXPLAIN REQUEST id. docs/OPERATORS.md has
+    them all.
 
     :param statement: the statement
     :param url: base URL of any router
--- a/src/dandelionplank/commands/router.py
+++ b/src/dandelionplank/commands/router.py
@@ -15,17 +15,17 @@
 EXIT_SETTINGS = 2
 GC_THRESHOLD = 50_000
 
-app = cyclopts.App(
-    name='dandelionplank-router',
-    help='Route the calls of client accounts to shared targets.',
-)
+app = cyclopts.App(name='dandelionplank-router')
 
 
 @app.default
 def run_router(settings: Path) -> None:
-    """Run one router until SIGTERM.
+    """Route the calls of client accounts to shared targets.
 
-    On SIGTERM it leaves the fleet, finishes every open call, writes the use
+    The router takes callers' requests over HTTP, queues them by client
+    account at the dispatcher of the service's pool, and sends them to
+    targets. It finds the other routers by the platform's instance list. On
+    SIGTERM it leaves the fleet, finishes every open call, writes the use
     it has counted, and exits with status 0.
 
     Example: ``dandelionplank-router examples/ro-centru/brasov-a-1.yaml``
