A stream is late only if it is slower than the rest of its pool

Change: a stream must be slower than the usual pace and than a quarter of the median of the entry's streams in the pool; connecting may take three seconds.

--- a/src/dandelionplank/router/observations.py
+++ b/src/dandelionplank/router/observations.py
@@ -4,7 +4,7 @@
 import dataclasses
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from statistics import median
 from typing import Protocol
 
@@ -19,6 +19,7 @@
 LATE_WINDOW_S = 0.12
 LATE_WINDOW_PACES = 8.0
 KEPT_SAMPLES = 40
+LEAST_STREAMS = 3
 KEPT_FIRST_TOKENS = 200
 LEAST_FIRST_TOKENS = 20
 FIRST_TOKEN_QUANTILE = 0.95
@@ -95,8 +96,8 @@
         if self.first_at_s:
             self.samples.append(EventSample(now_s, events))
 
-    def lags(self, pace_s: float, now_s: float) -> bool:
-        """Tell whether events come far slower than usual.
+    def recent_rate(self, pace_s: float, now_s: float) -> float | None:
+        """Return events a second over the last moments, none if too new.
 
         :param pace_s: usual time between events
         """
@@ -105,10 +106,9 @@
             each for each in self.samples if each.at_s <= now_s - window_s
         ]
         if not earlier:
-            return False
+            return None
         span_s = now_s - earlier[-1].at_s
-        events = self.answer.events - earlier[-1].events
-        return events * LATE_FACTOR * pace_s < span_s
+        return (self.answer.events - earlier[-1].events) / span_s
 
     def take_new_events(self) -> int:
         """Return how many events have arrived since the last report."""
@@ -178,8 +178,9 @@
         """Look for streams that lag or have stalled."""
         for stream in tuple(self.streams):
             stream.sample(now_s)
-            if stream.late and self._is_late(stream, now_s):
-                stream.late(stream.target)
+        for late in self._late_streams(now_s):
+            if late.late:
+                late.late(late.target)
         self.interrupt_stalled(now_s)
 
     def report(self, since_s: float, now_s: float) -> None:
@@ -210,11 +211,31 @@
             if stream.stall:
                 stream.stall()
 
-    def _is_late(self, stream: ObservedStream, now_s: float) -> bool:
-        """Tell whether a stream lags behind the usual of its pool."""
-        if stream.first_at_s:
+    def _late_streams(self, now_s: float) -> list[ObservedStream]:
+        """Return the streams that lag behind the usual and behind the rest.
+
+        When all streams of a pool are slow at once, none is late: there is
+        no better target to move to.
+        """
+        late = [
+            stream
+            for stream in self.streams
+            if not stream.first_at_s and self._is_first_late(stream, now_s)
+        ]
+        rates: dict[str, dict[ObservedStream, float]] = {}
+        for stream in self.streams:
             pace_s = self.pace_s.get(stream.pool)
-            return pace_s is not None and stream.lags(pace_s, now_s)
+            if not stream.first_at_s or pace_s is None:
+                continue
+            rate = stream.recent_rate(pace_s, now_s)
+            if rate is not None:
+                rates.setdefault(stream.pool, {})[stream] = rate
+        for pool, by_stream in rates.items():
+            late.extend(find_laggards(by_stream, self.pace_s[pool]))
+        return late
+
+    def _is_first_late(self, stream: ObservedStream, now_s: float) -> bool:
+        """Tell whether a short prompt waits too long for its first token."""
         firsts = self.first_s.get(stream.pool, ())
         if not stream.is_short or len(firsts) < LEAST_FIRST_TOKENS:
             return False
@@ -269,3 +290,18 @@
         window.first_token_seconds += stream.first_at_s - stream.started_at_s
     window.tokens += new_tokens
     window.stream_seconds += until_s - max(since_s, stream.first_at_s)
+
+
+def find_laggards(
+    rates: Mapping[ObservedStream, float],
+    pace_s: float,
+) -> list[ObservedStream]:
+    """Return the streams far slower than the usual and than the median.
+
+    :param rates: events a second of one pool's streams
+    :param pace_s: usual time between the pool's events
+    """
+    limit = 1 / (LATE_FACTOR * pace_s)
+    if len(rates) >= LEAST_STREAMS:
+        limit = min(limit, median(rates.values()) / LATE_FACTOR)
+    return [stream for stream, rate in rates.items() if rate < limit]
--- a/src/dandelionplank/settings.py
+++ b/src/dandelionplank/settings.py
@@ -106,7 +106,7 @@
     idle_timeout_s: Positive = 75.0
     queue_timeout_s: Positive = 120.0
     progress_timeout_s: Positive = 10.0
-    connect_timeout_s: Positive = 1.0
+    connect_timeout_s: Positive = 3.0
     open_requests_per_account: PositiveInt = 4096
 
 
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -4,6 +4,7 @@
     EventCount,
     ObservationTask,
     ObservedStream,
+    find_laggards,
 )
 
 
@@ -74,7 +75,18 @@
             slow_s = max(0.0, now_s - 1 - phase / 100)
             answer.events = int(min(now_s, 1) * 100 + slow_s * 10)
             stream.sample(now_s)
-            if late_at is None and stream.lags(pace_s, now_s):
+            rate = stream.recent_rate(pace_s, now_s)
+            late = rate is not None and find_laggards({stream: rate}, pace_s)
+            if late_at is None and late:
                 late_at = now_s
         assert late_at is not None
         assert 11 <= round(late_at * 10) <= 13
+
+
+def test_streams_that_are_all_slow_do_not_move():
+    """Only a stream that is slower than the rest has somewhere to go."""
+    streams = [ObservedStream('p', f't{n}', EventCount()) for n in range(5)]
+    slow = dict.fromkeys(streams, 5.0)
+    assert not find_laggards(slow, 0.01)
+    slow[streams[0]] = 0.5
+    assert find_laggards(slow, 0.01) == [streams[0]]
