--- a/src/dandelionplank/router/sse.py
+++ b/src/dandelionplank/router/sse.py
@@ -53,7 +53,7 @@
             if not chunk:
                 return b''
             chunk += SEPARATOR
-        if USAGE_MARK in chunk or DONE_MARK in chunk or ERROR_MARK in chunk:
+        if DONE_MARK in chunk or _is_special(chunk):
             chunk = self._hold_back(chunk)
         events = chunk.count(SEPARATOR)
         if self.marker and chunk.count(self.marker) < events:
@@ -99,7 +99,7 @@
         for event in chunk.split(SEPARATOR)[:-1]:
             if event.startswith(END_MARK):
                 self.is_whole = True
-            elif not self._take_special(event):
+            elif not (_is_special(event) and self._take_special(event)):
                 kept.append(event + SEPARATOR)
         return b''.join(kept)
 
@@ -174,6 +174,11 @@
     return FIELD + _ENCODER.encode(document) + SEPARATOR
 
 
+def _is_special(block: bytes) -> bool:
+    """Tell whether a block may hold a usage or an error event."""
+    return USAGE_MARK in block or ERROR_MARK in block
+
+
 def _decode_event(event: bytes) -> dict[str, Any]:
     """Return the document of an event, empty if it carries none."""
     if not event.startswith(FIELD):
