--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -288,3 +288,12 @@
     await run_backlogged(fleet, 4, leave)
     assert fleet.runs_when_left > 0
     assert await runs() == fleet.runs_when_left
+
+
+@with_fleet()
+async def test_dropped_watches_delay_a_change_but_do_not_lose_it(fleet):
+    """A watch that reports nothing any more is found and replaced."""
+    await fleet.set_faults(fleet.store_url, drop_watches=True)
+    await fleet.run_statement('SET ACCOUNT small SHARE 7')
+    for number in range(3):
+        await eventually(lambda n=number: _has_share(fleet, n, 7))
