--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -96,7 +96,7 @@
         3.0,
         0.0,
         'tickets batched per link; progress only when a charge is outgrown; '
-        'one report a target and second',
+        'one report a target and period',
     )
 
 
@@ -318,6 +318,12 @@
   gRPC streams, measured at 604 us a frame, would have taken 5.8 % of a core.
   Reports are sent every {REPORT_PERIOD_S:g} s at this size: a slow target is
   found by the entries' moves, not by reports.
+- **Tickets in several pools.** The entry's row counts one enqueue a request. A
+  ticket that waits is queued in more and more pools, and cancelled in all but
+  one: with four pools and everything backlogged a daemon sent 29 KB/s
+  (scenario four_pools), twice the budget. With a tenth of the accounts
+  backlogged over 17 pools a service this **does not fit yet**; the next step
+  is to widen only towards pools that lately had idle slots.
 - **A tenth of the accounts backlogged.** {BACKLOGGED / MODELS:.0f} accounts a
   model stand in a pool's queue; the ticket slope covers this size.
 - **{CHANGES_PER_DAY:,} changes a day, in force within 11 s.** A change
