Soak: callers keep away from a router that leaves

Cause: a minute of soak had four disturbances: callers kept calling a router that was leaving, which no balancer would do, so it stayed open to the end.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,7 @@
 
 OUT = Path(__file__).parent / 'out'
 POLICIES = ('fair', 'local_fair', 'round_robin')
-SHORT = ('steady', 'files')
+SHORT = ('steady', 'slowed')
 UNITS = {
     'seconds': 's',
     'second': 'B/s',
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -81,6 +81,7 @@
     settings_path: Path
     log_path: Path
     process: asyncio.subprocess.Process | None = None
+    is_leaving: bool = False
 
     @property
     def url(self) -> str:
@@ -142,6 +143,7 @@
 
     async def start_router(self, router: RouterProcess) -> None:
         """Start one router process."""
+        router.is_leaving = False
         with router.log_path.open('ab') as log:
             router.process = await asyncio.create_subprocess_exec(
                 str(BINARIES / 'dandelionplank-router'),
--- a/bench/load.py
+++ b/bench/load.py
@@ -178,7 +178,9 @@
         running = [
             each
             for each in self.fleet.routers
-            if each.process and each.process.returncode is None
+            if each.process
+            and each.process.returncode is None
+            and not each.is_leaving
         ]
         usual = [self.fleet.routers[number] for number in group.routers]
         preferred = [each for each in usual if each in running]
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -96,6 +96,7 @@
         """Let a router leave, and start it again."""
         victim = self._victim('stop')
         if victim and victim.process:
+            victim.is_leaving = True
             victim.process.terminate()
             await self._start_again(victim)
 
