One comparison of configurations, one limit of stored answers, dead code out

The dry run compared configurations with its own loop beside find_changes; the limit of a stored answer stood in two modules; the slots due to a share were worked out twice for one overdraft grant; a pool was looked up twice when it was opened; two error classes, two constants and PrefixMemory.forget had no caller. Change: named_objects and find_changes serve both; the rest is said once or removed. Behaviour is unchanged and no test was touched.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,7 +16,6 @@
 
 CALM_S = 1.0
 FAULT_S = (0.5, 4.0)
-RESTART_S = 3.0
 
 app = cyclopts.App(name='soak', help='Disturb a fleet at random.')
 
--- a/src/dandelionplank/configuration/model.py
+++ b/src/dandelionplank/configuration/model.py
@@ -16,6 +16,7 @@
 ACCOUNTS_PER_SHARD = 64
 RECENT_COMMANDS = 200
 DIGEST_LENGTH = 32
+OBJECT_KINDS = ('owners', 'accounts', 'services', 'targets', 'tokens')
 
 
 class Configuration(Frozen, frozen=True):
@@ -138,16 +139,19 @@
     after: Configuration,
 ) -> frozenset[ObjectKey]:
     """Return kind and name of every object that differs."""
-    changed: set[ObjectKey] = set()
-    for kind in ('owners', 'accounts', 'services', 'targets', 'tokens'):
-        old = {each.name: each for each in getattr(before, kind)}
-        new = {each.name: each for each in getattr(after, kind)}
-        changed.update(
-            (kind, name)
-            for name in old.keys() | new.keys()
-            if old.get(name) != new.get(name)
-        )
-    return frozenset(changed)
+    old, new = named_objects(before), named_objects(after)
+    return frozenset(
+        key for key in old.keys() | new.keys() if old.get(key) != new.get(key)
+    )
+
+
+def named_objects(configuration: Configuration) -> dict[ObjectKey, object]:
+    """Return every object of a configuration by kind and name."""
+    return {
+        (kind, each.name): each
+        for kind in OBJECT_KINDS
+        for each in getattr(configuration, kind)
+    }
 
 
 def check_consistency(configuration: Configuration) -> None:
--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -247,15 +247,3 @@
     """An operator's statement could not be parsed or carried out."""
 
     default_code = ErrorCode.STATEMENT_FAILED
-
-
-class PeerError(DandelionplankError):
-    """A router of the fleet could not be reached."""
-
-    default_code = ErrorCode.PEER_UNREACHABLE
-
-
-class InvariantError(DandelionplankError):
-    """A decision object found that its own state is not consistent."""
-
-    default_code = ErrorCode.INVARIANT
--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -310,15 +310,20 @@
             due = per_share * self.share_of(account)
             if held < max(due - 1, SLOTS_FOR_SHORT_WORK):
                 granted = self._grant(waiting, free, now_s)
-                return [granted, *self._pause_for(waiting.ticket, now_s)]
+                paused = self._pause_for(waiting.ticket, per_share, now_s)
+                return [granted, *paused]
         return []
 
-    def _pause_for(self, ticket: Ticket, now_s: float) -> list[Delivery]:
+    def _pause_for(
+        self,
+        ticket: Ticket,
+        per_share: float,
+        now_s: float,
+    ) -> list[Delivery]:
         """Pause a long stream at the target that took a short ticket."""
         if not self.contract.can_resume:
             return []
         target = self.in_flight.attempts[ticket.id].target
-        per_share = self._slots_per_share()
         victim = choose_victim(
             self.in_flight.at_target(target),
             self.in_flight,
--- a/src/dandelionplank/operators/reports.py
+++ b/src/dandelionplank/operators/reports.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from dandelionplank.configuration.catalogue import Catalogue
-from dandelionplank.configuration.model import Configuration
+from dandelionplank.configuration.model import (
+    OBJECT_KINDS,
+    Configuration,
+    find_changes,
+    named_objects,
+)
 from dandelionplank.instances import Instance
 from dandelionplank.ledger.closing import Statement as OwnerBill
 from dandelionplank.ledger.usage import UseKey, UseRow
@@ -90,16 +95,16 @@
 
 def difference_table(before: Configuration, after: Configuration) -> Table:
     """List the objects that a change would alter."""
-    rows: list[tuple[str, ...]] = []
-    for kind in ('owners', 'accounts', 'services', 'targets', 'tokens'):
-        old = {each.name: each for each in getattr(before, kind)}
-        new = {each.name: each for each in getattr(after, kind)}
-        rows.extend(
-            (kind, name, _describe(old.get(name)), _describe(new.get(name)))
-            for name in sorted(old.keys() | new.keys())
-            if old.get(name) != new.get(name)
-        )
-    return Table(('kind', 'name', 'before', 'after'), tuple(rows))
+    old, new = named_objects(before), named_objects(after)
+    changed = sorted(
+        find_changes(before, after),
+        key=lambda key: (OBJECT_KINDS.index(key[0]), key[1]),
+    )
+    rows = tuple(
+        (*key, _describe(old.get(key)), _describe(new.get(key)))
+        for key in changed
+    )
+    return Table(('kind', 'name', 'before', 'after'), rows)
 
 
 def _facts_of(key: UseKey, catalogue: Catalogue) -> dict[str, str]:
--- a/src/dandelionplank/platform/keyvalue.py
+++ b/src/dandelionplank/platform/keyvalue.py
@@ -11,7 +11,6 @@
     StoreUnknownError,
 )
 
-MAX_VALUE_BYTES = 1_000_000
 ABSENT = 0
 
 
--- a/src/dandelionplank/router/callers.py
+++ b/src/dandelionplank/router/callers.py
@@ -21,7 +21,12 @@
 from dandelionplank.fairness.cost import RequestSize
 from dandelionplank.ledger.usage import Receipt
 from dandelionplank.metrics import METRICS
-from dandelionplank.once.intents import Intent, StoredAnswer, Verdict
+from dandelionplank.once.intents import (
+    STORED_ANSWER_BYTES,
+    Intent,
+    StoredAnswer,
+    Verdict,
+)
 from dandelionplank.router.calls import Call, parse_chat
 from dandelionplank.router.chat import ChatDelivery
 from dandelionplank.router.delivery import PlainAnswer, PlainDelivery
@@ -42,7 +47,6 @@
 KEY_LIMIT = 255
 FORWARDED_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
 CHAT_PATH = '/v1/chat/completions'
-STORED_BODY_BYTES = 4096
 
 VERDICT_CODES = MappingProxyType(
     {
@@ -376,7 +380,7 @@
 
 def _stored_answer(answer: PlainAnswer, receipt: Receipt) -> StoredAnswer:
     """Return what is kept of an answer for repeats of its key."""
-    is_whole = len(answer.body) <= STORED_BODY_BYTES
+    is_whole = len(answer.body) <= STORED_ANSWER_BYTES
     return StoredAnswer(
         answer.status,
         answer.headers.get('Content-Type', ''),
--- a/src/dandelionplank/router/dispatch.py
+++ b/src/dandelionplank/router/dispatch.py
@@ -268,10 +268,8 @@
 
     def _open_pool(self, name: str, now_s: float) -> DispatchedPool | None:
         """Create a scheduler and ask the entries for their state."""
-        if self.catalogue is None or self._find_pool(name) is None:
-            return None
         pool = self._find_pool(name)
-        if pool is None:
+        if self.catalogue is None or pool is None:
             return None
         contract = self.catalogue.services[pool.service]
         order = ORDERS[self.settings.policy]()
--- a/src/dandelionplank/routing/selection.py
+++ b/src/dandelionplank/routing/selection.py
@@ -43,11 +43,6 @@
         """Return the target that last read a prefix, or nothing."""
         return self.targets.get(prefix, '')
 
-    def forget(self, prefix: int, target: str) -> None:
-        """Take in a cache event: the target has dropped the prefix."""
-        if self.targets.get(prefix) == target:
-            self.targets.pop(prefix)
-
 
 def choose_target(
     ticket: Ticket,
