--- a/src/dandelionplank/__init__.py
+++ b/src/dandelionplank/__init__.py
@@ -1,6 +1,8 @@
 """A router fleet that shares model and application capacity fairly."""
 
-from dandelionplank.configuration.model import Configuration
+import importlib
+from typing import TYPE_CHECKING, Any
+
 from dandelionplank.errors import (
     DandelionplankError,
     RefusalError,
@@ -9,9 +11,12 @@
     StoreError,
     TargetError,
 )
-from dandelionplank.operators.language import parse_statement
 from dandelionplank.settings import Settings, load_settings
 
+if TYPE_CHECKING:
+    from dandelionplank.configuration.model import Configuration
+    from dandelionplank.operators.language import parse_statement
+
 __all__ = (
     'Configuration',
     'DandelionplankError',
@@ -24,3 +29,18 @@
     'load_settings',
     'parse_statement',
 )
+
+# Loaded at first use: the grammar and the configuration model would double
+# the time that a gateway needs to start.
+_LAZY_MODULES = {
+    'Configuration': 'dandelionplank.configuration.model',
+    'parse_statement': 'dandelionplank.operators.language',
+}
+
+
+def __getattr__(name: str) -> Any:  # noqa: WPS413 (module-level laziness)
+    """Import a public name whose module is loaded late."""
+    module = _LAZY_MODULES.get(name)
+    if module is None:
+        raise AttributeError(name)
+    return getattr(importlib.import_module(module), name)
--- /dev/null
+++ b/src/dandelionplank/commands/gateway.py
@@ -0,0 +1,70 @@
+"""The command line of a gateway, the router on the users' platform."""
+
+import gc
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+import uvloop
+
+from dandelionplank.errors import SettingsError
+from dandelionplank.fleet.daemon import GatewayDaemon, PlatformParts
+from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.logs import LossyStream, start_logging
+from dandelionplank.platform import headers, names
+from dandelionplank.platform.follow import StoreChanges, StorePresence
+from dandelionplank.platform.store import PlatformStore
+from dandelionplank.settings import load_yaml
+
+EXIT_SETTINGS = 2
+GC_THRESHOLD = 50_000
+
+app = cyclopts.App(name='dandelionplank-gateway')
+
+
+@app.default
+def run_gateway(
+    settings: Annotated[
+        Path,
+        cyclopts.Parameter(env_var='DANDELIONPLANK_SETTINGS'),
+    ],
+) -> None:
+    """Serve callers through the platform until SIGTERM.
+
+    :param settings: YAML settings file
+    """
+    try:
+        loaded = load_yaml(settings, GatewaySettings)
+    except SettingsError as error:
+        sys.stderr.write(f'{error.code.label} {error.reason}\n')
+        raise SystemExit(EXIT_SETTINGS) from error
+    start_logging(loaded.log_level, LossyStream(sys.stdout.fileno()))
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    uvloop.run(_serve(loaded))
+
+
+async def _serve(settings: GatewaySettings) -> None:
+    """Build and run the daemon inside the event loop."""
+    store = PlatformStore.from_address(
+        settings.store.address,
+        settings.store.call_timeout_s,
+    )
+    parts = PlatformParts(
+        StoreChanges(store),
+        StorePresence(store, settings.instance.id, settings.listen.peers),
+        headers,
+        names.READY_PATH,
+        store.close,
+    )
+    await GatewayDaemon.from_settings(settings, parts).run()
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/dandelionplank/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at targets: connections, answers, streams."""
--- /dev/null
+++ b/src/dandelionplank/delivery/delivery.py
@@ -0,0 +1,462 @@
+"""Brings one request to an answer: attempts, repeats, resumed streams."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+from collections.abc import AsyncIterator, Mapping
+from typing import Protocol
+
+from dandelionplank.delivery.attempt import (
+    FIRST_FAILURE_STATUS,
+    SUCCESS_STATUSES,
+    Attempt,
+)
+from dandelionplank.delivery.codec import RequestCodec
+from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.dispatch import Dispatcher
+from dandelionplank.delivery.events import StreamEvent
+from dandelionplank.delivery.requests import CallerRequest, WholeAnswer
+from dandelionplank.errors import (
+    DandelionplankError,
+    ErrorCode,
+    Outcome,
+    RefusalError,
+    TargetError,
+)
+from dandelionplank.events import Event
+from dandelionplank.logs import log_event
+from dandelionplank.routing.budget import WindowBudget
+from dandelionplank.routing.retries import AttemptState
+from dandelionplank.routing.routes import RequestKind
+from dandelionplank.routing.scheduler import Grant
+
+STEP = 'delivery'
+# A safe request without an answer after this part of its objective is sent
+# to a second target as well.
+HEDGE_SHARE = 0.6
+# A resumable stream that is silent for this many times its longest pause on
+# time goes on at another target.
+SILENCE_PAUSES = 5
+# A target that says it is full or another one rests for this long.
+FULL_REST_S = 0.1
+MISDIRECTED_REST_S = 2.0
+MISDIRECTED = 421
+# Tries at targets that take no connection or do not run the request.
+MOST_UNRUN_TRIES = 4
+UNRUN_RETRY_S = 0.5
+
+
+class CallerSink(Protocol):
+    """Where a stream's events go."""
+
+    async def start(
+        self,
+        status: int,
+        reason: str,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Send the head of the answer."""
+
+    async def write(self, block: bytes) -> None:
+        """Send whole events."""
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What has happened to a request so far.
+
+    :param runs: targets that have got the request and may have run it
+    :param tries: targets that were tried
+    :param last_event_id: last event that the caller got, empty before
+    """
+
+    runs: int = 0
+    tries: int = 0
+    is_started: bool = False
+    last_event_id: int | None = None
+    avoided: tuple[str, ...] = ()
+
+    @property
+    def resume_point(self) -> str:
+        """Id of the last event passed on, empty before the first one."""
+        return '' if self.last_event_id is None else str(self.last_event_id)
+
+
+class Delivery:
+    """Delivers requests; one object serves all requests of the process."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        pool: ConnectionPool,
+        codec: RequestCodec,
+        budgets: 'Budgets',
+    ) -> None:
+        """Keep what every request needs."""
+        self.dispatcher = dispatcher
+        self.pool = pool
+        self.codec = codec
+        self.budgets = budgets
+
+    async def fetch(self, request: CallerRequest) -> WholeAnswer:
+        """Return the whole answer to a request that is no stream.
+
+        :raises DandelionplankError: the request has no answer
+        """
+        progress = Progress()
+        while True:
+            try:
+                answer = await self._fetch_once(request, progress)
+            except TargetError as error:
+                if not self._may_go_on(request, progress, error.outcome):
+                    raise
+                self._log_repeat(request, error)
+                continue
+            if answer is not None:
+                return answer
+
+    async def relay(
+        self,
+        request: CallerRequest,
+        sink: CallerSink,
+    ) -> WholeAnswer | None:
+        """Pass a stream on to the caller.
+
+        :return: an answer that is no stream, or nothing
+        :raises DandelionplankError: there is no complete answer; events may
+            have been passed on
+        """
+        progress = Progress()
+        while True:
+            try:
+                return await self._relay_once(request, sink, progress)
+            except TargetError as error:
+                if not self._may_go_on(request, progress, error.outcome):
+                    raise
+                self._log_repeat(request, error)
+
+    async def _fetch_once(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+    ) -> WholeAnswer | None:
+        """Make one attempt, hedged where the request may be repeated."""
+        if request.route.kind is not RequestKind.SAFE:
+            return await self._try_whole(request, progress)
+        first = asyncio.ensure_future(self._try_whole(request, progress))
+        tasks = {first}
+        try:
+            patience_s = request.route.objective_s * HEDGE_SHARE
+            await asyncio.wait(tasks, timeout=patience_s)
+            if not first.done() and self._may_hedge(request, progress):
+                tasks.add(
+                    asyncio.ensure_future(self._try_whole(request, progress)),
+                )
+            return await _first_success(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _may_hedge(self, request: CallerRequest, progress: Progress) -> bool:
+        """Tell whether a second attempt may start beside the first."""
+        if progress.runs == 0 or progress.runs >= request.route.attempts:
+            return False
+        return self.budgets.take(request.service)
+
+    async def _try_whole(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+    ) -> WholeAnswer | None:
+        """Make one attempt; nothing is returned if another one is due."""
+        async with self._attempt(request, progress) as attempt:
+            answer = await attempt.open()
+            body = await attempt.read_whole()
+            self.dispatcher.note_first_event(attempt.grant)
+            is_good = answer.status < FIRST_FAILURE_STATUS
+            self._check_unrun(attempt)
+            attempt.grant.load.health.note_answer(is_good=is_good)
+            if not is_good and self._may_go_on(
+                request,
+                progress,
+                Outcome.UNKNOWN,
+            ):
+                return None
+            return self._whole(attempt, body)
+
+    async def _relay_once(
+        self,
+        request: CallerRequest,
+        sink: CallerSink,
+        progress: Progress,
+    ) -> WholeAnswer | None:
+        """Make one attempt at a stream, or go on with it."""
+        async with self._attempt(request, progress) as attempt:
+            answer = await attempt.open(progress.resume_point)
+            self._check_unrun(attempt)
+            if answer.status not in SUCCESS_STATUSES:
+                body = await attempt.read_whole()
+                attempt.grant.load.health.note_answer(is_good=False)
+                if progress.is_started:
+                    raise _broken(attempt, f'status {answer.status}')
+                return self._whole(attempt, body)
+            await self._pass_events(request, attempt, sink, progress)
+            attempt.grant.load.health.note_answer(is_good=True)
+            return None
+
+    async def _pass_events(
+        self,
+        request: CallerRequest,
+        attempt: Attempt,
+        sink: CallerSink,
+        progress: Progress,
+    ) -> None:
+        """Pass whole events on until the stream ends."""
+        silence_s = None
+        if request.route.can_resume and request.route.gap_target_s:
+            silence_s = request.route.gap_target_s * SILENCE_PAUSES
+        stream = attempt.events()
+        while True:
+            try:
+                async with asyncio.timeout(silence_s):
+                    events = await anext(stream, None)
+            except TimeoutError as error:
+                raise _broken(attempt, f'silent for {silence_s} s') from error
+            if events is None:
+                break
+            self.dispatcher.note_first_event(attempt.grant)
+            block = _new_events(events, progress)
+            if block:
+                await self._start(attempt, sink, progress)
+                await sink.write(block)
+        await self._start(attempt, sink, progress)
+
+    async def _start(
+        self,
+        attempt: Attempt,
+        sink: CallerSink,
+        progress: Progress,
+    ) -> None:
+        """Send the head of the answer before the first event."""
+        if progress.is_started:
+            return
+        progress.is_started = True
+        answer = attempt.answer
+        assert answer is not None
+        await sink.start(
+            answer.status,
+            answer.reason,
+            self.codec.caller_headers(answer.headers),
+        )
+
+    @contextlib.asynccontextmanager
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+    ) -> AsyncIterator[Attempt]:
+        """Wait for a target and give it back whatever happens."""
+        grant = await self.dispatcher.acquire(
+            request.to_waiting(progress.avoided),
+        )
+        attempt = Attempt(request, grant, self.pool, self.codec)
+        progress.tries += 1
+        progress.avoided = (*progress.avoided, attempt.target_name)
+        progress.runs += 1
+        try:
+            async with asyncio.timeout(request.time_left_s):
+                yield attempt
+        except TimeoutError as error:
+            raise self._timed_out(attempt) from error
+        except TargetError as error:
+            self._note_failure(grant, error)
+            raise
+        finally:
+            if attempt.state.surely_not_run:
+                progress.runs -= 1
+            attempt.finish()
+            self.dispatcher.release(grant)
+
+    def _timed_out(self, attempt: Attempt) -> DandelionplankError:
+        """Return the error of a request whose time is over."""
+        outcome = Outcome.UNKNOWN
+        if attempt.state.surely_not_run:
+            outcome = Outcome.NOT_RUN
+        return RefusalError(
+            step=STEP,
+            peer=attempt.target_name,
+            code=(
+                ErrorCode.QUEUE_TIMEOUT
+                if outcome is Outcome.NOT_RUN
+                else ErrorCode.TARGET_SILENT
+            ),
+            request_id=attempt.request.facts.request_id,
+            outcome=outcome,
+            retry_after_s=UNRUN_RETRY_S,
+        )
+
+    def _note_failure(self, grant: Grant, error: TargetError) -> None:
+        """Remember that a target failed."""
+        now_s = time.monotonic()
+        if error.code is ErrorCode.TARGET_UNREACHABLE:
+            grant.load.health.note_unreachable(now_s)
+            log_event(
+                Event.TARGET_UNREACHABLE,
+                request=grant.waiting.request_id,
+                target=grant.load.target.name,
+                why=error.reason,
+            )
+        elif error.code is not ErrorCode.TARGET_REFUSED:
+            grant.load.health.note_answer(is_good=False)
+
+    def _check_unrun(self, attempt: Attempt) -> None:
+        """Raise if the target says that it did not run the request."""
+        if attempt.state is not AttemptState.REFUSED_UNRUN:
+            return
+        answer = attempt.answer
+        assert answer is not None
+        rest_s = FULL_REST_S
+        if answer.status == MISDIRECTED:
+            rest_s = MISDIRECTED_REST_S
+        attempt.grant.load.health.rest(time.monotonic() + rest_s)
+        raise TargetError(
+            f'status {answer.status}',
+            step=STEP,
+            peer=attempt.target_name,
+            request_id=attempt.request.facts.request_id,
+            code=ErrorCode.TARGET_REFUSED,
+            outcome=Outcome.NOT_RUN,
+        )
+
+    def _may_go_on(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+        outcome: Outcome,
+    ) -> bool:
+        """Tell whether another target may be tried."""
+        if progress.tries >= MOST_UNRUN_TRIES or request.time_left_s <= 0:
+            return False
+        if outcome is Outcome.NOT_RUN:
+            return self.budgets.take(request.service)
+        if not request.route.may_repeat:
+            return False
+        if progress.runs >= request.route.attempts:
+            return False
+        return self.budgets.take(request.service)
+
+    def _whole(self, attempt: Attempt, body: bytes) -> WholeAnswer:
+        """Return the target's answer as the caller gets it."""
+        answer = attempt.answer
+        assert answer is not None
+        return WholeAnswer(
+            answer.status,
+            answer.reason,
+            tuple(self.codec.caller_headers(answer.headers).items()),
+            body,
+        )
+
+    def _log_repeat(self, request: CallerRequest, error: TargetError) -> None:
+        """Write the log line of a repeat."""
+        log_event(
+            Event.RETRIED,
+            request=request.facts.request_id,
+            failed=error.peer,
+            why=error.reason,
+            outcome=error.outcome.value,
+            time_left_s=round(request.time_left_s, 2),
+        )
+
+
+class Budgets:
+    """The repeat budgets of all services."""
+
+    def __init__(
+        self,
+        ratio: float,
+        extra: float,
+        window_s: float,
+        instances: 'InstanceCount',
+    ) -> None:
+        """Keep the agreed figures; see :class:`WindowBudget`."""
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        self.instances = instances
+        self.by_service: dict[str, WindowBudget] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request."""
+        self._budget(service).note_request(time.monotonic())
+
+    def take(self, service: str) -> bool:
+        """Spend one repeat if the budget allows it."""
+        return self._budget(service).take(time.monotonic(), self.instances())
+
+    def _budget(self, service: str) -> WindowBudget:
+        """Return the budget of one service."""
+        budget = self.by_service.get(service)
+        if budget is None:
+            budget = WindowBudget(self.ratio, self.extra, self.window_s)
+            self.by_service[service] = budget
+        return budget
+
+
+class InstanceCount(Protocol):
+    """Tells how many instances share the budgets."""
+
+    def __call__(self) -> int:
+        """Return the number of instances, this one included."""
+
+
+def _broken(attempt: Attempt, reason: str) -> TargetError:
+    """Return the error of a stream that does not go on."""
+    attempt.state = AttemptState.UNKNOWN
+    return TargetError(
+        reason,
+        step=STEP,
+        peer=attempt.target_name,
+        request_id=attempt.request.facts.request_id,
+        code=ErrorCode.TARGET_FAILED,
+        outcome=Outcome.UNKNOWN,
+    )
+
+
+def _new_events(events: list[StreamEvent], progress: Progress) -> bytes:
+    """Return the events that the caller does not have yet."""
+    fresh = []
+    for event in events:
+        if event.event_id is not None:
+            last = progress.last_event_id
+            if last is not None and event.event_id <= last:
+                continue
+            progress.last_event_id = event.event_id
+        fresh.append(event.raw)
+    return b''.join(fresh)
+
+
+async def _first_success(
+    tasks: set[asyncio.Task[WholeAnswer | None]],
+) -> WholeAnswer | None:
+    """Return the first good answer, or the last failure.
+
+    :raises DandelionplankError: no attempt has an answer
+    """
+    pending = tasks
+    failure: BaseException | None = None
+    answer: WholeAnswer | None = None
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            failure = task.exception() or failure
+            if task.exception() is None:
+                answer = task.result() or answer
+        if answer and answer.status < FIRST_FAILURE_STATUS:
+            return answer
+    if answer is None and failure is not None:
+        raise failure
+    return answer
--- /dev/null
+++ b/src/dandelionplank/fleet/daemon.py
@@ -0,0 +1,266 @@
+"""The gateway daemon: builds all tasks, runs them and shuts down."""
+
+import asyncio
+import dataclasses
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any, Protocol, Self
+
+from aiohttp import web
+
+from dandelionplank.delivery.codec import RequestCodec
+from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.delivery import Budgets, Delivery
+from dandelionplank.delivery.dispatch import Dispatcher
+from dandelionplank.errors import StoreError
+from dandelionplank.events import Event
+from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
+from dandelionplank.fleet.follower import ChangeSource, StoreFollower
+from dandelionplank.fleet.peers import PeerBoard
+from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress.gateway import Gateway
+from dandelionplank.ingress.server import CallerServer
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
+from dandelionplank.routing.scheduler import Scheduler
+from dandelionplank.settings import Address
+
+# The balancer takes an instance out after two misses, a second apart; until
+# then new connections still come.
+ROTATION_S = 3.5
+# Time kept free at the end of the grace for closing.
+CLOSING_S = 0.5
+DRAIN_POLL_S = 0.05
+SWEEP_PERIOD_S = 0.5
+LEAVE_TIMEOUT_S = 0.3
+
+
+class PlatformClient(ChangeSource, Protocol):
+    """The store as the daemon uses it."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformParts:
+    """What the platform's adapter provides.
+
+    :param ready_path: path at which the balancer asks for readiness
+    """
+
+    source: ChangeSource
+    presence: Presence
+    codec: RequestCodec
+    ready_path: str
+    close: Any
+
+
+class GatewayDaemon:
+    """One instance that serves callers through the platform."""
+
+    def __init__(self, settings: GatewaySettings, parts: PlatformParts) -> None:
+        """Build the tasks; nothing listens yet."""
+        self.settings = settings
+        self.parts = parts
+        bounds = settings.bounds
+        self.view = FleetView(bounds.revoked_after_s)
+        self.board = PeerBoard()
+        self.scheduler = Scheduler(
+            settings.instance.data_center,
+            self.view.targets_of,
+            self.board,
+        )
+        self.view.listeners.append(self.scheduler.configure)
+        self.dispatcher = Dispatcher(self.scheduler)
+        self.pool = ConnectionPool()
+        self.exchange = PeerExchange(
+            settings.instance.id,
+            self.view,
+            self.board,
+            self.scheduler,
+            self._wake,
+        )
+        budgets = Budgets(
+            bounds.repeat_ratio,
+            bounds.repeat_extra,
+            bounds.repeat_window_s,
+            self._count_instances,
+        )
+        self.gateway = Gateway(
+            self.view,
+            Delivery(self.dispatcher, self.pool, parts.codec, budgets),
+            parts.codec,
+        )
+        self.follower = StoreFollower(
+            self.view,
+            parts.source,
+            settings.store.target_report_s,
+            self._forget_targets,
+        )
+        self.server = CallerServer(self.gateway, self.view)
+        self.stopping = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.runners: list[web.AppRunner] = []
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: GatewaySettings,
+        parts: PlatformParts,
+    ) -> Self:
+        """Build a daemon."""
+        return cls(settings, parts)
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a graceful shutdown."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await self.stopping.wait()
+        await self.shut_down()
+
+    async def start(self) -> None:
+        """Open all sockets and start all tasks."""
+        listen = self.settings.listen
+        callers = Address.from_text(listen.callers)
+        for work in (
+            self.follower.run(),
+            self.follower.run_expiry(),
+            self.dispatcher.run(),
+            self._sweep(),
+        ):
+            self._spawn(work)
+        await self.server.listen(callers)
+        readiness = Address.from_text(listen.readiness)
+        await self._serve_page(readiness, self.parts.ready_path, self._ready)
+        await self._serve_page(
+            Address(callers.ip, listen.metrics_port),
+            '/metrics',
+            self._metrics,
+        )
+        await self.exchange.listen(Address.from_text(listen.peers))
+        self._spawn(self.exchange.run())
+        self._spawn(
+            keep_presence(
+                self.parts.presence,
+                self.settings.store.presence_ttl_s,
+            ),
+        )
+        self._spawn(self.server.idle.run())
+        log_event(
+            Event.STARTED,
+            instance=self.settings.instance.id,
+            data_center=self.settings.instance.data_center,
+            callers=listen.callers,
+            store=self.settings.store.address,
+        )
+
+    async def shut_down(self) -> None:
+        """Leave the fleet without cutting off a request."""
+        began_s = time.monotonic()
+        self.gateway.is_leaving = True
+        self.exchange.is_leaving = True
+        log_event(Event.LEAVING, open_requests=self.gateway.open_requests)
+        ends_s = began_s + self.settings.bounds.grace_s - CLOSING_S
+        await asyncio.sleep(ROTATION_S)
+        while time.monotonic() < ends_s:
+            self.server.close_idle()
+            if not self.gateway.open_requests:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self._leave()
+        log_event(
+            Event.STOPPED,
+            instance=self.settings.instance.id,
+            open_requests=self.gateway.open_requests,
+            took_s=round(time.monotonic() - began_s, 2),
+        )
+
+    async def _leave(self) -> None:
+        """Tell the others, and close everything."""
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self.parts.presence.leave()
+        except (StoreError, TimeoutError) as error:
+            log_event(Event.LEASE_LOST, why=repr(error))
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.pool.close()
+        await self.parts.close()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task whose failure ends the process with a log line."""
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self._note_end)
+        self.tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Stop the daemon if a task has failed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        log_event(Event.TASK_FAILED, why=repr(task.exception()))
+        self.stopping.set()
+
+    async def _serve_page(
+        self,
+        address: Address,
+        path: str,
+        handler: Any,
+    ) -> None:
+        """Serve one page on an address of its own."""
+        application = web.Application()
+        application.router.add_get(path, handler)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, address.ip, address.port).start()
+        self.runners.append(runner)
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        """Tell the balancer whether new connections are welcome."""
+        is_ready = self.view.is_known and not self.gateway.is_leaving
+        if is_ready and self.view.is_stale:
+            others_s = self.board.freshest_view_s(time.monotonic())
+            is_ready = others_s > self.view.age_s
+        METRICS.set_gauge('ready', float(is_ready))
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        """Return the metrics as text."""
+        METRICS.set_gauge('open_requests', self.gateway.open_requests)
+        METRICS.set_gauge('view_age_seconds', min(self.view.age_s, 1e6))
+        METRICS.set_gauge('peers', len(self.board.heard))
+        return web.Response(text=METRICS.render())
+
+    async def _sweep(self) -> None:
+        """Close idle connections to targets now and then."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            self.pool.sweep()
+
+    def _wake(self) -> None:
+        """Look at waiting requests, as the others' load has changed."""
+        for service in self.scheduler.rooms:
+            self.dispatcher.wake(service)
+
+    def _forget_targets(self, names: tuple[str, ...]) -> None:
+        """Drop connections and state of targets that are gone."""
+        for name in names:
+            self.pool.drop(name)
+        self.scheduler.forget(names)
+
+    def _count_instances(self) -> int:
+        """Return how many instances share the budgets."""
+        return self.exchange.instances
+
+    def _reload(self) -> None:
+        """Note that the settings file has changed.
+
+        Addresses and bounds of a running process stay as they are.
+        """
+        log_event(Event.RELOADED, instance=self.settings.instance.id)
--- /dev/null
+++ b/src/dandelionplank/fleet/exchange.py
@@ -0,0 +1,167 @@
+"""The task that exchanges reports with the other instances over UDP."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from dandelionplank.errors import StoreError
+from dandelionplank.events import Event
+from dandelionplank.fleet.peers import PeerBoard, PeerReport
+from dandelionplank.fleet.view import FleetView
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
+from dandelionplank.routing.scheduler import Scheduler
+from dandelionplank.settings import Address
+
+# Shortest period between two reports; it grows with the fleet, so that one
+# instance sends a bounded number of datagrams a second.
+SHORTEST_PERIOD_S = 0.06
+DATAGRAMS_PER_S = 60
+# An instance without any load reports this much less often.
+IDLE_FACTOR = 4
+BOOT_BITS = 48
+RENEWALS_PER_TTL = 3
+FAILED_RENEWAL_PAUSE_S = 1.0
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(PeerReport)
+
+
+class Presence(Protocol):
+    """This instance's entry in the store."""
+
+    async def renew(self, ttl_s: float) -> None:
+        """Write the entry, or renew its lease."""
+
+    async def leave(self) -> None:
+        """Remove the entry."""
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends this instance's load to the others and hears theirs."""
+
+    def __init__(
+        self,
+        name: str,
+        view: FleetView,
+        board: PeerBoard,
+        scheduler: Scheduler,
+        on_heard: Callable[[], None],
+    ) -> None:
+        """Prepare; no socket is open.
+
+        :param on_heard: is called when the others' load has changed
+        """
+        self.name = name
+        self.view = view
+        self.board = board
+        self.scheduler = scheduler
+        self.on_heard = on_heard
+        self.boot = random.getrandbits(BOOT_BITS)
+        self.sequence = 0
+        self.is_leaving = False
+        self.transport: asyncio.DatagramTransport | None = None
+
+    @property
+    def period_s(self) -> float:
+        """Time between two reports in a fleet of the present size."""
+        others = max(1, len(self.view.peers) - 1)
+        return max(SHORTEST_PERIOD_S, others / DATAGRAMS_PER_S)
+
+    @property
+    def instances(self) -> int:
+        """Number of instances that share budgets, this one included."""
+        return max(len(self.view.peers), len(self.board.heard) + 1)
+
+    async def listen(self, address: Address) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self,
+            (address.ip, address.port),
+        )
+
+    def datagram_received(
+        self,
+        data: bytes,
+        addr: tuple[str, int],
+    ) -> None:
+        """Take in another instance's report."""
+        try:
+            report = _DECODER.decode(data)
+        except msgspec.DecodeError:
+            METRICS.add('peer_reports_malformed_total')
+            return
+        if report.sender == self.name:
+            return
+        is_new = report.sender not in self.board.heard
+        if not self.board.hear(report, time.monotonic()):
+            return
+        if is_new:
+            log_event(
+                Event.MEMBER_ALIVE,
+                instance=report.sender,
+                version=report.version,
+            )
+        self.on_heard()
+
+    def error_received(self, exc: OSError) -> None:
+        """Count errors of the socket; a report that is lost does no harm."""
+        METRICS.add('peer_reports_unsent_total')
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        while True:
+            self.send_report()
+            for name in self.board.expire(time.monotonic()):
+                log_event(Event.MEMBER_SUSPECT, instance=name)
+            period_s = self.period_s
+            if not self.scheduler.shares():
+                period_s *= IDLE_FACTOR
+            await asyncio.sleep(period_s)
+
+    def send_report(self) -> None:
+        """Send this instance's load to all others."""
+        if self.transport is None:
+            return
+        block = _ENCODER.encode(self._report())
+        for name, address in tuple(self.view.peers.items()):
+            if name == self.name:
+                continue
+            ip, _, port = address.rpartition(':')
+            METRICS.add('peer_bytes_total', len(block))
+            self.transport.sendto(block, (ip, int(port)))
+
+    def _report(self) -> PeerReport:
+        """Return this instance's load."""
+        self.sequence += 1
+        levels = self.scheduler.received.settle(time.monotonic())
+        table = self.view.table
+        return PeerReport(
+            self.name,
+            self.boot,
+            self.sequence,
+            self.period_s * IDLE_FACTOR,
+            table.version if table else 0,
+            min(self.view.age_s, 1e6),
+            self.is_leaving,
+            self.scheduler.shares(),
+            {account: round(level) for account, level in levels.items()},
+        )
+
+
+async def keep_presence(presence: Presence, ttl_s: float) -> None:
+    """Keep this instance's entry in the store until cancelled."""
+    while True:
+        try:
+            await presence.renew(ttl_s)
+        except StoreError as error:
+            log_event(Event.LEASE_LOST, why=error.reason)
+            pause_s = FAILED_RENEWAL_PAUSE_S
+        else:
+            pause_s = ttl_s / RENEWALS_PER_TTL
+        await asyncio.sleep(pause_s * (0.8 + 0.4 * random.random()))
--- /dev/null
+++ b/src/dandelionplank/fleet/peers.py
@@ -0,0 +1,174 @@
+"""What the other instances say of their load: pure state, no I/O.
+
+Each report replaces the sender's earlier one, so that lost, repeated and
+reordered reports do no harm. Reports age out when a sender falls silent.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+# Memory of service received; near the window in which shares are owed.
+SERVICE_MEMORY_S = 4.0
+# A peer is silent when it has missed this many of its own periods.
+MISSED_PERIODS = 6
+
+
+class TargetShare(msgspec.Struct, frozen=True, array_like=True):
+    """One instance's load on one target.
+
+    :param unread_tokens: sent there, first token not yet seen
+    :param running: requests there
+    :param queued_tokens: waiting at the instance for this target
+    """
+
+    unread_tokens: float = 0
+    running: int = 0
+    queued_tokens: float = 0
+
+
+class PeerReport(msgspec.Struct, frozen=True, array_like=True):
+    """One instance's load, sent to the others.
+
+    :param boot: random id of the start of the process
+    :param period_s: time until the sender's next report at the latest
+    :param view_age_s: age of the sender's proof of its configuration
+    :param is_leaving: the sender takes no new connections
+    :param service: cost served to each account, decayed over time
+    """
+
+    sender: str
+    boot: int
+    sequence: int
+    period_s: float
+    version: int
+    view_age_s: float
+    is_leaving: bool
+    targets: dict[str, TargetShare]
+    service: dict[str, float]
+
+
+@dataclasses.dataclass(slots=True)
+class HeardReport:
+    """A report and the monotonic time of its arrival."""
+
+    report: PeerReport
+    heard_s: float
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Tell whether the sender still counts as present."""
+        limit_s = self.report.period_s * MISSED_PERIODS
+        return now_s - self.heard_s < limit_s
+
+
+class PeerBoard:
+    """Keeps the latest report of every instance."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self.heard: dict[str, HeardReport] = {}
+        self.shares: dict[str, TargetShare] = {}
+
+    def hear(self, report: PeerReport, now_s: float) -> bool:
+        """Take in a report unless it is older than the known one."""
+        known = self.heard.get(report.sender)
+        if known and known.report.boot == report.boot:
+            if known.report.sequence >= report.sequence:
+                return False
+        self.heard[report.sender] = HeardReport(report, now_s)
+        self._add_up()
+        return True
+
+    def expire(self, now_s: float) -> tuple[str, ...]:
+        """Drop the reports of silent instances and return their names."""
+        silent = tuple(
+            name
+            for name, heard in self.heard.items()
+            if not heard.is_fresh(now_s)
+        )
+        for name in silent:
+            self.heard.pop(name)
+        if silent:
+            self._add_up()
+        return silent
+
+    def share_of(self, target: str) -> TargetShare:
+        """Return the load that all other instances put on a target."""
+        return self.shares.get(target, NO_SHARE)
+
+    def service(self, now_s: float) -> dict[str, float]:
+        """Return the cost that the others served to each account lately."""
+        totals: dict[str, float] = {}
+        for heard in self.heard.values():
+            factor = decay(now_s - heard.heard_s)
+            for account, level in heard.report.service.items():
+                totals[account] = totals.get(account, 0) + level * factor
+        return totals
+
+    def freshest_view_s(self, now_s: float) -> float:
+        """Return the least age of any other instance's configuration."""
+        return min(
+            (
+                heard.report.view_age_s + now_s - heard.heard_s
+                for heard in self.heard.values()
+                if not heard.report.is_leaving
+            ),
+            default=math.inf,
+        )
+
+    def _add_up(self) -> None:
+        """Sum the load on each target over all instances."""
+        totals: dict[str, list[TargetShare]] = {}
+        for heard in self.heard.values():
+            for target, share in heard.report.targets.items():
+                totals.setdefault(target, []).append(share)
+        self.shares = {
+            target: _sum_shares(shares) for target, shares in totals.items()
+        }
+
+
+NO_SHARE = TargetShare()
+
+
+def _sum_shares(shares: Iterable[TargetShare]) -> TargetShare:
+    """Add up the load that several instances put on one target."""
+    unread = 0.0
+    running = 0
+    queued = 0.0
+    for share in shares:
+        unread += share.unread_tokens
+        running += share.running
+        queued += share.queued_tokens
+    return TargetShare(unread, running, queued)
+
+
+def decay(elapsed_s: float) -> float:
+    """Return what is left of a level after a time."""
+    return math.exp(-max(0.0, elapsed_s) / SERVICE_MEMORY_S)
+
+
+class ServiceLevels:
+    """Cost served to each account by this instance, decayed over time."""
+
+    def __init__(self) -> None:
+        """Start without service."""
+        self.levels: dict[str, float] = {}
+        self.decayed_s = 0.0
+
+    def charge(self, account: str, cost: float, now_s: float) -> None:
+        """Add the cost of work that was sent to a target."""
+        self.settle(now_s)
+        self.levels[account] = self.levels.get(account, 0) + cost
+
+    def settle(self, now_s: float) -> dict[str, float]:
+        """Return the levels at a time; what has decayed is dropped."""
+        factor = decay(now_s - self.decayed_s)
+        self.decayed_s = now_s
+        self.levels = {
+            account: level * factor
+            for account, level in self.levels.items()
+            if level * factor >= 1
+        }
+        return self.levels
--- /dev/null
+++ b/src/dandelionplank/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' connections: requests in, answers out."""
--- a/src/dandelionplank/logs.py
+++ b/src/dandelionplank/logs.py
@@ -1,8 +1,9 @@
 """Structured log lines: one JSON object a line, with the event's number."""
 
+import os
 import sys
 import time
-from typing import Any
+from typing import Any, TextIO
 
 import logbook
 import msgspec
@@ -13,6 +14,8 @@
 _ENCODER = msgspec.json.Encoder()
 _LOGGER = logbook.Logger('dandelionplank')
 MILLISECONDS = 3
+# Log lines that wait for a slow reader; more are dropped.
+PENDING_LOG_BYTES = 262_144
 
 
 def log_event(event: Event, **fields: Any) -> None:
@@ -36,13 +39,48 @@
     )
 
 
-def start_logging(level: str = 'INFO') -> None:
-    """Send log lines of at least this level to standard error.
+class LossyStream:
+    """Writes to a file descriptor and drops lines instead of waiting.
+
+    What the reader does not take in time is kept up to a bound; lines
+    beyond it are dropped and counted.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        """Let writes to the descriptor return at once."""
+        self.descriptor = descriptor
+        self.pending = b''
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Write text, or drop it while too much is pending."""
+        if len(self.pending) > PENDING_LOG_BYTES:
+            METRICS.add('log_lines_dropped_total')
+        else:
+            self.pending += text.encode()
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what is pending, as far as the reader takes it."""
+        try:
+            written = os.write(self.descriptor, self.pending)
+        except BlockingIOError:
+            return
+        self.pending = self.pending[written:]
+
+
+def start_logging(
+    level: str = 'INFO',
+    output: TextIO | LossyStream | None = None,
+) -> None:
+    """Send log lines of at least this level to an output.
 
     :param level: name of the least severe level written
+    :param output: where lines go, standard error if none is given
     """
     stream = logbook.StreamHandler(
-        sys.stderr,
+        output or sys.stderr,
         level=level,
         format_string='{record.message}',
     )
--- /dev/null
+++ b/src/dandelionplank/platform/documents.py
@@ -0,0 +1,162 @@
+"""Documents of the store, decoded into the fleet's types.
+
+A malformed document raises :class:`MalformedDocumentError`; unknown fields
+are ignored.
+"""
+
+from typing import Any
+
+import msgspec
+
+from dandelionplank.errors import ErrorCode, StoreError
+from dandelionplank.routing.routes import (
+    ModelMemory,
+    RequestKind,
+    RequestLimits,
+    Route,
+    RouteService,
+    RouteTable,
+    WeightedService,
+)
+from dandelionplank.settings import Address
+from dandelionplank.targets import Target, TargetState
+
+STEP = 'decode'
+MILLISECONDS = 1000
+DEFAULT_TIMEOUT_MS = 30_000
+
+_KINDS = {
+    'safe': RequestKind.SAFE,
+    'unsafe': RequestKind.UNSAFE,
+    'streaming': RequestKind.STREAM,
+}
+_STATES = {'ready': TargetState.ACTIVE, 'draining': TargetState.DRAINING}
+
+
+class MalformedDocumentError(StoreError):
+    """A document of the store cannot be read."""
+
+    default_code = ErrorCode.CONFIGURATION_INVALID
+
+
+def decode_target(target_id: str, document: bytes) -> Target:
+    """Decode the entry of one target.
+
+    :param target_id: last part of the entry's key
+    :raises MalformedDocumentError: the entry names no usable target
+    """
+    try:
+        entry = msgspec.json.decode(document)
+        return Target(
+            name=target_id,
+            service=_text(entry, 'Service'),
+            address=Address.from_text(_text(entry, 'Addr')),
+            data_center=_text(entry, 'Zone'),
+            state=_STATES[_text(entry, 'State')],
+            limit=_whole(entry, 'Slots'),
+            started_ms=int(entry.get('born', 0)),
+        )
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+        raise MalformedDocumentError(
+            f'target entry: {error!r}',
+            step=STEP,
+            peer=target_id,
+        ) from error
+
+
+def _text(entry: Any, name: str) -> str:
+    """Return a field that must be a text."""
+    found = entry[name]
+    if not isinstance(found, str) or not found:
+        raise TypeError(name)
+    return found
+
+
+def _whole(entry: Any, name: str) -> int:
+    """Return a field that must be a positive whole number."""
+    found = entry[name]
+    if not isinstance(found, int) or isinstance(found, bool) or found <= 0:
+        raise TypeError(name)
+    return found
+
+
+def decode_configuration(document: bytes) -> RouteTable:
+    """Decode the operator's configuration.
+
+    :raises MalformedDocumentError: the document cannot be read
+    """
+    try:
+        entry = msgspec.json.decode(document)
+        return RouteTable.from_routes(
+            int(entry['Version']),
+            tuple(_route(each) for each in entry.get('Routes', ())),
+            {
+                key: tenant['Name']
+                for tenant in entry.get('Tenants') or ()
+                for key in tenant.get('ApiKeys') or ()
+            },
+            tuple(_service(each) for each in entry.get('Services', ())),
+            _limits(entry.get('Limits') or {}),
+        )
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+        raise MalformedDocumentError(
+            f'configuration: {error!r}',
+            step=STEP,
+        ) from error
+
+
+def _route(entry: dict[str, Any]) -> Route:
+    """Decode one route."""
+    choices = tuple(
+        WeightedService(each['Service'], float(each['Weight']))
+        for each in entry.get('Split') or ()
+    )
+    return Route(
+        name=entry['Name'],
+        host=entry['Host'].lower(),
+        prefix=entry['Prefix'],
+        kind=_KINDS[entry['Kind']],
+        choices=choices or (WeightedService(entry['Service'], 1),),
+        timeout_s=entry.get('TimeoutMs', DEFAULT_TIMEOUT_MS) / MILLISECONDS,
+        objective_s=entry.get('GoalMs', DEFAULT_TIMEOUT_MS) / MILLISECONDS,
+        attempts=int(entry.get('Attempts', 1)),
+        priority=int(entry.get('Priority', 0)),
+        is_public=bool(entry.get('Public')),
+        can_resume=bool(entry.get('CanResume')),
+        gap_target_s=entry.get('GapTargetMs', 0) / MILLISECONDS,
+    )
+
+
+def _service(entry: dict[str, Any]) -> RouteService:
+    """Decode one service; the engines of a model service have memory."""
+    engine = entry.get('Engine')
+    memory = None
+    if engine and engine.get('KvTokens'):
+        memory = ModelMemory(int(engine['Slots']), int(engine['KvTokens']))
+    return RouteService(
+        name=entry['Name'],
+        connections=int(entry.get('MaxConns', 0)),
+        memory=memory,
+    )
+
+
+def _limits(entry: dict[str, Any]) -> RequestLimits:
+    """Decode the limits; what is not stated keeps its default."""
+    usual = RequestLimits()
+    return RequestLimits(
+        header_bytes=int(entry.get('MaxHeaderBytes', usual.header_bytes)),
+        body_bytes=int(entry.get('MaxBodyBytes', usual.body_bytes)),
+        header_timeout_s=_seconds(
+            entry,
+            'HeaderTimeoutMs',
+            usual.header_timeout_s,
+        ),
+        idle_timeout_s=_seconds(entry, 'IdleTimeoutMs', usual.idle_timeout_s),
+        tokens_per_s=float(entry.get('TokensPerS', 0)),
+    )
+
+
+def _seconds(entry: dict[str, Any], name: str, usual_s: float) -> float:
+    """Return a duration in seconds."""
+    found = entry.get(name)
+    return usual_s if found is None else float(found) / MILLISECONDS
--- /dev/null
+++ b/src/dandelionplank/routing/placement.py
@@ -0,0 +1,155 @@
+"""Where a request goes: pure decisions, no I/O and no clock.
+
+Answers to loads whose prompts share long prefixes: reading a prefix once
+more costs capacity, so a request waits for the target that keeps it unless
+reading it elsewhere is cheaper than the wait. Every instance ranks targets
+for a subject alike, so that all agree on its home without asking.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+
+from dandelionplank.fleet.peers import PeerBoard, TargetShare
+from dandelionplank.routing.load import TargetLoad
+from dandelionplank.routing.rendezvous import pick_instance
+from dandelionplank.routing.work import TokenWork
+
+# What reading a prefix once more costs beyond its own time: it delays the
+# streams there and pushes other prefixes out.
+REREAD_WEIGHT = 3.0
+# Cost of a target per unit of its smoothed share of failures, in seconds.
+FAILURE_COST_S = 2.0
+# Advantage of a target in the same data centre, in seconds.
+NEARNESS_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """The target chosen for a request.
+
+    :param read_tokens: tokens that it must read
+    :param wait_s: expected time until it begins to read
+    :param has_room: the request may be sent now
+    """
+
+    load: TargetLoad
+    read_tokens: float
+    wait_s: float
+    has_room: bool
+
+    @property
+    def first_event_s(self) -> float:
+        """Expected time until the prompt is read."""
+        return self.wait_s + self.load.reading_s(self.read_tokens)
+
+
+class PlacementPolicy:
+    """Chooses among the targets of one service."""
+
+    def __init__(
+        self,
+        data_center: str,
+        loads: Mapping[str, TargetLoad],
+        peers: PeerBoard,
+    ) -> None:
+        """Keep references to the state that decisions rest on."""
+        self.data_center = data_center
+        self.loads = loads
+        self.peers = peers
+        self.homes: dict[str, str] = {}
+        self.ranked: tuple[str, ...] = ()
+
+    def choose(
+        self,
+        names: Sequence[str],
+        work: TokenWork | None,
+        now_s: float,
+        avoided: Iterable[str] = (),
+    ) -> Placement | None:
+        """Return the cheapest target, or nothing if there is none.
+
+        :param names: sound targets of the service
+        :param work: size of a model's work, none for plain requests
+        :param avoided: targets that have failed this request
+        """
+        usable = [name for name in names if name not in avoided]
+        if not usable:
+            return None
+        if work is None or self.loads[usable[0]].residency is None:
+            return self._least_loaded(usable, now_s)
+        return self._cheapest(usable, work, self._home(names, work.subject))
+
+    def _least_loaded(self, names: list[str], now_s: float) -> Placement:
+        """Return the plain target with the least work ahead."""
+        costs = {
+            name: self._plain_cost(self.loads[name], now_s) for name in names
+        }
+        best = min(names, key=costs.__getitem__)
+        load = self.loads[best]
+        return Placement(
+            load,
+            0,
+            0,
+            load.has_room(0, self.peers.share_of(best)),
+        )
+
+    def _plain_cost(self, load: TargetLoad, now_s: float) -> float:
+        """Return the expected cost of one more plain request."""
+        ahead = load.plain_load(self.peers.share_of(load.target.name), now_s)
+        is_near = load.target.data_center == self.data_center
+        return ahead * (1 + FAILURE_COST_S * load.health.failure_share) - (
+            NEARNESS_S if is_near else 0
+        )
+
+    def _cheapest(
+        self,
+        names: list[str],
+        work: TokenWork,
+        home: str,
+    ) -> Placement:
+        """Return the engine where wait and reading cost least."""
+        own_tokens = work.parts[-1].tokens if work.parts else work.read_tokens
+        best: Placement | None = None
+        best_cost = 0.0
+        for name in names:
+            load = self.loads[name]
+            others = self.peers.share_of(name)
+            read_tokens = load.tokens_to_read(work)
+            again = 0.0 if name == home else read_tokens - own_tokens
+            wait_s = load.reading_s(_ahead(load, others))
+            cost = (
+                wait_s
+                + load.reading_s(read_tokens)
+                + REREAD_WEIGHT * load.reading_s(max(0.0, again))
+                + FAILURE_COST_S * load.health.failure_share
+            )
+            if load.target.data_center == self.data_center:
+                cost -= NEARNESS_S
+            if best is None or cost < best_cost:
+                has_room = load.has_room(read_tokens, others)
+                best = Placement(load, read_tokens, wait_s, has_room)
+                best_cost = cost
+        assert best is not None
+        return best
+
+    def _home(self, names: Sequence[str], subject: str) -> str:
+        """Return the target that all instances prefer for a subject."""
+        ranked = tuple(names)
+        if ranked != self.ranked:
+            self.ranked = ranked
+            self.homes.clear()
+        home = self.homes.get(subject)
+        if home is None:
+            home = pick_instance(subject, ranked)
+            self.homes[subject] = home
+        return home
+
+
+def _ahead(load: TargetLoad, others: TargetShare) -> float:
+    """Return the tokens that are read before a new request's."""
+    return (
+        load.unread_tokens
+        + load.queued_tokens
+        + others.unread_tokens
+        + others.queued_tokens
+    )
--- /dev/null
+++ b/src/dandelionplank/routing/routes.py
@@ -0,0 +1,162 @@
+"""Routes: which service answers a request, and what may be done with it."""
+
+import bisect
+import dataclasses
+import enum
+import itertools
+from collections.abc import Mapping
+from typing import Self
+
+
+class RequestKind(enum.StrEnum):
+    """What may be repeated."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service and its part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """One route of the configuration.
+
+    :param choices: services with the parts of the requests that they get
+    :param attempts: targets that one request may be sent to at the most
+    :param objective_s: time to the answer, or to a stream's first event
+    :param gap_target_s: longest pause between events that is still on time
+    :param is_public: callers need no key
+    :param can_resume: a stream may go on at another target
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    choices: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    attempts: int = 1
+    priority: int = 0
+    is_public: bool = False
+    can_resume: bool = False
+    gap_target_s: float = 0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request may be run a second time."""
+        if self.kind is RequestKind.STREAM:
+            return self.can_resume
+        return self.kind is RequestKind.SAFE
+
+    def service_at(self, point: float) -> str:
+        """Return the service at a point of the split.
+
+        :param point: from zero to one
+        """
+        weights = [choice.weight for choice in self.choices]
+        levels = list(itertools.accumulate(weights))
+        position = bisect.bisect_right(levels, point * levels[-1])
+        return self.choices[min(position, len(levels) - 1)].service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelMemory:
+    """Memory of a model engine.
+
+    :param slots: requests that it runs at once
+    :param tokens: tokens that running requests and the cache share
+    """
+
+    slots: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteService:
+    """A service as the configuration describes it.
+
+    :param memory: memory of its engines, none for plain services
+    """
+
+    name: str
+    connections: int
+    memory: ModelMemory | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What callers may send and how long they may take.
+
+    :param tokens_per_s: cost that all engines together serve in a second
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+    tokens_per_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteTable:
+    """One version of the configuration, never changed in place.
+
+    :param by_host: routes of each host, longest prefix first
+    :param accounts: account of each key
+    """
+
+    version: int
+    by_host: Mapping[str, tuple[Route, ...]]
+    accounts: Mapping[str, str]
+    services: Mapping[str, RouteService]
+    limits: RequestLimits
+
+    @classmethod
+    def from_routes(
+        cls,
+        version: int,
+        routes: tuple[Route, ...],
+        accounts: Mapping[str, str],
+        services: tuple[RouteService, ...],
+        limits: RequestLimits,
+    ) -> Self:
+        """Build the table and its index."""
+        by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host, []).append(route)
+        return cls(
+            version,
+            {
+                host: tuple(
+                    sorted(each, key=_prefix_length, reverse=True),
+                )
+                for host, each in by_host.items()
+            },
+            accounts,
+            {service.name: service for service in services},
+            limits,
+        )
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path.
+
+        :param host: host name without port
+        :param path: path without query, as the caller sent it
+        """
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def _prefix_length(route: Route) -> int:
+    """Return how long a route's prefix is."""
+    return len(route.prefix)
--- /dev/null
+++ b/src/dandelionplank/routing/scheduler.py
@@ -0,0 +1,279 @@
+"""Waiting requests and targets with room, brought together.
+
+Pure state: events and the time go in, grants and refusals come out.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Mapping
+
+from dandelionplank.fairness.waiting import Waiting, WaitingRoom
+from dandelionplank.fleet.peers import PeerBoard, ServiceLevels, TargetShare
+from dandelionplank.routing.admission import (
+    Prospect,
+    is_hopeless,
+    retry_after_s,
+)
+from dandelionplank.routing.load import Dispatched, TargetLoad
+from dandelionplank.routing.placement import Placement, PlacementPolicy
+from dandelionplank.routing.routes import ModelMemory, RouteTable
+from dandelionplank.targets import Target
+
+# Waiting requests that one pass looks at; bounds the time of a pass.
+SCAN_LIMIT = 48
+# Totals of the service received are added up again after this time.
+LEVELS_AGE_S = 0.05
+# Retry hint where a service has no target at all.
+NO_TARGET_RETRY_S = 1.0
+# Cost of a plain call in tokens, for turns among accounts.
+PLAIN_COST = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A request may be sent to a target."""
+
+    waiting: Waiting
+    load: TargetLoad
+    sent: Dispatched
+    expected_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turndown:
+    """A request will not be served and has not run.
+
+    :param reason: why, in words
+    :param retry_after_s: when the caller should come back
+    """
+
+    waiting: Waiting
+    reason: str
+    retry_after_s: float
+
+
+TargetsOf = Callable[[str], Iterable[Target]]
+
+
+class Scheduler:
+    """Decides for this instance which request goes to which target."""
+
+    def __init__(
+        self,
+        data_center: str,
+        targets_of: TargetsOf,
+        peers: PeerBoard,
+        spread: Callable[[], float] = random.random,
+    ) -> None:
+        """Start without requests.
+
+        :param targets_of: targets of a service that may be given work
+        :param peers: load of the other instances
+        :param spread: random numbers from zero to one
+        """
+        self.data_center = data_center
+        self.targets_of = targets_of
+        self.peers = peers
+        self.spread = spread
+        self.loads: dict[str, TargetLoad] = {}
+        self.rooms: dict[str, WaitingRoom] = {}
+        self.policies: dict[str, PlacementPolicy] = {}
+        self.memories: Mapping[str, ModelMemory | None] = {}
+        self.received = ServiceLevels()
+        self.levels: dict[str, float] = {}
+        self.levels_s = float('-inf')
+
+    def configure(self, table: RouteTable) -> None:
+        """Take in the memories of the services' engines."""
+        self.memories = {
+            name: service.memory for name, service in table.services.items()
+        }
+
+    def submit(self, waiting: Waiting, now_s: float) -> Turndown | None:
+        """Let a request wait, or turn it down at once."""
+        names = self._sound(waiting.service, now_s)
+        placement = self._place(waiting, names, now_s)
+        if placement is None:
+            return Turndown(waiting, 'no sound target', NO_TARGET_RETRY_S)
+        waiting.cost = _cost_of(waiting, placement)
+        room = self.rooms.setdefault(waiting.service, WaitingRoom())
+        if not placement.has_room or room.count:
+            prospect = self._prospect(waiting, placement, room, now_s)
+            if is_hopeless(
+                prospect,
+                objective_left_s=waiting.objective_ends_s - now_s,
+                time_left_s=waiting.ends_s - now_s,
+            ):
+                return Turndown(
+                    waiting,
+                    f'expected wait {prospect.wait_s:.2f} s',
+                    retry_after_s(prospect, self.spread()),
+                )
+        self._wait_for(waiting, placement)
+        room.add(waiting)
+        return None
+
+    def withdraw(self, waiting: Waiting) -> None:
+        """Take a request out that waits no longer."""
+        room = self.rooms.get(waiting.service)
+        if room and room.remove(waiting):
+            self._stop_waiting(waiting)
+
+    def run_pass(self, service: str, now_s: float) -> list[Grant]:
+        """Grant targets to waiting requests, as far as there is room."""
+        room = self.rooms.get(service)
+        if room is None or not room.count:
+            return []
+        names = self._sound(service, now_s)
+        grants = []
+        candidates = room.in_order(self._levels(now_s), now_s)
+        for _, waiting in zip(range(SCAN_LIMIT), candidates, strict=False):
+            self._stop_waiting(waiting)
+            placement = self._place(waiting, names, now_s)
+            if placement is None or not placement.has_room:
+                self._wait_for(waiting, placement)
+                continue
+            grants.append(self._grant(waiting, placement, now_s))
+        for grant in grants:
+            room.remove(grant.waiting)
+        return grants
+
+    def expire(self, now_s: float) -> list[Turndown]:
+        """Turn down what can be served no more."""
+        ended = [
+            waiting
+            for room in self.rooms.values()
+            for waiting in room.everyone()
+            if _is_over(waiting, now_s)
+        ]
+        for waiting in ended:
+            self.withdraw(waiting)
+        return [
+            Turndown(waiting, 'no target was free in time', 1 + self.spread())
+            for waiting in ended
+        ]
+
+    def load_of(self, target: Target) -> TargetLoad:
+        """Return the load of a target, a new one if it has restarted."""
+        load = self.loads.get(target.name)
+        if load is None or load.target.started_ms != target.started_ms:
+            load = TargetLoad(target, self.memories.get(target.service))
+            self.loads[target.name] = load
+        return load
+
+    def shares(self) -> dict[str, TargetShare]:
+        """Return this instance's load on every target that it uses."""
+        return {
+            name: load.share
+            for name, load in self.loads.items()
+            if not load.is_idle
+        }
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Drop the state of targets that are gone and hold no request."""
+        for name in names:
+            load = self.loads.get(name)
+            if load and load.is_idle:
+                self.loads.pop(name)
+
+    def _grant(
+        self,
+        waiting: Waiting,
+        placement: Placement,
+        now_s: float,
+    ) -> Grant:
+        """Send a request to the target that was chosen for it."""
+        load = placement.load
+        others = self.peers.share_of(load.target.name)
+        waiting.cost = _cost_of(waiting, placement)
+        if waiting.account:
+            self.received.charge(waiting.account, waiting.cost, now_s)
+            level = self.levels.get(waiting.account, 0)
+            self.levels[waiting.account] = level + waiting.cost
+        return Grant(
+            waiting,
+            load,
+            load.send(waiting.work, others, now_s),
+            placement.first_event_s,
+        )
+
+    def _sound(self, service: str, now_s: float) -> list[str]:
+        """Return the targets of a service that take requests."""
+        loads = [self.load_of(target) for target in self.targets_of(service)]
+        names = [
+            load.target.name
+            for load in loads
+            if not load.health.is_paused(now_s)
+        ]
+        return names or [load.target.name for load in loads]
+
+    def _place(
+        self,
+        waiting: Waiting,
+        names: list[str],
+        now_s: float,
+    ) -> Placement | None:
+        """Choose a target for a request."""
+        policy = self.policies.get(waiting.service)
+        if policy is None:
+            policy = PlacementPolicy(self.data_center, self.loads, self.peers)
+            self.policies[waiting.service] = policy
+        return policy.choose(names, waiting.work, now_s, waiting.avoided)
+
+    def _prospect(
+        self,
+        waiting: Waiting,
+        placement: Placement,
+        room: WaitingRoom,
+        now_s: float,
+    ) -> Prospect:
+        """Estimate when a newcomer would be served, given its turn."""
+        ahead = room.cost_ahead(
+            waiting.account,
+            waiting.cost,
+            self._levels(now_s),
+        )
+        total = sum(room.costs.values()) + waiting.cost
+        return Prospect(
+            placement.wait_s * ahead / max(1.0, total),
+            placement.load.reading_s(placement.read_tokens),
+        )
+
+    def _levels(self, now_s: float) -> dict[str, float]:
+        """Return what each account received lately from all instances."""
+        if now_s - self.levels_s > LEVELS_AGE_S:
+            self.levels_s = now_s
+            self.levels = self.peers.service(now_s)
+            for account, level in self.received.settle(now_s).items():
+                self.levels[account] = self.levels.get(account, 0) + level
+        return self.levels
+
+    def _wait_for(self, waiting: Waiting, placement: Placement | None) -> None:
+        """Count a request at the target for which it waits."""
+        if placement is None:
+            return
+        waiting.home = placement.load.target.name
+        waiting.home_tokens = placement.read_tokens
+        placement.load.queued_tokens += placement.read_tokens
+
+    def _stop_waiting(self, waiting: Waiting) -> None:
+        """Count a request no longer at the target for which it waited."""
+        load = self.loads.get(waiting.home)
+        waiting.home = ''
+        if load:
+            left = load.queued_tokens - waiting.home_tokens
+            load.queued_tokens = max(0.0, left)
+
+
+def _cost_of(waiting: Waiting, placement: Placement) -> float:
+    """Return the cost of a request at the target chosen for it."""
+    work = waiting.work
+    if work is None:
+        return PLAIN_COST
+    cached = work.read_tokens - placement.read_tokens
+    return work.cost - cached
+
+
+def _is_over(waiting: Waiting, now_s: float) -> bool:
+    """Tell whether a waiting request is given up."""
+    return now_s >= waiting.ends_s
--- a/src/dandelionplank/targets.py
+++ b/src/dandelionplank/targets.py
@@ -17,6 +17,7 @@
 
     :param checks_fencing: it refuses orders with an old fencing number
     :param limit: calls in flight it takes at first, zero for the contract's
+    :param started_ms: Unix time of its start, zero if it does not say
     """
 
     name: Name
@@ -26,6 +27,7 @@
     state: TargetState = TargetState.ACTIVE
     checks_fencing: bool = False
     limit: int = 0
+    started_ms: int = 0
 
     @property
     def url(self) -> str:
