--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -173,6 +173,7 @@
         async with self._attempt(request, progress) as attempt:
             answer = await attempt.open()
             body = await attempt.read_whole()
+            _note_first_event(request, attempt.grant)
             self.dispatcher.note_first_event(attempt.grant)
             is_good = answer.status < FIRST_FAILURE_STATUS
             self._check_unrun(attempt)
@@ -225,6 +226,7 @@
                 raise _broken(attempt, f'silent for {silence_s} s') from error
             if events is None:
                 break
+            _note_first_event(request, attempt.grant)
             self.dispatcher.note_first_event(attempt.grant)
             block = _new_events(events, progress)
             if block:
@@ -262,6 +264,7 @@
         )
         attempt = Attempt(request, grant, self.pool, self.codec)
         progress.tries += 1
+        _note_grant(request, grant)
         progress.avoided = (*progress.avoided, attempt.target_name)
         progress.runs += 1
         try:
@@ -410,6 +413,23 @@
         """Return the number of instances, this one included."""
 
 
+def _note_grant(request: CallerRequest, grant: Grant) -> None:
+    """Keep for the log line what decided the attempt."""
+    trace = request.trace
+    trace.tries += 1
+    trace.target = grant.load.target.name
+    trace.waited_s = grant.sent.sent_s - request.arrived_s
+    trace.read_tokens = grant.sent.read_tokens
+    trace.expected_s = grant.expected_s
+    trace.tokens_per_s = grant.load.tokens_per_s
+
+
+def _note_first_event(request: CallerRequest, grant: Grant) -> None:
+    """Keep for the log line how long the target took to begin."""
+    if not request.trace.first_event_s:
+        request.trace.first_event_s = time.monotonic() - grant.sent.sent_s
+
+
 def _broken(attempt: Attempt, reason: str) -> TargetError:
     """Return the error of a stream that does not go on."""
     attempt.state = AttemptState.UNKNOWN
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -1,8 +1,10 @@
 """The task that exchanges reports with the other instances over UDP."""
 
 import asyncio
+import itertools
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -10,7 +12,7 @@
 
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
-from dandelionplank.fleet.peers import PeerBoard, PeerReport
+from dandelionplank.fleet.peers import PeerBoard, PeerReport, PromptRead
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
@@ -24,6 +26,8 @@
 # An instance without any load reports this much less often.
 IDLE_FACTOR = 4
 BOOT_BITS = 48
+# Reports that name the same prompt, so that one lost datagram does no harm.
+READ_REPEATS = 2
 RENEWALS_PER_TTL = 3
 FAILED_RENEWAL_PAUSE_S = 1.0
 
@@ -64,6 +68,9 @@
         self.boot = random.getrandbits(BOOT_BITS)
         self.sequence = 0
         self.is_leaving = False
+        self.recent_reads: deque[tuple[PromptRead, ...]] = deque(
+            maxlen=READ_REPEATS,
+        )
         self.transport: asyncio.DatagramTransport | None = None
 
     @property
@@ -107,6 +114,7 @@
                 instance=report.sender,
                 version=report.version,
             )
+        self.scheduler.note_reads(report.reads)
         self.on_heard()
 
     def error_received(self, exc: OSError) -> None:
@@ -151,8 +159,16 @@
             self.is_leaving,
             self.scheduler.shares(),
             {account: round(level) for account, level in levels.items()},
+            self._take_reads(),
         )
 
+    def _take_reads(self) -> tuple[PromptRead, ...]:
+        """Return the prompts of this report and of the ones before."""
+        fresh = tuple(self.scheduler.reads)
+        self.scheduler.reads.clear()
+        self.recent_reads.append(fresh)
+        return tuple(itertools.chain.from_iterable(self.recent_reads))
+
 
 async def keep_presence(presence: Presence, ttl_s: float) -> None:
     """Keep this instance's entry in the store until cancelled."""
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -29,6 +29,16 @@
     queued_tokens: float = 0
 
 
+class PromptRead(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that was sent to a target, which keeps its parts from now on.
+
+    :param parts: ids and tokens of the parts that others may share
+    """
+
+    target: str
+    parts: tuple[tuple[str, int], ...]
+
+
 class PeerReport(msgspec.Struct, frozen=True, array_like=True):
     """One instance's load, sent to the others.
 
@@ -37,6 +47,8 @@
     :param view_age_s: age of the sender's proof of its configuration
     :param is_leaving: the sender takes no new connections
     :param service: cost served to each account, decayed over time
+    :param reads: prompts sent to targets lately, some of them repeated from
+        earlier reports in case one was lost
     """
 
     sender: str
@@ -48,6 +60,7 @@
     is_leaving: bool
     targets: dict[str, TargetShare]
     service: dict[str, float]
+    reads: tuple[PromptRead, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -28,8 +28,13 @@
 STEP = 'ingress'
 NOT_READY_RETRY_S = 0.5
 STALE_RETRY_S = 1.0
-# Slack between a caller's usual time and a returning caller's remaining time.
-RETURN_SLACK_S = 0.05
+# Callers leave a stream that is silent for the longest of these: a time, a
+# multiple of the objective, a multiple of the longest pause on time.
+SHORTEST_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4
+PATIENCE_PAUSES = 8
+# A request that cannot begin by this much before its caller leaves is refused.
+PATIENCE_SLACK_S = 0.3
 
 
 class StreamSink:
@@ -87,7 +92,6 @@
         self.codec = codec
         self.is_leaving = False
         self.open_requests = 0
-        self.usual_time_s: dict[str, float] = {}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -266,26 +270,11 @@
             route,
             route.service_at(_point(facts.request_id)),
             account,
-            started_s - self._elapsed_s(route, facts),
+            started_s,
             started_s + time_left_s,
+            started_s + _patience_s(route) - PATIENCE_SLACK_S,
         )
 
-    def _elapsed_s(self, route: Route, facts: RequestFacts) -> float:
-        """Return how long a caller that returns has waited before.
-
-        Callers of a route wait equally long, so a shorter time left tells
-        when the first attempt was made.
-        """
-        if facts.time_left_s is None:
-            return 0
-        usual_s = max(
-            self.usual_time_s.get(route.name, 0),
-            facts.time_left_s,
-        )
-        self.usual_time_s[route.name] = usual_s
-        elapsed_s = usual_s - facts.time_left_s
-        return elapsed_s if elapsed_s > RETURN_SLACK_S else 0
-
     def _respond(
         self,
         caller: CallerRequest,
@@ -346,10 +335,22 @@
             service=caller.service,
             account=caller.account,
             took_s=round(time.monotonic() - caller.arrived_s, 3),
+            **caller.trace.facts(),
             **facts,
         )
 
 
+def _patience_s(route: Route) -> float:
+    """Return how long a caller waits for the answer to begin."""
+    if route.kind is not RequestKind.STREAM:
+        return route.timeout_s
+    return max(
+        SHORTEST_PATIENCE_S,
+        route.objective_s * PATIENCE_OBJECTIVES,
+        route.gap_target_s * PATIENCE_PAUSES,
+    )
+
+
 def _status_of(error: DandelionplankError) -> int:
     """Return the status of a refusal; it must not promise too much."""
     status = error.code.status
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -117,7 +117,7 @@
             now_s,
         )
         if work is not None and self.residency is not None:
-            self.residency.note_read(work)
+            self.residency.note_read(work.parts)
         self.unread_tokens += read_tokens
         self.running += 1
         return sent
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -2,8 +2,9 @@
 
 Answers to loads whose prompts share long prefixes: reading a prefix once
 more costs capacity, so a request waits for the target that keeps it unless
-reading it elsewhere is cheaper than the wait. Every instance ranks targets
-for a subject alike, so that all agree on its home without asking.
+reading it elsewhere is cheaper than the wait. A prefix that no target keeps
+goes to the least loaded one. Every instance ranks targets for a subject
+alike, so that they choose alike before they have heard of each other's choice.
 """
 
 import dataclasses
@@ -16,7 +17,12 @@
 
 # What reading a prefix once more costs beyond its own time: it delays the
 # streams there and pushes other prefixes out.
-REREAD_WEIGHT = 3.0
+REREAD_WEIGHT = 10.0
+# A prompt of which no engine keeps more than this is cold.
+COLD_TOKENS = 64
+# Advantage of a cold subject's home, so that instances that see it first at
+# the same time choose alike, in seconds.
+HOME_S = 0.1
 # Cost of a target per unit of its smoothed share of failures, in seconds.
 FAILURE_COST_S = 2.0
 # Advantage of a target in the same data centre, in seconds.
@@ -108,23 +114,24 @@
         home: str,
     ) -> Placement:
         """Return the engine where wait and reading cost least."""
-        own_tokens = work.parts[-1].tokens if work.parts else work.read_tokens
+        unread = {
+            name: self.loads[name].tokens_to_read(work) for name in names
+        }
+        fewest = min(unread.values())
+        is_cold = fewest >= work.read_tokens - COLD_TOKENS
         best: Placement | None = None
         best_cost = 0.0
-        for name in names:
+        for name, read_tokens in unread.items():
             load = self.loads[name]
             others = self.peers.share_of(name)
-            read_tokens = load.tokens_to_read(work)
-            again = 0.0 if name == home else read_tokens - own_tokens
             wait_s = load.reading_s(_ahead(load, others))
             cost = (
                 wait_s
                 + load.reading_s(read_tokens)
-                + REREAD_WEIGHT * load.reading_s(max(0.0, again))
-                + FAILURE_COST_S * load.health.failure_share
+                + load.reading_s(read_tokens - fewest) * REREAD_WEIGHT
+                + load.health.failure_share * FAILURE_COST_S
+                - self._advantage(load, home if is_cold else '')
             )
-            if load.target.data_center == self.data_center:
-                cost -= NEARNESS_S
             if best is None or cost < best_cost:
                 has_room = load.has_room(read_tokens, others)
                 best = Placement(load, read_tokens, wait_s, has_room)
@@ -132,6 +139,13 @@
         assert best is not None
         return best
 
+    def _advantage(self, load: TargetLoad, home: str) -> float:
+        """Return the advantage of the home and of a near target, in seconds."""
+        advantage_s = HOME_S if load.target.name == home else 0.0
+        if load.target.data_center == self.data_center:
+            advantage_s += NEARNESS_S
+        return advantage_s
+
     def _home(self, names: Sequence[str], subject: str) -> str:
         """Return the target that all instances prefer for a subject."""
         ranked = tuple(names)
--- a/src/dandelionplank/routing/residency.py
+++ b/src/dandelionplank/routing/residency.py
@@ -6,8 +6,9 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
-from dandelionplank.routing.work import TokenWork
+from dandelionplank.routing.work import PromptPart, TokenWork
 
 # Part of a target's memory that cached prompt parts are assumed to keep;
 # running requests take the rest.
@@ -35,9 +36,9 @@
             cached += part.tokens
         return min(cached, work.read_tokens)
 
-    def note_read(self, work: TokenWork) -> None:
-        """Note that the target reads a prompt."""
-        for part in work.parts:
+    def note_read(self, parts: Iterable[PromptPart]) -> None:
+        """Note that the target reads parts of a prompt."""
+        for part in parts:
             known = self.parts.pop(part.part_id, 0)
             self.parts[part.part_id] = part.tokens
             self.tokens += part.tokens - known
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -5,10 +5,16 @@
 
 import dataclasses
 import random
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 
 from dandelionplank.fairness.waiting import Waiting, WaitingRoom
-from dandelionplank.fleet.peers import PeerBoard, ServiceLevels, TargetShare
+from dandelionplank.fleet.peers import (
+    PeerBoard,
+    PromptRead,
+    ServiceLevels,
+    TargetShare,
+)
 from dandelionplank.routing.admission import (
     Prospect,
     is_hopeless,
@@ -17,12 +23,15 @@
 from dandelionplank.routing.load import Dispatched, TargetLoad
 from dandelionplank.routing.placement import Placement, PlacementPolicy
 from dandelionplank.routing.routes import ModelMemory, RouteTable
+from dandelionplank.routing.work import PromptPart
 from dandelionplank.targets import Target
 
 # Waiting requests that one pass looks at; bounds the time of a pass.
 SCAN_LIMIT = 48
 # Totals of the service received are added up again after this time.
 LEVELS_AGE_S = 0.05
+# Prompts kept for the next reports to the other instances.
+READS_KEPT = 256
 # Retry hint where a service has no target at all.
 NO_TARGET_RETRY_S = 1.0
 # Cost of a plain call in tokens, for turns among accounts.
@@ -80,6 +89,7 @@
         self.policies: dict[str, PlacementPolicy] = {}
         self.memories: Mapping[str, ModelMemory | None] = {}
         self.received = ServiceLevels()
+        self.reads: deque[PromptRead] = deque(maxlen=READS_KEPT)
         self.levels: dict[str, float] = {}
         self.levels_s = float('-inf')
 
@@ -169,6 +179,16 @@
             if not load.is_idle
         }
 
+    def note_reads(self, reads: Iterable[PromptRead]) -> None:
+        """Take in which prompts the other instances sent to targets."""
+        for read in reads:
+            load = self.loads.get(read.target)
+            if load and load.residency:
+                load.residency.note_read(
+                    PromptPart(part_id, tokens)
+                    for part_id, tokens in read.parts
+                )
+
     def forget(self, names: Iterable[str]) -> None:
         """Drop the state of targets that are gone and hold no request."""
         for name in names:
@@ -185,6 +205,7 @@
         """Send a request to the target that was chosen for it."""
         load = placement.load
         others = self.peers.share_of(load.target.name)
+        self._note_read(waiting, load)
         waiting.cost = _cost_of(waiting, placement)
         if waiting.account:
             self.received.charge(waiting.account, waiting.cost, now_s)
@@ -197,6 +218,18 @@
             placement.first_event_s,
         )
 
+    def _note_read(self, waiting: Waiting, load: TargetLoad) -> None:
+        """Keep for the other instances which prompt a target reads."""
+        work = waiting.work
+        if work is None or load.residency is None or len(work.parts) < 2:
+            return
+        self.reads.append(
+            PromptRead(
+                load.target.name,
+                tuple((part.part_id, part.tokens) for part in work.parts[:-1]),
+            ),
+        )
+
     def _sound(self, service: str, now_s: float) -> list[str]:
         """Return the targets of a service that take requests."""
         loads = [self.load_of(target) for target in self.targets_of(service)]
