Refuse at once what cannot meet its objective; graceful end of idle connections

Ruled out: half or 0.35 of the slots (within noise), room by the work ahead alone with 0.08 to 0.35 s (within noise, more refusals when shorter). Conclusion: admission by objective stays, queue and slots as they are.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -218,6 +218,7 @@
         if request.route.can_resume and request.route.gap_target_s:
             silence_s = request.route.gap_target_s * SILENCE_PAUSES
         stream = attempt.events()
+        passed_s = 0.0
         while True:
             try:
                 async with asyncio.timeout(silence_s):
@@ -228,6 +229,7 @@
                 break
             _note_first_event(request, attempt.grant)
             self.dispatcher.note_first_event(attempt.grant)
+            passed_s = _note_pause(request, passed_s)
             block = _new_events(events, progress)
             if block:
                 await self._start(attempt, sink, progress)
@@ -430,6 +432,18 @@
         request.trace.first_event_s = time.monotonic() - grant.sent.sent_s
 
 
+def _note_pause(request: CallerRequest, passed_s: float) -> float:
+    """Keep the longest pause for the log line and return the time.
+
+    :param passed_s: when the events before were passed on, zero if none were
+    """
+    now_s = time.monotonic()
+    if passed_s:
+        trace = request.trace
+        trace.longest_pause_s = max(trace.longest_pause_s, now_s - passed_s)
+    return now_s
+
+
 def _broken(attempt: Attempt, reason: str) -> TargetError:
     """Return the error of a stream that does not go on."""
     attempt.state = AttemptState.UNKNOWN
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -18,6 +18,7 @@
     :param read_tokens: tokens that the target had to read, as estimated
     :param expected_s: expected time from the grant to the first event
     :param first_event_s: time from the grant to the first event
+    :param longest_pause_s: longest time between two blocks of events
     """
 
     tries: int = 0
@@ -27,6 +28,7 @@
     expected_s: float = 0
     first_event_s: float = 0
     tokens_per_s: float = 0
+    longest_pause_s: float = 0
 
     def facts(self) -> dict[str, str | float]:
         """Return what is written to the log line."""
@@ -38,6 +40,7 @@
             'expected_s': round(self.expected_s, 3),
             'first_event_s': round(self.first_event_s, 3),
             'tokens_per_s': round(self.tokens_per_s),
+            'longest_pause_s': round(self.longest_pause_s, 3),
         }
 
 
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -17,6 +17,8 @@
 BACKLOG_CONNECTIONS = 4096
 # Bounds of the parser; the configured limit comes on top.
 LARGEST_HEAD_BYTES = 65_536
+# Time in which a request that has arrived begins to be handled.
+BEGIN_S = 0.02
 
 
 class CallerServer:
@@ -50,13 +52,23 @@
         )
 
     def close_idle(self) -> None:
-        """Close the connections that carry no request."""
+        """Close the connections that carry no request.
+
+        A request that has just arrived is still answered: the connection is
+        asked to end after it, and is cut only if none has begun.
+        """
         if self.server is None:
             return
+        loop = asyncio.get_running_loop()
         for connection in self.server.connections:
-            use = self.idle.uses.get(connection)
-            if use is None or not use.open_requests:
-                connection.force_close()
+            if self.idle.is_idle(connection):
+                connection.close()
+                loop.call_later(BEGIN_S, self._cut_idle, connection)
+
+    def _cut_idle(self, connection: Any) -> None:
+        """Cut a connection on which no request has begun."""
+        if self.idle.is_idle(connection):
+            connection.force_close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and note the use of its connection."""
--- a/src/dandelionplank/router/idle.py
+++ b/src/dandelionplank/router/idle.py
@@ -55,6 +55,11 @@
         use.open_requests -= 1
         use.idle_since_s = time.monotonic()
 
+    def is_idle(self, connection: Any) -> bool:
+        """Tell whether a connection carries no request."""
+        use = self.uses.get(connection)
+        return use is None or not use.open_requests
+
     async def run(self) -> None:
         """Check all connections once a period."""
         while True:
--- a/src/dandelionplank/routing/admission.py
+++ b/src/dandelionplank/routing/admission.py
@@ -13,7 +13,7 @@
 # is needed to read the prompt.
 WAIT_SHARE = 0.7
 # Part of the remaining time within which a late answer must be expected.
-LATE_SHARE = 0.5
+LATE_SHARE = 0.0
 SHORTEST_RETRY_S = 0.25
 LONGEST_RETRY_S = 4.0
 
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -27,6 +27,8 @@
 SMALLEST_SAMPLE_TOKENS = 2000
 # Work that may wait inside a target, in seconds of reading.
 QUEUE_S = 0.25
+# Part of the slots that is used.
+RUNNING_SHARE = 1.0
 # A plain target's report of its own load is believed for this long.
 REPORT_AGE_S = 0.5
 
@@ -96,7 +98,7 @@
 
         :param others: load that the other instances put on the target
         """
-        if self.running + others.running >= self.slots:
+        if self.running + others.running >= self.slots * RUNNING_SHARE:
             return False
         unread = self.unread_tokens + others.unread_tokens
         if unread <= 0:
