Leaving instances take no new connections once the balancer has moved on

Cause: connections were accepted until the end of the grace, and a stream that had begun before SIGTERM kept its connection for another request; both were cut at the end (LOST).

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from aiohttp.http_exceptions import HttpProcessingError
 
 from dandelionplank.delivery.answers import AnswerMarks
 from dandelionplank.delivery.codec import RequestCodec
@@ -23,6 +24,13 @@
 NO_BODY_METHOD = 'HEAD'
 FIRST_FAILURE_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
+# A broken connection, bytes that are no answer, or a body that ends early.
+BROKEN_ANSWER = (
+    aiohttp.ClientError,
+    HttpProcessingError,
+    OSError,
+    ValueError,
+)
 
 
 class Attempt:
@@ -77,7 +85,7 @@
             raise self._error('connection was closed', Outcome.NOT_RUN)
         try:
             return await self._own_answer(self.connection)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except BROKEN_ANSWER as error:
             self.state = AttemptState.UNKNOWN
             raise self._error(repr(error), Outcome.UNKNOWN) from error
 
@@ -89,7 +97,7 @@
         assert self.answer is not None
         try:
             body = await self.answer.body.read()
-        except (aiohttp.ClientError, OSError) as error:
+        except BROKEN_ANSWER as error:
             self.state = AttemptState.UNKNOWN
             raise self._error(repr(error), Outcome.UNKNOWN) from error
         self.is_read_whole = True
@@ -110,7 +118,7 @@
                 events = framer.feed(chunk)
                 if events:
                     yield events
-        except (aiohttp.ClientError, OSError) as error:
+        except BROKEN_ANSWER as error:
             self.state = AttemptState.UNKNOWN
             raise self._error(repr(error), Outcome.UNKNOWN) from error
         if framer.remainder:
@@ -137,7 +145,7 @@
             if not marks.request_id or marks.request_id == wanted:
                 break
             connection.keeps_alive = False
-            with contextlib.suppress(aiohttp.ClientError):
+            with contextlib.suppress(*BROKEN_ANSWER):
                 await answer.body.read()
         self.answer = answer
         self.marks = marks
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -29,7 +29,7 @@
 
 # The balancer takes an instance out after two misses, a second apart; until
 # then new connections still come.
-ROTATION_S = 3.5
+ROTATION_S = 2.9
 # Time kept free at the end of the grace for closing.
 CLOSING_S = 0.5
 DRAIN_POLL_S = 0.05
@@ -168,6 +168,7 @@
         log_event(Event.LEAVING, open_requests=self.gateway.open_requests)
         ends_s = began_s + self.settings.bounds.grace_s - CLOSING_S
         await asyncio.sleep(ROTATION_S)
+        self.server.stop_accepting()
         while time.monotonic() < ends_s:
             self.server.close_idle()
             if not self.gateway.open_requests:
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -157,6 +157,8 @@
         if answer is not None:
             return self._respond(caller, answer)
         assert sink.response is not None
+        if self.is_leaving:
+            sink.response.force_close()
         self._log(Event.SERVED, caller, status=sink.response.status)
         return sink.response
 
@@ -303,6 +305,7 @@
         log_event(
             Event.CALLER_REFUSED,
             request=facts.request_id,
+            account=self._account_name(facts),
             code=error.code.label,
             status=status,
             step=error.step,
@@ -325,6 +328,11 @@
             response.force_close()
         return response
 
+    def _account_name(self, facts: RequestFacts) -> str:
+        """Return the account of a key for a log line, empty if unknown."""
+        table = self.view.table
+        return table.accounts.get(facts.key, '') if table else ''
+
     def _log(self, event: Event, caller: CallerRequest, **facts: object) -> None:
         """Write the log line of a request that has ended."""
         METRICS.add('requests_total', event=event.name.lower())
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -51,6 +51,11 @@
             backlog=BACKLOG_CONNECTIONS,
         )
 
+    def stop_accepting(self) -> None:
+        """Take no new connections; open ones go on."""
+        if self.listener:
+            self.listener.close()
+
     def close_idle(self) -> None:
         """Close the connections that carry no request.
 
