--- a/src/dandelionplank/__init__.py
+++ b/src/dandelionplank/__init__.py
@@ -1,6 +1,7 @@
 """A router fleet that shares model and application capacity fairly."""
 
 import importlib
+import types
 from typing import TYPE_CHECKING, Any
 
 from dandelionplank.errors import (
@@ -32,10 +33,12 @@
 
 # Loaded at first use: the grammar and the configuration model would double
 # the time that a gateway needs to start.
-_LAZY_MODULES = {
-    'Configuration': 'dandelionplank.configuration.model',
-    'parse_statement': 'dandelionplank.operators.language',
-}
+_LAZY_MODULES = types.MappingProxyType(
+    {
+        'Configuration': 'dandelionplank.configuration.model',
+        'parse_statement': 'dandelionplank.operators.language',
+    },
+)
 
 
 def __getattr__(name: str) -> Any:  # noqa: WPS413 (module-level laziness)
--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
@@ -23,7 +24,7 @@
 STEP = 'attempt'
 NO_BODY_METHOD = 'HEAD'
 FIRST_FAILURE_STATUS = 500
-SUCCESS_STATUSES = range(200, 300)
+SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # A broken connection, bytes that are no answer, or a body that ends early.
 BROKEN_ANSWER = (
     aiohttp.ClientError,
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -108,13 +108,15 @@
         """Close the connection without waiting for what is unsent."""
         self.protocol.abort()
 
-    def _answer(self, message: RawResponseMessage, body: StreamReader) -> Answer:
+    def _answer(
+        self, message: RawResponseMessage, body: StreamReader
+    ) -> Answer:
         """Wrap an answer and note how long the target keeps idle ones."""
         self.keeps_alive = not message.should_close
         stated = message.headers.get('Keep-Alive', '')
         _, _, seconds = stated.partition('timeout=')
         digits = seconds.partition(',')[0].strip()
-        if digits.isdigit():
+        if digits.isdecimal():
             self.idle_limit_s = int(digits) * IDLE_SHARE
         return Answer(
             message.code,
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -473,22 +473,17 @@
 async def _first_success(
     tasks: set[asyncio.Task[WholeAnswer | None]],
 ) -> WholeAnswer | None:
-    """Return the first good answer, or the last failure.
+    """Return the first good answer, or the last one.
 
     :raises DandelionplankError: no attempt has an answer
     """
-    pending = tasks
-    failure: BaseException | None = None
     answer: WholeAnswer | None = None
-    while pending:
-        done, pending = await asyncio.wait(
-            pending,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in done:
-            failure = task.exception() or failure
-            if task.exception() is None:
-                answer = task.result() or answer
+    failure: DandelionplankError | None = None
+    for ended in asyncio.as_completed(tasks):
+        try:
+            answer = await ended or answer
+        except DandelionplankError as error:
+            failure = error
         if answer and answer.status < FIRST_FAILURE_STATUS:
             return answer
     if answer is None and failure is not None:
--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -31,7 +31,9 @@
         turndown = self.scheduler.submit(waiting, now_s)
         if turndown:
             raise _refusal(turndown)
-        future = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Grant] = (
+            asyncio.get_running_loop().create_future()
+        )
         self.futures[id(waiting)] = future
         self._run(waiting.service, now_s)
         try:
@@ -79,7 +81,8 @@
     def _run_due(self) -> None:
         """Run the passes that were asked for."""
         self.is_scheduled = False
-        due, self.due = self.due, set()
+        due = tuple(self.due)
+        self.due.clear()
         for service in due:
             self._run(service, time.monotonic())
 
--- a/src/dandelionplank/delivery/events.py
+++ b/src/dandelionplank/delivery/events.py
@@ -27,7 +27,7 @@
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Take in bytes and return the events that are whole now."""
         pending = self.remainder + chunk
-        events = []
+        events: list[StreamEvent] = []
         while True:
             end = _end_of_event(pending)
             if not end:
@@ -52,5 +52,5 @@
     for line in raw.splitlines():
         if line.startswith(ID_FIELD):
             stated = line[len(ID_FIELD) :].strip()
-            return StreamEvent(raw, int(stated) if stated.isdigit() else None)
+            return StreamEvent(raw, int(stated) if stated.isdecimal() else None)
     return StreamEvent(raw, None)
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Coroutine
+from http import HTTPStatus
 from typing import Any, Protocol, Self
 
 from aiohttp import web
@@ -212,11 +213,11 @@
         self,
         address: Address,
         path: str,
-        handler: Any,
+        answer: Any,
     ) -> None:
         """Serve one page on an address of its own."""
         application = web.Application()
-        application.router.add_get(path, handler)
+        application.router.add_get(path, answer)
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
         await web.TCPSite(runner, address.ip, address.port).start()
@@ -229,12 +230,16 @@
             others_s = self.board.freshest_view_s(time.monotonic())
             is_ready = others_s > self.view.age_s
         METRICS.set_gauge('ready', float(is_ready))
-        return web.Response(status=200 if is_ready else 503)
+        return web.Response(
+            status=HTTPStatus.OK
+            if is_ready
+            else HTTPStatus.SERVICE_UNAVAILABLE,
+        )
 
     async def _metrics(self, request: web.Request) -> web.Response:
         """Return the metrics as text."""
         METRICS.set_gauge('open_requests', self.gateway.open_requests)
-        METRICS.set_gauge('view_age_seconds', min(self.view.age_s, 1e6))
+        METRICS.set_gauge('view_age_seconds', self.view.known_age_s)
         METRICS.set_gauge('peers', len(self.board.heard))
         return web.Response(text=METRICS.render())
 
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -30,13 +30,15 @@
 READ_REPEATS = 2
 RENEWALS_PER_TTL = 3
 FAILED_RENEWAL_PAUSE_S = 1.0
+# Instances that start together do not renew together.
+RENEWAL_SPREAD = (0.8, 1.2)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerReport)
 
 
 class Presence(Protocol):
-    """This instance's entry in the store."""
+    """Entry of an instance in the store."""
 
     async def renew(self, ttl_s: float) -> None:
         """Write the entry, or renew its lease."""
@@ -87,19 +89,20 @@
     async def listen(self, address: Address) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(
+        opened = await loop.create_datagram_endpoint(
             lambda: self,
             (address.ip, address.port),
         )
+        self.transport = opened[0]
 
     def datagram_received(
         self,
-        data: bytes,
+        block: bytes,
         addr: tuple[str, int],
     ) -> None:
         """Take in another instance's report."""
         try:
-            report = _DECODER.decode(data)
+            report = _DECODER.decode(block)
         except msgspec.DecodeError:
             METRICS.add('peer_reports_malformed_total')
             return
@@ -117,7 +120,7 @@
         self.scheduler.note_reads(report.reads)
         self.on_heard()
 
-    def error_received(self, exc: OSError) -> None:
+    def error_received(self, exc: Exception) -> None:
         """Count errors of the socket; a report that is lost does no harm."""
         METRICS.add('peer_reports_unsent_total')
 
@@ -155,7 +158,7 @@
             self.sequence,
             self.period_s * IDLE_FACTOR,
             table.version if table else 0,
-            min(self.view.age_s, 1e6),
+            self.view.known_age_s,
             self.is_leaving,
             self.scheduler.shares(),
             {account: round(level) for account, level in levels.items()},
@@ -180,4 +183,4 @@
             pause_s = FAILED_RENEWAL_PAUSE_S
         else:
             pause_s = ttl_s / RENEWALS_PER_TTL
-        await asyncio.sleep(pause_s * (0.8 + 0.4 * random.random()))
+        await asyncio.sleep(pause_s * random.uniform(*RENEWAL_SPREAD))
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -62,6 +62,10 @@
     service: dict[str, float]
     reads: tuple[PromptRead, ...] = ()
 
+    def is_as_new_as(self, other: 'PeerReport') -> bool:
+        """Tell whether another report of the sender brings nothing new."""
+        return self.boot == other.boot and self.sequence >= other.sequence
+
 
 @dataclasses.dataclass(slots=True)
 class HeardReport:
@@ -87,9 +91,8 @@
     def hear(self, report: PeerReport, now_s: float) -> bool:
         """Take in a report unless it is older than the known one."""
         known = self.heard.get(report.sender)
-        if known and known.report.boot == report.boot:
-            if known.report.sequence >= report.sequence:
-                return False
+        if known and known.report.is_as_new_as(report):
+            return False
         self.heard[report.sender] = HeardReport(report, now_s)
         self._add_up()
         return True
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -16,6 +16,8 @@
 DENIAL_AGE_S = 2.5
 # Beyond this age an instance asks to be left out, if others know more.
 READY_AGE_SHARE = 0.5
+# Stands for the age of a view that was never proven, in reports and logs.
+UNPROVEN_AGE_S = 1_000_000.0
 
 TableListener = Callable[[RouteTable], None]
 
@@ -41,6 +43,11 @@
         """Seconds since the view was certainly current."""
         return boot_time_s() - self.proven_s
 
+    @property
+    def known_age_s(self) -> float:
+        """Age for reports and log lines, bounded if nothing is proven."""
+        return min(self.age_s, UNPROVEN_AGE_S)
+
     @property
     def is_known(self) -> bool:
         """Whether there are a configuration and targets."""
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -1,6 +1,7 @@
 """Callers' requests: routed, authenticated, delivered, answered."""
 
 import asyncio
+import functools
 import time
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -35,6 +36,7 @@
 PATIENCE_PAUSES = 8
 # A request that cannot begin by this much before its caller leaves is refused.
 PATIENCE_SLACK_S = 0.3
+POINTS = 1 << 32
 
 
 class StreamSink:
@@ -93,7 +95,7 @@
         self.is_leaving = False
         self.open_requests = 0
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.open_requests += 1
         started_s = time.monotonic()
@@ -137,7 +139,13 @@
     async def _fetch_shielded(self, caller: CallerRequest) -> WholeAnswer:
         """Let a request that runs at most once end though its caller left."""
         work = asyncio.ensure_future(self.delivery.fetch(caller))
-        return await asyncio.shield(work)
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if not caller.trace.tries:
+                work.cancel()
+            work.add_done_callback(functools.partial(_log_orphan, caller))
+            raise
 
     async def _stream(
         self,
@@ -313,11 +321,14 @@
             outcome=error.outcome.value,
             why=error.reason,
             held_s=round(time.monotonic() - started_s, 3),
-            view_age_s=round(min(self.view.age_s, 1e6), 2),
+            view_age_s=round(self.view.known_age_s, 2),
         )
         METRICS.add('refusals_total', code=error.code.label)
         retry_after_s = error.retry_after_s
-        if error.outcome is Outcome.NOT_RUN and status == 503:
+        if (
+            error.outcome is Outcome.NOT_RUN
+            and status == HTTPStatus.SERVICE_UNAVAILABLE
+        ):
             retry_after_s = retry_after_s or NOT_READY_RETRY_S
         response = web.Response(
             status=status,
@@ -333,7 +344,9 @@
         table = self.view.table
         return table.accounts.get(facts.key, '') if table else ''
 
-    def _log(self, event: Event, caller: CallerRequest, **facts: object) -> None:
+    def _log(
+        self, event: Event, caller: CallerRequest, **facts: object
+    ) -> None:
         """Write the log line of a request that has ended."""
         METRICS.add('requests_total', event=event.name.lower())
         log_event(
@@ -348,6 +361,23 @@
         )
 
 
+def _log_orphan(
+    caller: CallerRequest,
+    work: 'asyncio.Task[WholeAnswer]',
+) -> None:
+    """Write how a request ended whose caller had left."""
+    outcome = 'withdrawn'
+    if not work.cancelled():
+        error = work.exception()
+        outcome = repr(error) if error else 'answered'
+    log_event(
+        Event.CALLER_GONE,
+        request=caller.facts.request_id,
+        outcome=outcome,
+        **caller.trace.facts(),
+    )
+
+
 def _patience_s(route: Route) -> float:
     """Return how long a caller waits for the answer to begin."""
     if route.kind is not RequestKind.STREAM:
@@ -378,4 +408,5 @@
 
 def _point(request_id: str) -> float:
     """Return a point from zero to one that a request's id determines."""
-    return xxhash.xxh32_intdigest(request_id.encode()) / 2**32
+    digest: int = xxhash.xxh32_intdigest(request_id.encode())
+    return digest / POINTS
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -30,13 +30,13 @@
         self.limits = RequestLimits()
         self.idle = IdleConnectionTask(_caller_settings(self.limits))
         view.listeners.append(self._configure)
-        self.server: web.Server[Any] | None = None
+        self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
         """Open the socket."""
         self.server = web.Server(
-            self._handle,
+            self._answer,
             request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
@@ -75,11 +75,11 @@
         if self.idle.is_idle(connection):
             connection.force_close()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and note the use of its connection."""
         self.idle.begin(request.protocol)
         try:
-            return await self.gateway.handle(request)
+            return await self.gateway.answer(request)
         finally:
             self.idle.end(request.protocol)
 
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -4,6 +4,7 @@
 are ignored.
 """
 
+import types
 from typing import Any
 
 import msgspec
@@ -25,12 +26,19 @@
 MILLISECONDS = 1000
 DEFAULT_TIMEOUT_MS = 30_000
 
-_KINDS = {
-    'safe': RequestKind.SAFE,
-    'unsafe': RequestKind.UNSAFE,
-    'streaming': RequestKind.STREAM,
-}
-_STATES = {'ready': TargetState.ACTIVE, 'draining': TargetState.DRAINING}
+_KINDS = types.MappingProxyType(
+    {
+        'safe': RequestKind.SAFE,
+        'unsafe': RequestKind.UNSAFE,
+        'streaming': RequestKind.STREAM,
+    },
+)
+_STATES = types.MappingProxyType(
+    {'ready': TargetState.ACTIVE, 'draining': TargetState.DRAINING},
+)
+# What a document of an unexpected form makes the decoders raise; errors of
+# msgspec are among the value errors.
+_MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
 
 
 class MalformedDocumentError(StoreError):
@@ -56,7 +64,7 @@
             limit=_whole(entry, 'Slots'),
             started_ms=int(entry.get('born', 0)),
         )
-    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         raise MalformedDocumentError(
             f'target entry: {error!r}',
             step=STEP,
@@ -98,7 +106,7 @@
             tuple(_service(each) for each in entry.get('Services', ())),
             _limits(entry.get('Limits') or {}),
         )
-    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         raise MalformedDocumentError(
             f'configuration: {error!r}',
             step=STEP,
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -28,12 +28,12 @@
     async def resync(self, sink: ChangeSink) -> tuple[frozenset[str], int]:
         """Read everything; see :class:`ChangeSource`."""
         reading = await self.store.read_range(EVERYTHING)
-        for item in reading.entries:
-            _apply(item, sink)
+        for change in reading.entries:
+            _apply(change, sink)
         listed = frozenset(
-            item.key.removeprefix(names.TARGET_PREFIX)
-            for item in reading.entries
-            if item.key.startswith(names.TARGET_PREFIX)
+            change.key.removeprefix(names.TARGET_PREFIX)
+            for change in reading.entries
+            if change.key.startswith(names.TARGET_PREFIX)
         )
         return listed, reading.revision
 
@@ -48,47 +48,50 @@
             reading = await self.store.watch(EVERYTHING, revision, wait_s)
         except HistoryLostError:
             return None
-        for item in reading.entries:
-            _apply(item, sink)
+        for change in reading.entries:
+            _apply(change, sink)
         return max(revision, reading.revision)
 
 
-def _apply(item: StoredItem, sink: ChangeSink) -> None:
+def _apply(change: StoredItem, sink: ChangeSink) -> None:
     """Hand one change on as what it is."""
     try:
-        if item.key == names.CONFIGURATION_KEY and item.document is not None:
-            sink.configured(decode_configuration(item.document))
-        elif item.key.startswith(names.TARGET_PREFIX):
-            _apply_target(item, sink)
-        elif item.key.startswith(names.PEER_PREFIX):
-            _apply_peer(item, sink)
+        if (
+            change.key == names.CONFIGURATION_KEY
+            and change.document is not None
+        ):
+            sink.configured(decode_configuration(change.document))
+        elif change.key.startswith(names.TARGET_PREFIX):
+            _apply_target(change, sink)
+        elif change.key.startswith(names.PEER_PREFIX):
+            _apply_peer(change, sink)
     except MalformedDocumentError as error:
-        sink.malformed(item.key, error.reason)
+        sink.malformed(change.key, error.reason)
 
 
-def _apply_target(item: StoredItem, sink: ChangeSink) -> None:
+def _apply_target(change: StoredItem, sink: ChangeSink) -> None:
     """Hand on a change of a target's entry."""
-    name = item.key.removeprefix(names.TARGET_PREFIX)
-    if item.document is None:
+    name = change.key.removeprefix(names.TARGET_PREFIX)
+    if change.document is None:
         sink.target_removed(name)
     else:
-        sink.target_listed(decode_target(name, item.document))
+        sink.target_listed(decode_target(name, change.document))
 
 
-def _apply_peer(item: StoredItem, sink: ChangeSink) -> None:
+def _apply_peer(change: StoredItem, sink: ChangeSink) -> None:
     """Hand on a change of another instance's entry."""
-    name = item.key.removeprefix(names.PEER_PREFIX)
-    if item.document is None:
+    name = change.key.removeprefix(names.PEER_PREFIX)
+    if change.document is None:
         sink.peer_removed(name)
         return
     try:
-        sink.peer_listed(name, msgspec.json.decode(item.document, type=str))
+        sink.peer_listed(name, msgspec.json.decode(change.document, type=str))
     except msgspec.DecodeError as error:
-        sink.malformed(item.key, repr(error))
+        sink.malformed(change.key, repr(error))
 
 
 class StorePresence:
-    """This instance's entry in the store, under a lease."""
+    """Entry of this instance in the store, under a lease."""
 
     def __init__(self, store: PlatformStore, name: str, address: str) -> None:
         """Prepare; nothing is written.
@@ -106,7 +109,8 @@
         :raises StoreError: the entry may not be there
         """
         if self.lease:
-            lease, self.lease = self.lease, 0
+            lease = self.lease
+            self.lease = 0
             await self.store.keep_lease(lease)
             self.lease = lease
             return
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of requests and answers, decoded once into our types."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict
@@ -27,7 +28,6 @@
 LOAD_FIGURES = 3
 MILLISECONDS = 1000
 PERCENT = 100
-HEXADECIMAL = 16
 
 
 def request_facts(headers: Mapping[str, str]) -> RequestFacts:
@@ -43,16 +43,23 @@
 
 def _milliseconds(text: str) -> float | None:
     """Return a duration in seconds, none if the text is not a number."""
+    figures = _figures(text)
+    return figures[0] / MILLISECONDS if len(figures) == 1 else None
+
+
+def _figures(text: str) -> list[float]:
+    """Return the numbers of a list, none if one is not a finite number."""
     try:
-        return float(text) / MILLISECONDS
+        figures = [float(figure) for figure in text.split(',')]
     except ValueError:
-        return None
+        return []
+    return figures if all(map(math.isfinite, figures)) else []
 
 
 def _token_work(headers: Mapping[str, str]) -> TokenWork | None:
     """Decode the size of a model's work; none for plain requests."""
     read, _, write = headers.get(names.TOKENS, '').partition(',')
-    if not (read.strip().isdigit() and write.strip().isdigit()):
+    if not (read.strip().isdecimal() and write.strip().isdecimal()):
         return None
     return TokenWork(
         model=headers.get(names.MODEL, ''),
@@ -66,7 +73,7 @@
     """Decode the parts of a prompt; what is malformed ends the list."""
     for entry in text.split(','):
         part_id, _, tokens = entry.strip().partition(':')
-        if not part_id or not tokens.isdigit():
+        if not part_id or not tokens.isdecimal():
             return
         yield PromptPart(part_id, int(tokens))
 
@@ -148,9 +155,7 @@
     return AnswerMarks(
         request_id=headers.get(names.REQUEST_ID, ''),
         is_stamped=bool(headers.get(names.STAMP)),
-        is_unrun=(
-            names.NOT_RUN in headers or status in NOT_EXECUTED_STATUSES
-        ),
+        is_unrun=(names.NOT_RUN in headers or status in NOT_EXECUTED_STATUSES),
         is_encoded='Content-Encoding' in headers,
         report=_target_report(headers.get(names.LOAD, '')),
     )
@@ -158,20 +163,14 @@
 
 def _target_report(text: str) -> TargetReport | None:
     """Decode a target's load: running, waiting, slots, slowness in per cent."""
-    figures = text.split(',')
+    figures = _figures(text)
     if len(figures) < LOAD_FIGURES:
         return None
-    try:
-        numbers = [float(figure) for figure in figures]
-    except ValueError:
-        return None
-    slowness = PERCENT
-    if len(numbers) > LOAD_FIGURES:
-        slowness = max(PERCENT, int(numbers[LOAD_FIGURES]))
+    slowness = figures[LOAD_FIGURES] if len(figures) > LOAD_FIGURES else 0
     return TargetReport(
-        running=int(numbers[0]),
-        waiting=int(numbers[1]),
-        slowness=slowness / PERCENT,
+        running=int(figures[0]),
+        waiting=int(figures[1]),
+        slowness=max(PERCENT, slowness) / PERCENT,
     )
 
 
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import types
 from http import HTTPStatus
 from typing import Any, Self
 
@@ -19,10 +20,6 @@
 CONNECT_TIMEOUT_S = 1.0
 MILLISECONDS = 1000
 _ENCODER = msgspec.json.Encoder()
-# Nothing was done: the store refused the call before it ran it.
-_REFUSED = frozenset(
-    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
-)
 
 
 class HistoryLostError(StoreError):
@@ -37,6 +34,19 @@
     default_code = ErrorCode.STORE_CONFLICT
 
 
+# What a status says of a call. Where a status is not listed, the call may
+# have run.
+_ERRORS: types.MappingProxyType[int, type[StoreError]] = types.MappingProxyType(
+    {
+        HTTPStatus.GONE: HistoryLostError,
+        HTTPStatus.PRECONDITION_FAILED: StoreConflictError,
+        HTTPStatus.NOT_FOUND: LeaseEndedError,
+        HTTPStatus.TOO_MANY_REQUESTS: StoreError,
+        HTTPStatus.SERVICE_UNAVAILABLE: StoreError,
+    },
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredItem:
     """A key as a change left it.
@@ -215,17 +225,9 @@
 
     def _check(self, status: int, path: str) -> None:
         """Raise the error that a status stands for."""
-        if status == HTTPStatus.OK:
-            return
-        if status == HTTPStatus.GONE:
-            raise HistoryLostError(step=STEP, peer=path)
-        if status == HTTPStatus.PRECONDITION_FAILED:
-            raise StoreConflictError(step=STEP, peer=path)
-        if status == HTTPStatus.NOT_FOUND:
-            raise LeaseEndedError(step=STEP, peer=path)
-        if status in _REFUSED:
-            raise StoreError(f'status {status}', step=STEP, peer=path)
-        raise StoreUnknownError(f'status {status}', step=STEP, peer=path)
+        if status != HTTPStatus.OK:
+            error = _ERRORS.get(status, StoreUnknownError)
+            raise error(f'status {status}', step=STEP, peer=path)
 
 
 def _stored_item(entry: dict[str, Any]) -> StoredItem:
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -71,7 +71,7 @@
 
     @property
     def share(self) -> TargetShare:
-        """This instance's load on the target, for the others."""
+        """Load of this instance on the target, for the others."""
         return TargetShare(
             round(self.unread_tokens),
             self.running,
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -102,10 +102,8 @@
     def _plain_cost(self, load: TargetLoad, now_s: float) -> float:
         """Return the expected cost of one more plain request."""
         ahead = load.plain_load(self.peers.share_of(load.target.name), now_s)
-        is_near = load.target.data_center == self.data_center
-        return ahead * (1 + FAILURE_COST_S * load.health.failure_share) - (
-            NEARNESS_S if is_near else 0
-        )
+        failures = load.health.failure_share * FAILURE_COST_S
+        return ahead * (1 + failures) - self._advantage(load, '')
 
     def _cheapest(
         self,
@@ -114,34 +112,42 @@
         home: str,
     ) -> Placement:
         """Return the engine where wait and reading cost least."""
-        unread = {
-            name: self.loads[name].tokens_to_read(work) for name in names
-        }
+        unread = {name: self.loads[name].tokens_to_read(work) for name in names}
         fewest = min(unread.values())
         is_cold = fewest >= work.read_tokens - COLD_TOKENS
-        best: Placement | None = None
-        best_cost = 0.0
-        for name, read_tokens in unread.items():
-            load = self.loads[name]
-            others = self.peers.share_of(name)
-            wait_s = load.reading_s(_ahead(load, others))
-            cost = (
-                wait_s
-                + load.reading_s(read_tokens)
-                + load.reading_s(read_tokens - fewest) * REREAD_WEIGHT
-                + load.health.failure_share * FAILURE_COST_S
-                - self._advantage(load, home if is_cold else '')
-            )
-            if best is None or cost < best_cost:
-                has_room = load.has_room(read_tokens, others)
-                best = Placement(load, read_tokens, wait_s, has_room)
-                best_cost = cost
-        assert best is not None
-        return best
+        preferred = home if is_cold else ''
+        costs = {
+            name: self._cost(name, read_tokens, read_tokens - fewest)
+            - self._advantage(self.loads[name], preferred)
+            for name, read_tokens in unread.items()
+        }
+        best = min(names, key=costs.__getitem__)
+        load = self.loads[best]
+        others = self.peers.share_of(best)
+        return Placement(
+            load,
+            unread[best],
+            load.reading_s(_ahead(load, others)),
+            load.has_room(unread[best], others),
+        )
+
+    def _cost(self, name: str, read_tokens: float, again: float) -> float:
+        """Return the expected cost of a prompt at an engine, in seconds.
+
+        :param again: tokens beyond those that the best engine must read
+        """
+        load = self.loads[name]
+        ahead = _ahead(load, self.peers.share_of(name))
+        return (
+            load.reading_s(ahead + read_tokens + again * REREAD_WEIGHT)
+            + load.health.failure_share * FAILURE_COST_S
+        )
 
     def _advantage(self, load: TargetLoad, home: str) -> float:
         """Return the advantage of the home and of a near target, in seconds."""
-        advantage_s = HOME_S if load.target.name == home else 0.0
+        advantage_s = 0.0
+        if load.target.name == home:
+            advantage_s += HOME_S
         if load.target.data_center == self.data_center:
             advantage_s += NEARNESS_S
         return advantage_s
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,285 @@
+"""Gateways on stand-ins of the platform: promises under failure."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from dandelionplank_standins.platformengine import TargetFaults
+from tests.fixtures import eventually, run_async
+from tests.platformfleet import configuration, entry_of, platform_fleet
+
+MODEL = {
+    'Dandelionplank-Model': 'm',
+    'Dandelionplank-Token-Usage': '300,20',
+    'Dandelionplank-Prefix-Hash': 'ab:200,cd:100',
+}
+WHOLE_STREAM = b''.join(b'id: %d\ndata: x\n\n' % n for n in range(1, 6))
+
+
+async def when(condition):
+    """Wait until a plain condition holds."""
+
+    async def check():
+        return condition()
+
+    await eventually(check, period_s=0.01)
+
+
+@run_async
+async def test_a_request_reaches_its_target_byte_for_byte():
+    """Path, query, body and unknown headers are passed on unchanged."""
+    path = '/book/a%2Fb/../c?x=%20&y=1&y=1'
+    async with platform_fleet() as fleet:
+        status, body, headers = await fleet.call(
+            path,
+            data=b'\x00\xff body',
+            headers={'X-Other': 'kept', 'Dandelionplank-Tenant': 'forged'},
+        )
+        (run,) = fleet.runs()
+    assert (status, body) == (200, b'\x00\xff body')
+    assert headers['Dandelionplank-Server-Stamp'].endswith(run.request_id)
+    assert run.path == path
+    assert run.headers['X-Other'] == 'kept'
+    assert 'Dandelionplank-Tenant' not in run.headers
+    assert 'Dandelionplank-Key' not in run.headers
+    assert int(run.headers['Dandelionplank-Deadline-Ms']) <= 3000
+
+
+@run_async
+async def test_a_stream_is_passed_on_whole_and_names_the_account():
+    """All events arrive once, and the target learns the key's account."""
+    async with platform_fleet() as fleet:
+        status, body, _ = await fleet.call('/chat/x', headers=MODEL)
+        (run,) = fleet.runs()
+    assert (status, body) == (200, WHOLE_STREAM)
+    assert run.headers['Dandelionplank-Tenant'] == 'account-a'
+
+
+@run_async
+async def test_unknown_routes_and_keys_are_denied():
+    """A current view answers 404 and 401."""
+    async with platform_fleet() as fleet:
+        assert (await fleet.call('/nowhere/'))[0] == 404
+        keys = {'Dandelionplank-Key': 'other'}
+        assert (await fleet.call('/mine/', headers=keys))[0] == 401
+        assert not fleet.runs()
+
+
+@run_async
+async def test_bodies_beyond_the_limit_are_refused():
+    """A body that is too large never reaches a target."""
+    async with platform_fleet() as fleet:
+        status, _, _ = await fleet.call('/book/x', data=b'x' * 20_000)
+        assert status == 413
+        assert not fleet.runs()
+
+
+@run_async
+async def test_a_lost_answer_is_unknown_and_never_a_second_run():
+    """A booking whose answer is lost ends as 502 and has run once."""
+    async with platform_fleet() as fleet:
+        for target in fleet.targets.values():
+            target.faults.loses = 1
+        status, _, headers = await fleet.call('/book/x', data=b'deposit')
+        assert status == 502
+        assert 'Retry-After' not in headers
+        assert len(fleet.runs()) == 1
+
+
+@run_async
+async def test_a_target_that_sheds_is_replaced_by_another():
+    """What a target says it did not run is tried elsewhere."""
+    async with platform_fleet() as fleet:
+        fleet.targets['plain-0'].faults.sheds = 1
+        fleet.targets['plain-1'].faults.sheds = 1
+        status, _, headers = await fleet.call('/book/x', data=b'deposit')
+        assert status == 503
+        assert float(headers['Retry-After']) > 0
+        assert not fleet.runs()
+        fleet.targets['plain-0'].faults.sheds = 1
+        await asyncio.sleep(0.2)
+        assert (await fleet.call('/book/x', data=b'deposit'))[0] == 200
+        assert len(fleet.runs()) == 1
+
+
+@run_async
+async def test_a_failed_safe_request_is_repeated_once():
+    """A target's error on a safe route is tried at another target."""
+    async with platform_fleet() as fleet:
+        for target in fleet.targets.values():
+            target.faults.fails = 1
+        assert (await fleet.call('/look/x'))[0] == 500
+        assert len(fleet.runs()) == 2
+        assert (await fleet.call('/look/x'))[0] == 200
+
+
+@run_async
+async def test_an_answer_to_another_request_is_skipped():
+    """A stray answer in front of the own one reaches nobody."""
+    async with platform_fleet(engines=1) as fleet:
+        fleet.targets['plain-0'].faults.strays = 1
+        status, body, _ = await fleet.call('/book/x', data=b'mine')
+        assert (status, body) == (200, b'mine')
+
+
+@run_async
+async def test_a_resumable_stream_goes_on_at_another_target():
+    """Events come once and in order though the first target broke off."""
+    async with platform_fleet() as fleet:
+        once = TargetFaults(breaks_after=2)
+        for target in fleet.targets.values():
+            target.faults = once
+        status, body, _ = await fleet.call('/draft/x', headers=MODEL)
+        assert (status, body) == (200, WHOLE_STREAM)
+        assert len(fleet.runs()) == 2
+
+
+@run_async
+async def test_a_stream_that_breaks_off_does_not_look_complete():
+    """Without resuming, the caller sees that the answer is cut."""
+    async with platform_fleet() as fleet:
+        for target in fleet.targets.values():
+            target.faults.breaks_after = 2
+        cut = False
+        try:
+            await fleet.call('/chat/x', headers=MODEL)
+        except aiohttp.ClientError:
+            cut = True
+        assert cut
+        assert len(fleet.runs()) == 1
+
+
+@run_async
+async def test_a_revoked_key_is_refused_while_the_store_is_silent():
+    """A view that cannot be proven current admits no keyed request."""
+    async with platform_fleet(revoked_after_s=1.0) as fleet:
+        assert (await fleet.call('/mine/x'))[0] == 200
+        fleet.store.faults.is_silent = True
+        fleet.store.put('op/config', configuration(2, keys=()))
+        await asyncio.sleep(1.0)
+        assert (await fleet.call('/mine/x'))[0] == 503
+        assert (await fleet.call('/look/x'))[0] == 200
+        fleet.store.faults.is_silent = False
+        await when(lambda: fleet.gateways[0].view.table.version == 2)
+        assert (await fleet.call('/mine/x', headers={}))[0] in {200, 401}
+
+
+@run_async
+async def test_a_configuration_is_in_force_and_never_falls_back():
+    """A newer version counts at once; an older one is ignored."""
+    async with platform_fleet() as fleet:
+        view = fleet.gateways[0].view
+        fleet.store.put('op/config', configuration(7, keys=('key-b',)))
+        await when(lambda: view.table.version == 7)
+        assert (await fleet.call('/mine/x'))[0] == 401
+        fleet.store.put('op/config', configuration(5))
+        fleet.store.put('servers/late', entry_of('late', 'plain', '1.1.1.1:1'))
+        await when(lambda: 'late' in view.registry.targets)
+        assert view.table.version == 7
+
+
+@run_async
+async def test_changes_are_found_after_the_store_forgot_its_history():
+    """A watch that comes too late reads everything again."""
+    async with platform_fleet() as fleet:
+        view = fleet.gateways[0].view
+        fleet.store.faults.status = 503
+        await asyncio.sleep(0.1)
+        fleet.store.delete('servers/plain-0')
+        fleet.store.put('op/config', configuration(3))
+        fleet.store.drop_history()
+        fleet.store.faults.status = 0
+        await when(lambda: view.table.version == 3)
+        await when(lambda: 'plain-0' not in view.registry.targets)
+
+
+@run_async
+async def test_a_draining_target_gets_no_more_work():
+    """Draining is final, whatever a later entry says."""
+    async with platform_fleet() as fleet:
+        view = fleet.gateways[0].view
+        entry = fleet.gateways[0].view.registry.targets['plain-0']
+        address = entry.address.text
+        draining = entry_of('plain-0', 'plain', address, State='draining')
+        fleet.store.put('servers/plain-0', draining)
+        await when(lambda: 'plain-0' not in view.registry.targets)
+        ready = entry_of('plain-0', 'plain', address)
+        fleet.store.put('servers/plain-0', ready)
+        fleet.store.put('servers/junk', b'\xff not json')
+        await asyncio.sleep(0.1)
+        for _ in range(6):
+            assert (await fleet.call('/book/x', data=b'd'))[0] == 200
+        assert not fleet.targets['plain-0'].runs
+        restarted = entry_of('plain-0', 'plain', address, born=17)
+        fleet.store.put('servers/plain-0', restarted)
+        await when(lambda: 'plain-0' in view.registry.targets)
+
+
+@run_async
+async def test_a_caller_that_leaves_ends_the_work():
+    """A stream's target sees the connection close soon after."""
+    async with platform_fleet() as fleet:
+        for target in fleet.targets.values():
+            target.events = 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await fleet.call('/chat/x', headers=MODEL)
+        gateway = fleet.gateways[0].gateway
+        await when(lambda: gateway.open_requests == 0)
+        loads = fleet.gateways[0].scheduler.loads.values()
+        assert not any(load.running for load in loads)
+
+
+@run_async
+async def test_shutdown_cuts_off_no_request():
+    """Streams in flight end whole; then new connections are refused."""
+    async with platform_fleet(grace_s=6.0) as fleet:
+        view = fleet.gateways[0].view
+        longer = configuration(2, stream={'TimeoutMs': 9000})
+        fleet.store.put('op/config', longer)
+        await when(lambda: view.table.version == 2)
+        for target in fleet.targets.values():
+            target.events = 350
+        stream = asyncio.ensure_future(
+            fleet.call(
+                '/chat/x',
+                headers={**MODEL, 'Dandelionplank-Deadline-Ms': '9000'},
+            ),
+        )
+        await asyncio.sleep(0.1)
+        leaving = asyncio.ensure_future(fleet.gateways[0].shut_down())
+        await asyncio.sleep(0.1)
+        status, _, headers = await fleet.call('/look/x')
+        assert (status, headers['Connection']) == (200, 'close')
+        status, body, _ = await stream
+        assert (status, body.count(b'id: ')) == (200, 350)
+        await leaving
+
+
+@run_async
+async def test_instances_know_each_others_load():
+    """Reports carry what is sent where, and what prompts are kept there."""
+    async with platform_fleet(gateways=2) as fleet:
+        first, second = fleet.gateways
+        await when(lambda: len(first.board.heard) == 1)
+        for target in fleet.targets.values():
+            target.events = 60
+        stream = asyncio.ensure_future(
+            fleet.call('/chat/x', gateway=1, headers=MODEL),
+        )
+
+        def is_seen():
+            return any(
+                first.board.share_of(name).running for name in fleet.targets
+            )
+
+        await when(is_seen)
+        kept = [
+            load.residency.parts
+            for load in first.scheduler.loads.values()
+            if load.residency and load.residency.parts
+        ]
+        assert kept in ([], [{'ab': 200}])
+        assert (await stream)[0] == 200
+        assert second.exchange.instances == 2
