Ask engines once what they keep; late work waits for idle engines; whole prompts count

(2) What was late anyway delayed what was still on time. Ruled out: refusing in the queue at 0.7 or 1.0 of the objective, reread weight 20, queue 0.4 s, memory of service 8 s: within noise.

--- a/src/dandelionplank/commands/gateway.py
+++ b/src/dandelionplank/commands/gateway.py
@@ -13,6 +13,7 @@
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.logs import LossyStream, start_logging
 from dandelionplank.platform import headers, names
+from dandelionplank.platform.engines import read_kept_parts
 from dandelionplank.platform.follow import StoreChanges, StorePresence
 from dandelionplank.platform.store import PlatformStore
 from dandelionplank.settings import load_yaml
@@ -56,6 +57,7 @@
         StorePresence(store, settings.instance.id, settings.listen.peers),
         headers,
         names.READY_PATH,
+        read_kept_parts,
         store.close,
     )
     await GatewayDaemon.from_settings(settings, parts).run()
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -7,6 +7,9 @@
 from dandelionplank.routing.routes import Route
 from dandelionplank.routing.work import RequestFacts
 
+# Cost of a plain call in tokens, for turns among accounts.
+PLAIN_COST = 1000.0
+
 
 @dataclasses.dataclass(slots=True)
 class Trace:
@@ -84,15 +87,16 @@
 
         :param avoided: targets that have failed it
         """
+        work = self.facts.work
         return Waiting(
             self.facts.request_id,
             self.account,
             self.route,
             self.service,
-            self.facts.work,
+            work,
             self.arrived_s,
             min(self.ends_s, self.first_event_ends_s),
-            cost=0,
+            cost=work.cost if work else PLAIN_COST,
             avoided=avoided,
         )
 
--- a/src/dandelionplank/fairness/waiting.py
+++ b/src/dandelionplank/fairness/waiting.py
@@ -20,7 +20,8 @@
     :param service: the service that answers it
     :param arrived_s: monotonic time of its arrival
     :param ends_s: monotonic time at which it is given up
-    :param cost: estimated cost in tokens
+    :param cost: cost in tokens, cached or not: what an account has received
+        does not depend on what an engine happens to keep
     :param home: target for which it waits, empty if it has none
     :param avoided: targets that have failed it
     """
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Coroutine
 from http import HTTPStatus
-from typing import Any, Protocol, Self
+from typing import Any, Self
 
 from aiohttp import web
 
@@ -21,6 +21,7 @@
 from dandelionplank.fleet.peers import PeerBoard
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.warmup import CacheWarmup, KeptPartsReader
 from dandelionplank.ingress.gateway import Gateway
 from dandelionplank.ingress.server import CallerServer
 from dandelionplank.logs import log_event
@@ -38,13 +39,6 @@
 LEAVE_TIMEOUT_S = 0.3
 
 
-class PlatformClient(ChangeSource, Protocol):
-    """The store as the daemon uses it."""
-
-    async def close(self) -> None:
-        """Close the connections."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformParts:
     """What the platform's adapter provides.
@@ -56,6 +50,7 @@
     presence: Presence
     codec: RequestCodec
     ready_path: str
+    read_kept_parts: KeptPartsReader
     close: Any
 
 
@@ -101,6 +96,11 @@
             settings.store.target_report_s,
             self._forget_targets,
         )
+        self.warmup = CacheWarmup(
+            self.view,
+            self.scheduler,
+            parts.read_kept_parts,
+        )
         self.server = CallerServer(self.gateway, self.view)
         self.stopping = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
@@ -133,6 +133,7 @@
             self.follower.run(),
             self.follower.run_expiry(),
             self.dispatcher.run(),
+            self.warmup.run(),
             self._sweep(),
         ):
             self._spawn(work)
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
-# Memory of service received; near the window in which shares are owed.
-SERVICE_MEMORY_S = 4.0
+# Memory of service received: half of the four seconds in which shares are
+# owed, so that the last window decides whose turn it is.
+SERVICE_MEMORY_S = 2.0
 # A peer is silent when it has missed this many of its own periods.
 MISSED_PERIODS = 6
 
--- a/src/dandelionplank/fleet/settings.py
+++ b/src/dandelionplank/fleet/settings.py
@@ -41,7 +41,6 @@
     """Promises towards callers and operators.
 
     :param revoked_after_s: a revoked key is refused after this time
-    :param drain_s: a draining target gets no work after this time
     :param grace_s: time from SIGTERM to the end of the process
     :param repeat_ratio: repeats per request that the fleet may make
     :param repeat_extra: repeats beyond it in a window
@@ -49,7 +48,6 @@
     """
 
     revoked_after_s: Positive = 5.0
-    drain_s: Positive = 2.0
     grace_s: Positive = 8.0
     repeat_ratio: Positive = 0.2
     repeat_extra: Positive = 56.0
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -128,7 +128,6 @@
         timeout_s=entry.get('TimeoutMs', DEFAULT_TIMEOUT_MS) / MILLISECONDS,
         objective_s=entry.get('GoalMs', DEFAULT_TIMEOUT_MS) / MILLISECONDS,
         attempts=int(entry.get('Attempts', 1)),
-        priority=int(entry.get('Priority', 0)),
         is_public=bool(entry.get('Public')),
         can_resume=bool(entry.get('CanResume')),
         gap_target_s=entry.get('GapTargetMs', 0) / MILLISECONDS,
@@ -143,7 +142,6 @@
         memory = ModelMemory(int(engine['Slots']), int(engine['KvTokens']))
     return RouteService(
         name=entry['Name'],
-        connections=int(entry.get('MaxConns', 0)),
         memory=memory,
     )
 
@@ -160,7 +158,6 @@
             usual.header_timeout_s,
         ),
         idle_timeout_s=_seconds(entry, 'IdleTimeoutMs', usual.idle_timeout_s),
-        tokens_per_s=float(entry.get('TokensPerS', 0)),
     )
 
 
--- a/src/dandelionplank/routing/routes.py
+++ b/src/dandelionplank/routing/routes.py
@@ -44,7 +44,6 @@
     timeout_s: float
     objective_s: float
     attempts: int = 1
-    priority: int = 0
     is_public: bool = False
     can_resume: bool = False
     gap_target_s: float = 0
@@ -87,22 +86,17 @@
     """
 
     name: str
-    connections: int
     memory: ModelMemory | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """What callers may send and how long they may take.
-
-    :param tokens_per_s: cost that all engines together serve in a second
-    """
+    """What callers may send and how long they may take."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     header_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
-    tokens_per_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -34,8 +34,6 @@
 READS_KEPT = 256
 # Retry hint where a service has no target at all.
 NO_TARGET_RETRY_S = 1.0
-# Cost of a plain call in tokens, for turns among accounts.
-PLAIN_COST = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,7 +103,6 @@
         placement = self._place(waiting, names, now_s)
         if placement is None:
             return Turndown(waiting, 'no sound target', NO_TARGET_RETRY_S)
-        waiting.cost = _cost_of(waiting, placement)
         room = self.rooms.setdefault(waiting.service, WaitingRoom())
         if not placement.has_room or room.count:
             prospect = self._prospect(waiting, placement, room, now_s)
@@ -140,7 +137,11 @@
         for _, waiting in zip(range(SCAN_LIMIT), candidates, strict=False):
             self._stop_waiting(waiting)
             placement = self._place(waiting, names, now_s)
-            if placement is None or not placement.has_room:
+            if placement is None or not self._may_send(
+                waiting,
+                placement,
+                now_s,
+            ):
                 self._wait_for(waiting, placement)
                 continue
             grants.append(self._grant(waiting, placement, now_s))
@@ -206,7 +207,6 @@
         load = placement.load
         others = self.peers.share_of(load.target.name)
         self._note_read(waiting, load)
-        waiting.cost = _cost_of(waiting, placement)
         if waiting.account:
             self.received.charge(waiting.account, waiting.cost, now_s)
             level = self.levels.get(waiting.account, 0)
@@ -218,6 +218,25 @@
             placement.first_event_s,
         )
 
+    def _may_send(
+        self,
+        waiting: Waiting,
+        placement: Placement,
+        now_s: float,
+    ) -> bool:
+        """Tell whether a request may be sent to the target chosen for it.
+
+        One that has missed its objective takes only a target that reads
+        nothing else, so that it delays none that is still on time.
+        """
+        if not placement.has_room:
+            return False
+        if waiting.objective_ends_s > now_s:
+            return True
+        name = placement.load.target.name
+        others = self.peers.share_of(name)
+        return placement.load.unread_tokens + others.unread_tokens <= 0
+
     def _note_read(self, waiting: Waiting, load: TargetLoad) -> None:
         """Keep for the other instances which prompt a target reads."""
         work = waiting.work
@@ -298,15 +317,6 @@
             load.queued_tokens = max(0.0, left)
 
 
-def _cost_of(waiting: Waiting, placement: Placement) -> float:
-    """Return the cost of a request at the target chosen for it."""
-    work = waiting.work
-    if work is None:
-        return PLAIN_COST
-    cached = work.read_tokens - placement.read_tokens
-    return work.cost - cached
-
-
 def _is_over(waiting: Waiting, now_s: float) -> bool:
     """Tell whether a waiting request is given up."""
     return now_s >= waiting.ends_s
--- a/src/dandelionplank_standins/platformengine.py
+++ b/src/dandelionplank_standins/platformengine.py
@@ -58,14 +58,23 @@
         self.events = events
         self.faults = TargetFaults()
         self.runs: list[Run] = []
+        self.kept_parts: dict[str, int] | None = {}
 
     @property
     def application(self) -> web.Application:
         """The target's interface over HTTP."""
         application = web.Application()
+        application.router.add_get('/v1/kv-list', self._list_kept)
         application.router.add_route('*', '/{path:.*}', self._serve)
         return application
 
+    async def _list_kept(self, request: web.Request) -> web.Response:
+        """Tell which parts of prompts are kept; nothing if it fails."""
+        if self.kept_parts is None:
+            return web.Response(text='not a list')
+        held = [['', part, size, 'm'] for part, size in self.kept_parts.items()]
+        return web.json_response({'epoch': 1, 'Next': 0, 'held': held})
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         """Run one request, or refuse it."""
         if request.headers.get('Dandelionplank-Expect-Instance') != self.name:
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -18,6 +18,7 @@
     GatewayStore,
 )
 from dandelionplank.platform import headers, names
+from dandelionplank.platform.engines import read_kept_parts
 from dandelionplank.platform.follow import StoreChanges, StorePresence
 from dandelionplank.platform.store import PlatformStore
 from dandelionplank.settings import InstanceSettings
@@ -138,6 +139,7 @@
             StorePresence(store, settings.instance.id, settings.listen.peers),
             headers,
             names.READY_PATH,
+            read_kept_parts,
             store.close,
         ),
     )
