Peers' loads are summed as they come; fewer passes

Cause: each report of a peer summed all reports again and asked for a pass over the waiting requests.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -77,7 +77,6 @@
             self.view,
             self.board,
             self.scheduler,
-            self._wake,
         )
         budgets = Budgets(
             bounds.repeat_ratio,
@@ -250,11 +249,6 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.pool.sweep()
 
-    def _wake(self) -> None:
-        """Look at waiting requests, as the others' load has changed."""
-        for service in self.scheduler.rooms:
-            self.dispatcher.wake(service)
-
     def _forget_targets(self, names: tuple[str, ...]) -> None:
         """Drop connections and state of targets that are gone."""
         for name in names:
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -5,7 +5,6 @@
 import random
 import time
 from collections import deque
-from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -56,17 +55,12 @@
         view: FleetView,
         board: PeerBoard,
         scheduler: Scheduler,
-        on_heard: Callable[[], None],
     ) -> None:
-        """Prepare; no socket is open.
-
-        :param on_heard: is called when the others' load has changed
-        """
+        """Prepare; no socket is open."""
         self.name = name
         self.view = view
         self.board = board
         self.scheduler = scheduler
-        self.on_heard = on_heard
         self.boot = random.getrandbits(BOOT_BITS)
         self.sequence = 0
         self.is_leaving = False
@@ -118,7 +112,6 @@
                 version=report.version,
             )
         self.scheduler.note_reads(report.reads)
-        self.on_heard()
 
     def error_received(self, exc: Exception) -> None:
         """Count errors of the socket; a report that is lost does no harm."""
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable
 
 import msgspec
 
@@ -30,6 +29,9 @@
     queued_tokens: float = 0
 
 
+NO_SHARE = TargetShare()
+
+
 class PromptRead(msgspec.Struct, frozen=True, array_like=True):
     """A prompt that was sent to a target, which keeps its parts from now on.
 
@@ -94,8 +96,9 @@
         known = self.heard.get(report.sender)
         if known and known.report.is_as_new_as(report):
             return False
+        self._forget(report.sender)
         self.heard[report.sender] = HeardReport(report, now_s)
-        self._add_up()
+        self._add(report, 1)
         return True
 
     def expire(self, now_s: float) -> tuple[str, ...]:
@@ -106,9 +109,7 @@
             if not heard.is_fresh(now_s)
         )
         for name in silent:
-            self.heard.pop(name)
-        if silent:
-            self._add_up()
+            self._forget(name)
         return silent
 
     def share_of(self, target: str) -> TargetShare:
@@ -135,30 +136,26 @@
             default=math.inf,
         )
 
-    def _add_up(self) -> None:
-        """Sum the load on each target over all instances."""
-        totals: dict[str, list[TargetShare]] = {}
-        for heard in self.heard.values():
-            for target, share in heard.report.targets.items():
-                totals.setdefault(target, []).append(share)
-        self.shares = {
-            target: _sum_shares(shares) for target, shares in totals.items()
-        }
-
-
-NO_SHARE = TargetShare()
-
-
-def _sum_shares(shares: Iterable[TargetShare]) -> TargetShare:
-    """Add up the load that several instances put on one target."""
-    unread = 0.0
-    running = 0
-    queued = 0.0
-    for share in shares:
-        unread += share.unread_tokens
-        running += share.running
-        queued += share.queued_tokens
-    return TargetShare(unread, running, queued)
+    def _forget(self, sender: str) -> None:
+        """Take the load of an instance's latest report out of the sums."""
+        known = self.heard.pop(sender, None)
+        if known:
+            self._add(known.report, -1)
+
+    def _add(self, report: PeerReport, sign: int) -> None:
+        """Add the load of one report to the sums, or take it out.
+
+        Reports hold whole numbers, so that the sums come back to zero.
+        """
+        for target, share in report.targets.items():
+            total = self.shares.pop(target, NO_SHARE)
+            changed = TargetShare(
+                total.unread_tokens + sign * share.unread_tokens,
+                total.running + sign * share.running,
+                total.queued_tokens + sign * share.queued_tokens,
+            )
+            if changed != NO_SHARE:
+                self.shares[target] = changed
 
 
 def decay(elapsed_s: float) -> float:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -51,7 +51,7 @@
     """The template, filled as the platform does, passes our own checks."""
     text = TEMPLATE.read_text(encoding='utf-8')
     for name, filled in FIELDS.items():
-        text = text.replace('{{' + name + '}}', filled)
+        text = text.replace(name.join(('{{', '}}')), filled)
     assert '{{' not in text
     settings = parse_yaml(text, GatewaySettings, origin='template')
     assert settings.listen.peers == '10.1.0.33:7400'
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -340,6 +340,7 @@
     assert board.expire(5.0) == ('p',)
     assert board.share_of('t').running == 0
     assert board.service(5.0) == {}
+    assert not board.shares
 
 
 def test_service_fades():
