--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import time
 from collections.abc import AsyncIterator, Mapping
 from typing import Protocol
@@ -15,7 +14,13 @@
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.dispatch import Dispatcher
-from dandelionplank.delivery.events import StreamEvent
+from dandelionplank.delivery.progress import (
+    Progress,
+    new_events,
+    note_first_event,
+    note_grant,
+    note_pause,
+)
 from dandelionplank.delivery.requests import CallerRequest, WholeAnswer
 from dandelionplank.errors import (
     DandelionplankError,
@@ -26,7 +31,7 @@
 )
 from dandelionplank.events import Event
 from dandelionplank.logs import log_event
-from dandelionplank.routing.budget import WindowBudget
+from dandelionplank.routing.budget import Budgets
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.routes import RequestKind
 from dandelionplank.routing.scheduler import Grant
@@ -62,27 +67,6 @@
         """Send whole events."""
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What has happened to a request so far.
-
-    :param runs: targets that have got the request and may have run it
-    :param tries: targets that were tried
-    :param last_event_id: last event that the caller got, empty before
-    """
-
-    runs: int = 0
-    tries: int = 0
-    is_started: bool = False
-    last_event_id: int | None = None
-    avoided: tuple[str, ...] = ()
-
-    @property
-    def resume_point(self) -> str:
-        """Id of the last event passed on, empty before the first one."""
-        return '' if self.last_event_id is None else str(self.last_event_id)
-
-
 class Delivery:
     """Delivers requests; one object serves all requests of the process."""
 
@@ -91,7 +75,7 @@
         dispatcher: Dispatcher,
         pool: ConnectionPool,
         codec: RequestCodec,
-        budgets: 'Budgets',
+        budgets: Budgets,
     ) -> None:
         """Keep what every request needs."""
         self.dispatcher = dispatcher
@@ -162,7 +146,7 @@
         """Tell whether a second attempt may start beside the first."""
         if progress.runs == 0 or progress.runs >= request.route.attempts:
             return False
-        return self.budgets.take(request.service)
+        return self.budgets.take(request.service, time.monotonic())
 
     async def _try_whole(
         self,
@@ -173,7 +157,7 @@
         async with self._attempt(request, progress) as attempt:
             answer = await attempt.open()
             body = await attempt.read_whole()
-            _note_first_event(request, attempt.grant)
+            note_first_event(request, attempt.grant)
             self.dispatcher.note_first_event(attempt.grant)
             is_good = answer.status < FIRST_FAILURE_STATUS
             self._check_unrun(attempt)
@@ -227,10 +211,10 @@
                 raise _broken(attempt, f'silent for {silence_s} s') from error
             if events is None:
                 break
-            _note_first_event(request, attempt.grant)
+            note_first_event(request, attempt.grant)
             self.dispatcher.note_first_event(attempt.grant)
-            passed_s = _note_pause(request, passed_s)
-            block = _new_events(events, progress)
+            passed_s = note_pause(request, passed_s)
+            block = new_events(events, progress)
             if block:
                 await self._start(attempt, sink, progress)
                 await sink.write(block)
@@ -266,7 +250,7 @@
         )
         attempt = Attempt(request, grant, self.pool, self.codec)
         progress.tries += 1
-        _note_grant(request, grant)
+        note_grant(request, grant)
         progress.avoided = (*progress.avoided, attempt.target_name)
         progress.runs += 1
         try:
@@ -344,12 +328,12 @@
         if progress.tries >= MOST_UNRUN_TRIES or request.time_left_s <= 0:
             return False
         if outcome is Outcome.NOT_RUN:
-            return self.budgets.take(request.service)
+            return self.budgets.take(request.service, time.monotonic())
         if not request.route.may_repeat:
             return False
         if progress.runs >= request.route.attempts:
             return False
-        return self.budgets.take(request.service)
+        return self.budgets.take(request.service, time.monotonic())
 
     def _whole(self, attempt: Attempt, body: bytes) -> WholeAnswer:
         """Return the target's answer as the caller gets it."""
@@ -374,76 +358,6 @@
         )
 
 
-class Budgets:
-    """The repeat budgets of all services."""
-
-    def __init__(
-        self,
-        ratio: float,
-        extra: float,
-        window_s: float,
-        instances: 'InstanceCount',
-    ) -> None:
-        """Keep the agreed figures; see :class:`WindowBudget`."""
-        self.ratio = ratio
-        self.extra = extra
-        self.window_s = window_s
-        self.instances = instances
-        self.by_service: dict[str, WindowBudget] = {}
-
-    def note_request(self, service: str) -> None:
-        """Count a caller's request."""
-        self._budget(service).note_request(time.monotonic())
-
-    def take(self, service: str) -> bool:
-        """Spend one repeat if the budget allows it."""
-        return self._budget(service).take(time.monotonic(), self.instances())
-
-    def _budget(self, service: str) -> WindowBudget:
-        """Return the budget of one service."""
-        budget = self.by_service.get(service)
-        if budget is None:
-            budget = WindowBudget(self.ratio, self.extra, self.window_s)
-            self.by_service[service] = budget
-        return budget
-
-
-class InstanceCount(Protocol):
-    """Tells how many instances share the budgets."""
-
-    def __call__(self) -> int:
-        """Return the number of instances, this one included."""
-
-
-def _note_grant(request: CallerRequest, grant: Grant) -> None:
-    """Keep for the log line what decided the attempt."""
-    trace = request.trace
-    trace.tries += 1
-    trace.target = grant.load.target.name
-    trace.waited_s = grant.sent.sent_s - request.arrived_s
-    trace.read_tokens = grant.sent.read_tokens
-    trace.expected_s = grant.expected_s
-    trace.tokens_per_s = grant.load.tokens_per_s
-
-
-def _note_first_event(request: CallerRequest, grant: Grant) -> None:
-    """Keep for the log line how long the target took to begin."""
-    if not request.trace.first_event_s:
-        request.trace.first_event_s = time.monotonic() - grant.sent.sent_s
-
-
-def _note_pause(request: CallerRequest, passed_s: float) -> float:
-    """Keep the longest pause for the log line and return the time.
-
-    :param passed_s: when the events before were passed on, zero if none were
-    """
-    now_s = time.monotonic()
-    if passed_s:
-        trace = request.trace
-        trace.longest_pause_s = max(trace.longest_pause_s, now_s - passed_s)
-    return now_s
-
-
 def _broken(attempt: Attempt, reason: str) -> TargetError:
     """Return the error of a stream that does not go on."""
     attempt.state = AttemptState.UNKNOWN
@@ -457,19 +371,6 @@
     )
 
 
-def _new_events(events: list[StreamEvent], progress: Progress) -> bytes:
-    """Return the events that the caller does not have yet."""
-    fresh = []
-    for event in events:
-        if event.event_id is not None:
-            last = progress.last_event_id
-            if last is not None and event.event_id <= last:
-                continue
-            progress.last_event_id = event.event_id
-        fresh.append(event.raw)
-    return b''.join(fresh)
-
-
 async def _first_success(
     tasks: set[asyncio.Task[WholeAnswer | None]],
 ) -> WholeAnswer | None:
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -12,7 +12,7 @@
 
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
-from dandelionplank.delivery.delivery import Budgets, Delivery
+from dandelionplank.delivery.delivery import Delivery
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
@@ -26,6 +26,7 @@
 from dandelionplank.ingress.server import CallerServer
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
+from dandelionplank.routing.budget import Budgets
 from dandelionplank.routing.scheduler import Scheduler
 from dandelionplank.settings import Address
 
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import time
-from collections.abc import Mapping
 from http import HTTPStatus
 
 import xxhash
@@ -21,6 +20,7 @@
 )
 from dandelionplank.events import Event
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.routes import RequestKind, Route, RouteTable
@@ -40,46 +40,6 @@
 POINTS = 4_294_967_296
 
 
-class StreamSink:
-    """Writes a stream to a caller."""
-
-    def __init__(self, request: web.BaseRequest, *, closes: bool) -> None:
-        """Prepare; nothing is sent.
-
-        :param closes: the connection ends with this answer
-        """
-        self.request = request
-        self.closes = closes
-        self.response: web.StreamResponse | None = None
-
-    async def start(
-        self,
-        status: int,
-        reason: str,
-        headers: Mapping[str, str],
-    ) -> None:
-        """Send the head of the answer."""
-        self.response = web.StreamResponse(
-            status=status,
-            reason=reason,
-            headers=headers,
-        )
-        self.response.enable_chunked_encoding()
-        if self.closes:
-            self.response.force_close()
-        await self.response.prepare(self.request)
-
-    async def write(self, block: bytes) -> None:
-        """Send whole events."""
-        assert self.response is not None
-        await self.response.write(block)
-
-    def break_off(self) -> None:
-        """Close the connection, so that the answer cannot look complete."""
-        if self.request.transport:
-            self.request.transport.close()
-
-
 class Gateway:
     """Serves the callers of this instance."""
 
@@ -128,7 +88,7 @@
             account,
             started_s,
         )
-        self.delivery.budgets.note_request(caller.service)
+        self.delivery.budgets.note_request(caller.service, started_s)
         if route.kind is RequestKind.STREAM:
             return await self._stream(request, caller)
         if route.may_repeat:
--- a/src/dandelionplank/routing/budget.py
+++ b/src/dandelionplank/routing/budget.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from typing import Protocol
 
 # Part of the agreed budget that is used; the rest covers instances that
 # have just started or are not known yet.
@@ -51,3 +52,44 @@
         for times in (self.requests, self.repeats):
             while times and times[0] <= now_s - self.window_s:
                 times.popleft()
+
+
+class InstanceCount(Protocol):
+    """Tells how many instances share the budgets."""
+
+    def __call__(self) -> int:
+        """Return the number of instances, this one included."""
+
+
+class Budgets:
+    """The repeat budgets of all services."""
+
+    def __init__(
+        self,
+        ratio: float,
+        extra: float,
+        window_s: float,
+        instances: InstanceCount,
+    ) -> None:
+        """Keep the agreed figures; see :class:`WindowBudget`."""
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        self.instances = instances
+        self.by_service: dict[str, WindowBudget] = {}
+
+    def note_request(self, service: str, now_s: float) -> None:
+        """Count a caller's request."""
+        self._budget(service).note_request(now_s)
+
+    def take(self, service: str, now_s: float) -> bool:
+        """Spend one repeat if the budget allows it."""
+        return self._budget(service).take(now_s, self.instances())
+
+    def _budget(self, service: str) -> WindowBudget:
+        """Return the budget of one service."""
+        budget = self.by_service.get(service)
+        if budget is None:
+            budget = WindowBudget(self.ratio, self.extra, self.window_s)
+            self.by_service[service] = budget
+        return budget
