Say not run only if no target may have run it; keep a target's own failure

Cause: read in the code: a repeat that was refused ended the request as 503 (not run) although its first attempt may have run, and a target's own 500 was replaced by that refusal. Two tests, which failed before, replay both.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -90,13 +90,12 @@
         """
         progress = Progress()
         while True:
+            answer = None
             try:
                 answer = await self._fetch_once(request, progress)
-            except TargetError as error:
-                if not self._may_go_on(request, progress, error.outcome):
-                    raise
-                self._log_repeat(request, error)
-                continue
+            except DandelionplankError as error:
+                if not self._goes_on(request, progress, error):
+                    answer = progress.last_answer(error)
             if answer is not None:
                 return answer
 
@@ -115,10 +114,9 @@
         while True:
             try:
                 return await self._relay_once(request, sink, progress)
-            except TargetError as error:
-                if not self._may_go_on(request, progress, error.outcome):
-                    raise
-                self._log_repeat(request, error)
+            except DandelionplankError as error:
+                if not self._goes_on(request, progress, error):
+                    return progress.last_answer(error)
 
     async def _fetch_once(
         self,
@@ -162,13 +160,15 @@
             is_good = answer.status < FIRST_FAILURE_STATUS
             self._check_unrun(attempt)
             attempt.grant.load.health.note_answer(is_good=is_good)
-            if not is_good and self._may_go_on(
+            whole = self._whole(attempt, body)
+            if is_good or not self._may_go_on(
                 request,
                 progress,
                 Outcome.UNKNOWN,
             ):
-                return None
-            return self._whole(attempt, body)
+                return whole
+            progress.failure = whole
+            return None
 
     async def _relay_once(
         self,
@@ -318,6 +318,20 @@
             outcome=Outcome.NOT_RUN,
         )
 
+    def _goes_on(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+        error: DandelionplankError,
+    ) -> bool:
+        """Tell whether a failed attempt is followed by another one."""
+        if not isinstance(error, TargetError):
+            return False
+        if not self._may_go_on(request, progress, error.outcome):
+            return False
+        self._log_repeat(request, error)
+        return True
+
     def _may_go_on(
         self,
         request: CallerRequest,
--- a/src/dandelionplank/delivery/progress.py
+++ b/src/dandelionplank/delivery/progress.py
@@ -4,7 +4,8 @@
 import time
 
 from dandelionplank.delivery.events import StreamEvent
-from dandelionplank.delivery.requests import CallerRequest
+from dandelionplank.delivery.requests import CallerRequest, WholeAnswer
+from dandelionplank.errors import DandelionplankError, Outcome
 from dandelionplank.routing.scheduler import Grant
 
 
@@ -14,15 +15,29 @@
 
     :param runs: targets that have got the request and may have run it
     :param tries: targets that were tried
-    :param last_event_id: last event that the caller got, empty before
+    :param last_event_id: last event that the caller got, none before
+    :param failure: a target's whole answer that reports a failure
     """
 
     runs: int = 0
     tries: int = 0
     is_started: bool = False
     last_event_id: int | None = None
+    failure: WholeAnswer | None = None
     avoided: tuple[str, ...] = ()
 
+    def last_answer(self, error: DandelionplankError) -> WholeAnswer:
+        """Return a target's own failure, or raise what ended the request.
+
+        :param error: it says "not run" afterwards only if no target may have
+            run the request
+        """
+        if self.failure:
+            return self.failure
+        if self.runs:
+            error.outcome = Outcome.UNKNOWN
+        raise error
+
     @property
     def resume_point(self) -> str:
         """Id of the last event passed on, empty before the first one."""
--- a/src/dandelionplank_standins/platformengine.py
+++ b/src/dandelionplank_standins/platformengine.py
@@ -27,6 +27,8 @@
     :param sheds: requests that are refused as not run
     :param loses: requests that are run and get no answer
     :param breaks_after: events after which one stream breaks off
+    :param runs_left: requests that are run before all others are refused,
+        negative for no such limit
     :param strays: answers to another request that come before the own one
     """
 
@@ -35,6 +37,7 @@
     breaks_after: int = 0
     strays: int = 0
     fails: int = 0
+    runs_left: int = -1
     delay_s: float = 0
 
 
@@ -79,12 +82,13 @@
         """Run one request, or refuse it."""
         if request.headers.get('Dandelionplank-Expect-Instance') != self.name:
             return web.Response(status=421)
-        if self.faults.sheds:
-            self.faults.sheds -= 1
+        if self.faults.sheds or not self.faults.runs_left:
+            self.faults.sheds = max(0, self.faults.sheds - 1)
             return web.Response(
                 status=503,
                 headers={'Dandelionplank-Not-Executed': '1'},
             )
+        self.faults.runs_left -= 1
         body = await request.read()
         self.runs.append(
             Run(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -147,6 +147,29 @@
         assert (await fleet.call('/look/x'))[0] == 200
 
 
+@run_async
+async def test_not_run_is_never_said_of_what_may_have_run():
+    """After a run, a repeat that nobody takes leaves the outcome open."""
+    async with platform_fleet() as fleet:
+        once = TargetFaults(loses=1, runs_left=1)
+        for target in fleet.targets.values():
+            target.faults = once
+        assert (await fleet.call('/look/x'))[0] == 502
+        assert len(fleet.runs()) == 1
+
+
+@run_async
+async def test_a_targets_failure_is_passed_on_if_the_repeat_fails():
+    """The answer that a target made is not replaced by our own."""
+    async with platform_fleet() as fleet:
+        once = TargetFaults(fails=1, runs_left=1)
+        for target in fleet.targets.values():
+            target.faults = once
+        status, _, headers = await fleet.call('/look/x')
+        assert status == 500
+        assert 'Dandelionplank-Server-Stamp' in headers
+
+
 @run_async
 async def test_an_answer_to_another_request_is_skipped():
     """A stray answer in front of the own one reaches nobody."""
