--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -65,6 +65,14 @@
             return await self._serve(request, facts, started_s)
         except DandelionplankError as error:
             return self._refuse(facts, error, started_s)
+        except asyncio.CancelledError:
+            log_event(
+                Event.CALLER_GONE,
+                request=facts.request_id,
+                account=self._account_name(facts),
+                held_s=round(time.monotonic() - started_s, 3),
+            )
+            raise
         finally:
             self.open_requests -= 1
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,7 +7,9 @@
 
 import aiohttp
 
+from dandelionplank.events import Event
 from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.metrics import METRICS
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformengine import TargetFaults
 from tests.fixtures import eventually, only, run_async
@@ -278,11 +280,14 @@
     async with platform_fleet() as fleet:
         for target in fleet.targets.values():
             target.events = 1000
+        told = ('events_total', (('event', str(Event.CALLER_GONE.number)),))
+        before = METRICS.counters[told]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
                 await fleet.call('/chat/x', headers=MODEL)
         gateway = fleet.gateways[0].gateway
         await when(lambda: gateway.open_requests == 0)
+        assert METRICS.counters[told] == before + 1
         loads = fleet.gateways[0].scheduler.loads.values()
         assert not any(load.running for load in loads)
 
