--- a/src/dandelionplank/commands/gateway.py
+++ b/src/dandelionplank/commands/gateway.py
@@ -48,6 +48,11 @@
 
 async def _serve(settings: GatewaySettings) -> None:
     """Build and run the daemon inside the event loop."""
+    await build_daemon(settings).run()
+
+
+def build_daemon(settings: GatewaySettings) -> GatewayDaemon:
+    """Return a gateway on the platform's adapter."""
     store = PlatformStore.from_address(
         settings.store.address,
         settings.store.call_timeout_s,
@@ -60,7 +65,7 @@
         read_kept_parts,
         store.close,
     )
-    await GatewayDaemon.from_settings(settings, parts).run()
+    return GatewayDaemon.from_settings(settings, parts)
 
 
 def main() -> None:
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -50,7 +50,6 @@
     reason: str
     headers: Mapping[str, str]
     body: StreamReader
-    keeps_alive: bool
 
 
 class TargetConnection:
@@ -123,7 +122,6 @@
             message.reason or '',
             message.headers,
             body,
-            self.keeps_alive,
         )
 
 
@@ -139,19 +137,16 @@
         target: Target,
         *,
         may_repeat: bool,
-        fresh: bool = False,
     ) -> TargetConnection:
         """Return a connection on which nothing is under way.
 
         :param may_repeat: the request may run again if the connection turns
             out to be closed
-        :param fresh: use no earlier connection
         :raises TargetError: no connection came about; nothing was sent
         """
-        if not fresh:
-            found = self._reuse(target.name, may_repeat=may_repeat)
-            if found:
-                return found
+        found = self._reuse(target.name, may_repeat=may_repeat)
+        if found:
+            return found
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -77,11 +77,6 @@
         """Seconds until the request is given up."""
         return self.ends_s - time.monotonic()
 
-    @property
-    def first_answer_s(self) -> float:
-        """Seconds left to meet the objective."""
-        return self.arrived_s + self.route.objective_s - time.monotonic()
-
     def to_waiting(self, avoided: tuple[str, ...]) -> Waiting:
         """Return the request's place among those that wait.
 
--- a/src/dandelionplank/fleet/registry.py
+++ b/src/dandelionplank/fleet/registry.py
@@ -4,7 +4,7 @@
 list because their leases lapsed while the store was away.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from dandelionplank.targets import Target, TargetState
 
@@ -72,24 +72,6 @@
             self.remove(name)
         return gone
 
-    def resync(
-        self,
-        listed: Mapping[str, Target],
-        keep_until_s: float,
-    ) -> tuple[str, ...]:
-        """Replace what is known by a whole listing.
-
-        :param keep_until_s: time until which targets that are not listed
-            are kept, in the past if they are gone at once
-        :return: names that are not listed
-        """
-        for target in listed.values():
-            self.put(target)
-        absent = tuple(self.targets.keys() - listed.keys())
-        for name in absent:
-            self.miss(name, keep_until_s)
-        return absent
-
     def of_service(self, service: str) -> tuple[Target, ...]:
         """Return a service's targets in the order of their names."""
         return self.by_service.get(service, ())
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -37,6 +37,5 @@
 READY_PATH = '/v1/ready'
 
 CONFIGURATION_KEY = 'op/config'
-CONFIGURATION_PREFIX = 'op/'
 TARGET_PREFIX = 'servers/'
 PEER_PREFIX = 'fleet/'
--- a/src/dandelionplank/routing/admission.py
+++ b/src/dandelionplank/routing/admission.py
@@ -9,11 +9,6 @@
 
 # Time that an answer takes besides the wait and the reading.
 ANSWER_S = 0.15
-# Part of the objective that a request may have spent waiting; what is left
-# is needed to read the prompt.
-WAIT_SHARE = 0.7
-# Part of the remaining time within which a late answer must be expected.
-LATE_SHARE = 0.0
 SHORTEST_RETRY_S = 0.25
 LONGEST_RETRY_S = 4.0
 
@@ -35,20 +30,9 @@
         return self.wait_s + self.reading_s + ANSWER_S
 
 
-def is_hopeless(
-    prospect: Prospect,
-    *,
-    objective_left_s: float,
-    time_left_s: float,
-) -> bool:
-    """Tell whether a request should be refused at once.
-
-    A request that can meet its objective is admitted; one that cannot is
-    admitted while a late answer is likely.
-    """
-    if prospect.answer_s <= objective_left_s:
-        return False
-    return prospect.answer_s > time_left_s * LATE_SHARE
+def is_hopeless(prospect: Prospect, objective_left_s: float) -> bool:
+    """Tell whether a request cannot meet its objective any more."""
+    return prospect.answer_s > objective_left_s
 
 
 def retry_after_s(prospect: Prospect, spread: float) -> float:
--- a/src/dandelionplank/routing/residency.py
+++ b/src/dandelionplank/routing/residency.py
@@ -45,8 +45,3 @@
         while self.tokens > self.capacity and self.parts:
             _, dropped = self.parts.popitem(last=False)
             self.tokens -= dropped
-
-    def forget(self) -> None:
-        """Forget everything; the target has restarted."""
-        self.parts.clear()
-        self.tokens = 0
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -106,11 +106,7 @@
         room = self.rooms.setdefault(waiting.service, WaitingRoom())
         if not placement.has_room or room.count:
             prospect = self._prospect(waiting, placement, room, now_s)
-            if is_hopeless(
-                prospect,
-                objective_left_s=waiting.objective_ends_s - now_s,
-                time_left_s=waiting.ends_s - now_s,
-            ):
+            if is_hopeless(prospect, waiting.objective_ends_s - now_s):
                 return Turndown(
                     waiting,
                     f'expected wait {prospect.wait_s:.2f} s',
@@ -155,7 +151,7 @@
             waiting
             for room in self.rooms.values()
             for waiting in room.everyone()
-            if _is_over(waiting, now_s)
+            if now_s >= waiting.ends_s
         ]
         for waiting in ended:
             self.withdraw(waiting)
@@ -315,8 +311,3 @@
         if load:
             left = load.queued_tokens - waiting.home_tokens
             load.queued_tokens = max(0.0, left)
-
-
-def _is_over(waiting: Waiting, now_s: float) -> bool:
-    """Tell whether a waiting request is given up."""
-    return now_s >= waiting.ends_s
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -10,17 +10,13 @@
 from yarl import URL
 
 from bench.fleet import reserve_ports
-from dandelionplank.fleet.daemon import GatewayDaemon, PlatformParts
+from dandelionplank.commands.gateway import build_daemon
 from dandelionplank.fleet.settings import (
     GatewayBounds,
     GatewayListen,
     GatewaySettings,
     GatewayStore,
 )
-from dandelionplank.platform import headers, names
-from dandelionplank.platform.engines import read_kept_parts
-from dandelionplank.platform.follow import StoreChanges, StorePresence
-from dandelionplank.platform.store import PlatformStore
 from dandelionplank.settings import InstanceSettings
 from dandelionplank_standins.platformengine import TargetStandin
 from dandelionplank_standins.platformstore import StoreStandin
@@ -129,22 +125,6 @@
     )
 
 
-def build_gateway(settings):
-    """Return a gateway on the platform's adapter."""
-    store = PlatformStore.from_address(settings.store.address, 0.3)
-    return GatewayDaemon.from_settings(
-        settings,
-        PlatformParts(
-            StoreChanges(store),
-            StorePresence(store, settings.instance.id, settings.listen.peers),
-            headers,
-            names.READY_PATH,
-            read_kept_parts,
-            store.close,
-        ),
-    )
-
-
 async def serve(application):
     """Serve an application; return its address and its runner."""
     address = f'127.0.0.1:{reserve_ports(1)[0]}'
@@ -177,7 +157,7 @@
         fleet = PlatformFleet(store, targets, [], [], session)
         for number in range(gateways):
             address = f'127.0.0.1:{reserve_ports(1)[0]}'
-            daemon = build_gateway(
+            daemon = build_daemon(
                 settings_of(number, address, store_address, **bounds),
             )
             await daemon.start()
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -271,8 +271,7 @@
 def test_admission_follows_the_objective(wait_s, left_s, expected):
     """Only what can still meet its objective is admitted."""
     prospect = Prospect(wait_s - 0.15, 0)
-    refused = is_hopeless(prospect, objective_left_s=left_s, time_left_s=9)
-    assert refused is expected
+    assert is_hopeless(prospect, left_s) is expected
 
 
 @given(
@@ -367,7 +366,7 @@
     registry = TargetRegistry()
     registry.put(target('t'))
     registry.put(target('u'))
-    registry.resync({'u': target('u')}, keep_until_s=2.0)
+    registry.miss('t', 2.0)
     assert registry.expire(1.9) == ()
     assert len(registry.of_service('llm')) == 2
     registry.put(target('t'))
