Apply changed bounds without a restart; end writes to a closed connection

Cause: SIGHUP wrote a line that said 'reloaded', but nothing was read. The platform changes settings files with and without a signal. A task now looks at the file once a second and after SIGHUP, applies bounds, names the sections that need a restart, and keeps what is in force if the file is not valid (event 106).

--- a/src/dandelionplank/commands/gateway.py
+++ b/src/dandelionplank/commands/gateway.py
@@ -43,16 +43,19 @@
     start_logging(loaded.log_level, LossyStream(sys.stdout.fileno()))
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    uvloop.run(_serve(loaded))
+    uvloop.run(_serve(loaded, settings))
 
 
-async def _serve(settings: GatewaySettings) -> None:
+async def _serve(settings: GatewaySettings, path: Path) -> None:
     """Build and run the daemon inside the event loop."""
-    await build_daemon(settings).run()
+    await build_daemon(settings, path).run()
 
 
-def build_daemon(settings: GatewaySettings) -> GatewayDaemon:
-    """Return a gateway on the platform's adapter."""
+def build_daemon(settings: GatewaySettings, path: Path) -> GatewayDaemon:
+    """Return a gateway on the platform's adapter.
+
+    :param path: file that the settings come from
+    """
     store = PlatformStore.from_address(
         settings.store.address,
         settings.store.call_timeout_s,
@@ -65,7 +68,7 @@
         read_kept_parts,
         store.close,
     )
-    return GatewayDaemon.from_settings(settings, parts)
+    return GatewayDaemon.from_settings(settings, parts, path)
 
 
 def main() -> None:
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -19,7 +19,12 @@
     READY = (101, Level.INFO, 'the daemon accepts calls')
     LEAVING = (102, Level.INFO, 'graceful shutdown has begun')
     STOPPED = (103, Level.INFO, 'the daemon has ended')
-    RELOADED = (105, Level.INFO, 'the settings have changed; addresses stay')
+    RELOADED = (105, Level.INFO, 'the settings were read again')
+    SETTINGS_REJECTED = (
+        106,
+        Level.WARNING,
+        'changed settings are not valid; the ones before stay in force',
+    )
     TASK_FAILED = (104, Level.ERROR, 'a task ended with an error')
     ROUTED = (200, Level.INFO, 'a ticket was granted a target')
     REFUSED = (201, Level.INFO, 'a call was refused')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Coroutine
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any, Self
 
 from aiohttp import web
@@ -19,6 +20,7 @@
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
 from dandelionplank.fleet.peers import PeerBoard
+from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CacheWarmup, KeptPartsReader
@@ -58,8 +60,16 @@
 class GatewayDaemon:
     """One instance that serves callers through the platform."""
 
-    def __init__(self, settings: GatewaySettings, parts: PlatformParts) -> None:
-        """Build the tasks; nothing listens yet."""
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        parts: PlatformParts,
+        settings_path: Path,
+    ) -> None:
+        """Build the tasks; nothing listens yet.
+
+        :param settings_path: file that the settings come from
+        """
         self.settings = settings
         self.parts = parts
         bounds = settings.bounds
@@ -79,7 +89,8 @@
             self.board,
             self.scheduler,
         )
-        budgets = Budgets(
+        self.reloading = SettingsFollower(settings_path, settings, self._apply)
+        self.budgets = Budgets(
             bounds.repeat_ratio,
             bounds.repeat_extra,
             bounds.repeat_window_s,
@@ -87,7 +98,7 @@
         )
         self.gateway = Gateway(
             self.view,
-            Delivery(self.dispatcher, self.pool, parts.codec, budgets),
+            Delivery(self.dispatcher, self.pool, parts.codec, self.budgets),
             parts.codec,
         )
         self.follower = StoreFollower(
@@ -111,16 +122,17 @@
         cls,
         settings: GatewaySettings,
         parts: PlatformParts,
+        settings_path: Path,
     ) -> Self:
         """Build a daemon."""
-        return cls(settings, parts)
+        return cls(settings, parts, settings_path)
 
     async def run(self) -> None:
         """Serve until a signal asks for a graceful shutdown."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reloading.signalled.set)
         await self.start()
         await self.stopping.wait()
         await self.shut_down()
@@ -134,6 +146,7 @@
             self.follower.run_expiry(),
             self.dispatcher.run(),
             self.warmup.run(),
+            self.reloading.run(),
             self._sweep(),
         ):
             self._spawn(work)
@@ -260,9 +273,13 @@
         """Return how many instances share the budgets."""
         return self.exchange.instances
 
-    def _reload(self) -> None:
-        """Note that the settings file has changed.
-
-        Addresses and bounds of a running process stay as they are.
-        """
-        log_event(Event.RELOADED, instance=self.settings.instance.id)
+    def _apply(self, settings: GatewaySettings) -> None:
+        """Take in bounds that have changed."""
+        self.settings = settings
+        bounds = settings.bounds
+        self.view.revoked_after_s = bounds.revoked_after_s
+        self.budgets.change(
+            bounds.repeat_ratio,
+            bounds.repeat_extra,
+            bounds.repeat_window_s,
+        )
--- a/src/dandelionplank/ingress/sinks.py
+++ b/src/dandelionplank/ingress/sinks.py
@@ -1,6 +1,8 @@
 """Where a stream's events go: the caller's connection."""
 
-from collections.abc import Mapping
+import asyncio
+import contextlib
+from collections.abc import Iterator, Mapping
 
 from aiohttp import web
 
@@ -32,14 +34,29 @@
         self.response.enable_chunked_encoding()
         if self.closes:
             self.response.force_close()
-        await self.response.prepare(self.request)
+        with _caller_may_leave():
+            await self.response.prepare(self.request)
 
     async def write(self, block: bytes) -> None:
         """Send whole events."""
         assert self.response is not None
-        await self.response.write(block)
+        with _caller_may_leave():
+            await self.response.write(block)
 
     def break_off(self) -> None:
         """Close the connection, so that the answer cannot look complete."""
         if self.request.transport:
             self.request.transport.close()
+
+
+@contextlib.contextmanager
+def _caller_may_leave() -> Iterator[None]:
+    """Treat a write to a closed connection as the caller's leaving.
+
+    The connection may be closed a moment before the server cancels the task
+    that answers it.
+    """
+    try:
+        yield
+    except ConnectionResetError as error:
+        raise asyncio.CancelledError(str(error)) from error
--- a/src/dandelionplank/routing/budget.py
+++ b/src/dandelionplank/routing/budget.py
@@ -86,6 +86,16 @@
         """Spend one repeat if the budget allows it."""
         return self._budget(service).take(now_s, self.instances())
 
+    def change(self, ratio: float, extra: float, window_s: float) -> None:
+        """Take in other figures; what was spent still counts."""
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        for budget in self.by_service.values():
+            budget.ratio = ratio
+            budget.extra = extra
+            budget.window_s = window_s
+
     def _budget(self, service: str) -> WindowBudget:
         """Return the budget of one service."""
         budget = self.by_service.get(service)
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 import itertools
+import tempfile
+from pathlib import Path
 
 import aiohttp
 from aiohttp import web
@@ -154,11 +156,15 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(auto_decompress=False),
         )
+        settings_directory = stack.enter_context(
+            tempfile.TemporaryDirectory(),
+        )
         fleet = PlatformFleet(store, targets, [], [], session)
         for number in range(gateways):
             address = f'127.0.0.1:{reserve_ports(1)[0]}'
             daemon = build_daemon(
                 settings_of(number, address, store_address, **bounds),
+                Path(settings_directory) / f'gateway-{number}.yaml',
             )
             await daemon.start()
             stack.push_async_callback(stop, daemon)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,11 +4,16 @@
 import contextlib
 import math
 from pathlib import Path
+from unittest import mock
 
 import aiohttp
+import msgspec
+import yaml
+from aiohttp.client_exceptions import ClientConnectionResetError
 
 from dandelionplank.events import Event
 from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.metrics import METRICS
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformengine import TargetFaults
@@ -49,6 +54,11 @@
     await eventually(check, period_s=0.01)
 
 
+def event_counter(event):
+    """Return the key of the counter of an event's log lines."""
+    return ('events_total', (('event', str(event.number)),))
+
+
 def test_the_settings_template_gives_valid_settings():
     """The template, filled as the platform does, passes our own checks."""
     text = TEMPLATE.read_text(encoding='utf-8')
@@ -280,7 +290,7 @@
     async with platform_fleet() as fleet:
         for target in fleet.targets.values():
             target.events = 1000
-        told = ('events_total', (('event', str(Event.CALLER_GONE.number)),))
+        told = event_counter(Event.CALLER_GONE)
         before = METRICS.counters[told]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
@@ -357,3 +367,40 @@
         assert kept in ([], [{'ab': 200}])
         assert (await stream)[0] == 200
         assert second.exchange.instances == 2
+
+
+@run_async
+async def test_a_write_after_the_caller_left_ends_like_its_leaving():
+    """The caller's connection may close between two events."""
+    sink = StreamSink(mock.Mock(), closes=False)
+    sink.response = mock.Mock()
+    sink.response.write = mock.AsyncMock(
+        side_effect=ClientConnectionResetError('closing transport'),
+    )
+    with contextlib.suppress(asyncio.CancelledError):
+        await sink.write(b'data: 1\n\n')
+        raise AssertionError('the write did not end the request')
+
+
+def write_settings(path, gateway, **bounds):
+    """Write a gateway's settings file with other bounds."""
+    document = msgspec.to_builtins(gateway.settings)
+    document['bounds'].update(bounds)
+    path.write_text(yaml.safe_dump(document), encoding='utf-8')
+
+
+@run_async
+async def test_changed_settings_are_applied_without_a_signal():
+    """Bounds change in a running process; broken settings change nothing."""
+    async with platform_fleet(gateways=1) as fleet:
+        gateway = only(fleet.gateways)
+        path = gateway.reloading.path
+        write_settings(path, gateway, revoked_after_s=7, repeat_extra=9)
+        await when(lambda: math.isclose(gateway.view.revoked_after_s, 7))
+        assert math.isclose(gateway.budgets.extra, 9)
+        told = event_counter(Event.SETTINGS_REJECTED)
+        rejected = METRICS.counters[told]
+        path.write_text('bounds: [', encoding='utf-8')
+        gateway.reloading.signalled.set()
+        await when(lambda: METRICS.counters[told] > rejected)
+        assert math.isclose(gateway.view.revoked_after_s, 7)
