Accounts that received less see more room; watch a quarter of the bound again

One instance with most callers of one large account fills each place of an engine at the moment it frees it; the others hear of it up to 0.57 s later and always see the engine full, and they refused small accounts for the queue of the large one. Ruled out: the order inside an instance (accounts take turns there), levels that age out. An account now sees up to twice the usual room the less it received, against the account that received most, and the queues of other instances count in its estimate by the same part. No message is added.

--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -18,7 +18,7 @@
 
 # Part of the bound on revoked keys that one watch waits: after a watch that
 # hangs there is time for several short calls before keyed requests are refused.
-WATCH_SHARE = 0.4
+WATCH_SHARE = 0.25
 # Shortest time between two watches. Targets that start together change the
 # store one by one; each change read by itself would cost a call per instance.
 WATCH_PERIOD_S = 0.5
@@ -101,9 +101,9 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
-        wait_s = self.view.revoked_after_s * WATCH_SHARE
         while True:
             began_s = time.monotonic()
+            wait_s = self.view.revoked_after_s * WATCH_SHARE
             try:
                 # A short call proves the view sooner than a watch that waits.
                 await self._step(0 if self.failures else wait_s)
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -93,17 +93,23 @@
         """Return the time that the target needs to read tokens."""
         return tokens / self.tokens_per_s
 
-    def has_room(self, read_tokens: float, others: TargetShare) -> bool:
+    def has_room(
+        self,
+        read_tokens: float,
+        others: TargetShare,
+        queue_s: float = QUEUE_S,
+    ) -> bool:
         """Tell whether a request may be sent now.
 
         :param others: load that the other instances put on the target
+        :param queue_s: work that may wait inside the target
         """
         if self.running + others.running >= self.slots * RUNNING_SHARE:
             return False
         unread = self.unread_tokens + others.unread_tokens
         if unread <= 0:
             return True
-        return self.reading_s(unread + read_tokens) <= QUEUE_S
+        return self.reading_s(unread + read_tokens) <= queue_s
 
     def send(
         self,
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -12,7 +12,7 @@
 from types import MappingProxyType
 
 from dandelionplank.fleet.peers import PeerBoard, TargetShare
-from dandelionplank.routing.load import TargetLoad
+from dandelionplank.routing.load import QUEUE_S, TargetLoad
 from dandelionplank.routing.rendezvous import pick_instance
 from dandelionplank.routing.work import TokenWork
 
@@ -37,19 +37,23 @@
     """The target chosen for a request.
 
     :param read_tokens: tokens that it must read
-    :param wait_s: expected time until it begins to read
+    :param wait_s: expected time until it begins to read, as far as this
+        instance's requests and those that the target holds decide it
+    :param others_wait_s: time to read what waits at the other instances
     :param has_room: the request may be sent now
     """
 
     load: TargetLoad
     read_tokens: float
     wait_s: float
+    others_wait_s: float
     has_room: bool
 
     @property
     def first_event_s(self) -> float:
         """Expected time until the prompt is read."""
-        return self.wait_s + self.load.reading_s(self.read_tokens)
+        reading_s = self.load.reading_s(self.read_tokens)
+        return self.wait_s + self.others_wait_s + reading_s
 
 
 class TargetOutlook:
@@ -103,9 +107,12 @@
         ahead = self.load.plain_load(self.others, now_s)
         return ahead * (1 + self.failure_s) - self.advantage_s
 
-    def has_room(self, read_tokens: float) -> bool:
-        """Tell whether a request may be sent now."""
-        return self.load.has_room(read_tokens, self.others)
+    def has_room(self, read_tokens: float, queue_s: float) -> bool:
+        """Tell whether a request may be sent now.
+
+        :param queue_s: work that may wait inside the target
+        """
+        return self.load.has_room(read_tokens, self.others, queue_s)
 
 
 Outlooks = Mapping[str, TargetOutlook]
@@ -145,12 +152,14 @@
         work: TokenWork | None,
         now_s: float,
         avoided: Sequence[str] = (),
+        queue_s: float = QUEUE_S,
     ) -> Placement | None:
         """Return the cheapest target, or nothing if there is none.
 
         :param outlooks: sound targets of the service
         :param work: size of a model's work, none for plain requests
         :param avoided: targets that have failed this request
+        :param queue_s: work that may wait inside the target
         """
         usable = outlooks
         if avoided:
@@ -164,7 +173,31 @@
         is_model = next(iter(usable.values())).load.residency is not None
         if work is None or not is_model:
             return _least_loaded(usable, now_s)
-        return _cheapest(usable, work, self._home(outlooks, work.subject))
+        return self._cheapest(usable, work, queue_s)
+
+    def _cheapest(
+        self,
+        outlooks: Outlooks,
+        work: TokenWork,
+        queue_s: float,
+    ) -> Placement:
+        """Return the engine where wait and reading cost least."""
+        unread = _unread_where_kept(outlooks, work)
+        fewest = min(unread.values(), default=work.read_tokens)
+        costs = _costs_s(outlooks, unread, work.read_tokens, fewest)
+        if fewest >= work.read_tokens - COLD_TOKENS:
+            costs[self._home(outlooks, work.subject)] -= HOME_S
+        best = min(costs, key=costs.__getitem__)
+        chosen = outlooks[best]
+        read_tokens = unread.get(best, work.read_tokens)
+        others_tokens = chosen.others.queued_tokens
+        return Placement(
+            chosen.load,
+            read_tokens,
+            chosen.load.reading_s(chosen.ahead_tokens - others_tokens),
+            chosen.load.reading_s(others_tokens),
+            chosen.has_room(read_tokens, queue_s),
+        )
 
     def _home(self, names: Iterable[str], subject: str) -> str:
         """Return the target that all instances prefer for a subject."""
@@ -185,29 +218,28 @@
         outlooks.values(),
         key=lambda outlook: outlook.plain_cost(now_s),
     )
-    return Placement(best.load, 0, 0, best.has_room(0))
+    return Placement(best.load, 0, 0, 0, best.has_room(0, QUEUE_S))
 
 
-def _cheapest(outlooks: Outlooks, work: TokenWork, home: str) -> Placement:
-    """Return the engine where wait and reading cost least."""
-    unread = _unread_where_kept(outlooks, work)
-    fewest = min(unread.values(), default=work.read_tokens)
-    # All engines that keep nothing of the prompt have as much to read.
-    whole = _weighed(work.read_tokens, fewest)
-    costs = {name: outlook.cost_s(whole) for name, outlook in outlooks.items()}
+def _costs_s(
+    outlooks: Outlooks,
+    unread: Mapping[str, float],
+    whole: float,
+    fewest: float,
+) -> dict[str, float]:
+    """Return the expected cost of a prompt at each engine, in seconds.
+
+    :param unread: tokens to read at the engines that keep a part of it
+    :param whole: tokens to read at the others
+    :param fewest: tokens to read at the engine that keeps most
+    """
+    weighed = _weighed(whole, fewest)
+    costs = {
+        name: outlook.cost_s(weighed) for name, outlook in outlooks.items()
+    }
     for name, tokens in unread.items():
         costs[name] = outlooks[name].cost_s(_weighed(tokens, fewest))
-    if home in costs and fewest >= work.read_tokens - COLD_TOKENS:
-        costs[home] -= HOME_S
-    best = min(costs, key=costs.__getitem__)
-    chosen = outlooks[best]
-    read_tokens = unread.get(best, work.read_tokens)
-    return Placement(
-        chosen.load,
-        read_tokens,
-        chosen.load.reading_s(chosen.ahead_tokens),
-        chosen.has_room(read_tokens),
-    )
+    return costs
 
 
 def _unread_where_kept(outlooks: Outlooks, work: TokenWork) -> dict[str, float]:
--- a/src/dandelionplank/routing/rendezvous.py
+++ b/src/dandelionplank/routing/rendezvous.py
@@ -26,5 +26,8 @@
 
 def pick_instance(role: str, instances: Iterable[str]) -> str:
     """Return the instance that holds a role, or nothing if there is none."""
-    ranked = rank_instances(role, instances)
-    return ranked[0] if ranked else ''
+    return min(
+        instances,
+        key=lambda name: (_score(role, name), name),
+        default='',
+    )
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -8,6 +8,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from dandelionplank.fairness.waiting import Waiting, WaitingRoom
 from dandelionplank.fleet.peers import (
@@ -21,7 +22,7 @@
     is_hopeless,
     retry_after_s,
 )
-from dandelionplank.routing.load import Dispatched, TargetLoad
+from dandelionplank.routing.load import QUEUE_S, Dispatched, TargetLoad
 from dandelionplank.routing.placement import (
     Outlooks,
     Placement,
@@ -37,6 +38,13 @@
 # A waiting request is placed anew after this time, or once its target has
 # room; placing all of them at each event costs the more the larger the fleet.
 PLACEMENT_AGE_S = 0.05
+# The soundness of targets and the load that peers put on them are looked up
+# again after this time; it is short against the period of the peers' reports.
+LOOK_AGE_S = 0.01
+NOT_SEEN: tuple[float, Outlooks] = (float('-inf'), MappingProxyType({}))
+# How much more work a target may hold, as a part of the usual limit, before a
+# request of an account that has received nothing lately.
+FAIR_ROOM = 1.0
 # Totals of the service received are added up again after this time.
 LEVELS_AGE_S = 0.05
 # Prompts kept for the next reports to the other instances.
@@ -95,10 +103,12 @@
         self.rooms: dict[str, WaitingRoom] = {}
         self.policies: dict[str, PlacementPolicy] = {}
         self.memories: Mapping[str, ModelMemory | None] = {}
+        self.outlooks: dict[str, tuple[float, Outlooks]] = {}
         self.received = ServiceLevels()
         self.reads: deque[PromptRead] = deque(maxlen=READS_KEPT)
         self.levels: dict[str, float] = {}
         self.levels_s = float('-inf')
+        self.highest = 0.0
 
     def configure(self, table: RouteTable) -> None:
         """Take in the memories of the services' engines."""
@@ -108,6 +118,7 @@
 
     def submit(self, waiting: Waiting, now_s: float) -> Turndown | None:
         """Let a request wait, or turn it down at once."""
+        self._levels(now_s)
         outlooks = self._look(waiting.service, now_s)
         placement = self._place(waiting, outlooks, now_s)
         if placement is None:
@@ -140,7 +151,8 @@
         grants = []
         candidates = room.in_order(self._levels(now_s), now_s)
         for waiting in itertools.islice(candidates, SCAN_LIMIT):
-            if _stays_put(waiting, outlooks, now_s):
+            queue_s = self._queue_s(waiting.account)
+            if _stays_put(waiting, outlooks, queue_s, now_s):
                 continue
             self._stop_waiting(waiting)
             placement = self._place(waiting, outlooks, now_s)
@@ -148,6 +160,7 @@
                 waiting,
                 outlooks[placement.load.target.name],
                 placement.read_tokens,
+                queue_s,
                 now_s,
             ):
                 self._wait_for(waiting, placement, now_s)
@@ -240,14 +253,20 @@
 
     def _look(self, service: str, now_s: float) -> Outlooks:
         """Return the targets of a service that take requests."""
-        policy = self._policy(service)
+        seen_s, outlooks = self.outlooks.get(service, NOT_SEEN)
+        if now_s - seen_s < LOOK_AGE_S:
+            return outlooks
         loads = [self.load_of(target) for target in self.targets_of(service)]
         names = [
             load.target.name
             for load in loads
             if not load.health.is_paused(now_s)
         ]
-        return policy.look(names or [load.target.name for load in loads])
+        if not names:
+            names = [load.target.name for load in loads]
+        outlooks = self._policy(service).look(names)
+        self.outlooks[service] = (now_s, outlooks)
+        return outlooks
 
     def _policy(self, service: str) -> PlacementPolicy:
         """Return the placement of a service."""
@@ -269,8 +288,24 @@
             waiting.work,
             now_s,
             waiting.avoided,
+            self._queue_s(waiting.account),
         )
 
+    def _rank(self, account: str) -> float:
+        """Return what an account received, as a part of the highest level."""
+        if not self.highest:
+            return 0.0
+        return min(1.0, self.levels.get(account, 0) / self.highest)
+
+    def _queue_s(self, account: str) -> float:
+        """Return how much work a target may hold before an account's request.
+
+        An account that received less sees more room. So its requests are not
+        kept out by an instance that serves another account and fills each
+        place at once, without any agreement between the instances.
+        """
+        return QUEUE_S * (1 + FAIR_ROOM * (1 - self._rank(account)))
+
     def _prospect(
         self,
         waiting: Waiting,
@@ -285,8 +320,9 @@
             self._levels(now_s),
         )
         total = sum(room.costs.values()) + waiting.cost
+        others_s = placement.others_wait_s * self._rank(waiting.account)
         return Prospect(
-            placement.wait_s * ahead / max(1.0, total),
+            placement.wait_s * ahead / max(1.0, total) + others_s,
             placement.load.reading_s(placement.read_tokens),
         )
 
@@ -297,6 +333,7 @@
             self.levels = self.peers.service(now_s)
             for account, level in self.received.settle(now_s).items():
                 self.levels[account] = self.levels.get(account, 0) + level
+            self.highest = max(self.levels.values(), default=0.0)
         return self.levels
 
     def _wait_for(
@@ -322,18 +359,24 @@
             load.queued_tokens = max(0.0, left)
 
 
-def _stays_put(waiting: Waiting, outlooks: Outlooks, now_s: float) -> bool:
+def _stays_put(
+    waiting: Waiting,
+    outlooks: Outlooks,
+    queue_s: float,
+    now_s: float,
+) -> bool:
     """Tell whether a request goes on waiting without a new placement."""
     home = outlooks.get(waiting.home)
     if home is None or now_s - waiting.placed_s > PLACEMENT_AGE_S:
         return False
-    return not _may_send(waiting, home, waiting.home_tokens, now_s)
+    return not _may_send(waiting, home, waiting.home_tokens, queue_s, now_s)
 
 
 def _may_send(
     waiting: Waiting,
     outlook: TargetOutlook,
     read_tokens: float,
+    queue_s: float,
     now_s: float,
 ) -> bool:
     """Tell whether a request may be sent to the target chosen for it.
@@ -341,7 +384,7 @@
     One that has missed its objective takes only a target that reads
     nothing else, so that it delays none that is still on time.
     """
-    if not outlook.has_room(read_tokens):
+    if not outlook.has_room(read_tokens, queue_s):
         return False
     if waiting.objective_ends_s > now_s:
         return True
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -14,7 +14,7 @@
 from dandelionplank.errors import StoreError
 from dandelionplank.fairness.waiting import Waiting, WaitingRoom
 from dandelionplank.fleet.clock import boot_time_s
-from dandelionplank.fleet.follower import StoreFollower
+from dandelionplank.fleet.follower import WATCH_SHARE, StoreFollower
 from dandelionplank.fleet.peers import (
     PeerBoard,
     PeerReport,
@@ -23,7 +23,11 @@
     TargetShare,
 )
 from dandelionplank.fleet.registry import TargetRegistry
-from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.view import (
+    KEY_AGE_SHARE,
+    READY_AGE_SHARE,
+    FleetView,
+)
 from dandelionplank.platform import headers
 from dandelionplank.platform.documents import (
     decode_configuration,
@@ -534,6 +538,27 @@
     assert scheduler.run_pass('llm', 0.052)
 
 
+def test_a_watch_that_waits_keeps_the_view_young_enough():
+    """A watch proves the view at its start; the next one waits as long."""
+    assert 2 * WATCH_SHARE <= READY_AGE_SHARE < KEY_AGE_SHARE
+
+
+def test_an_account_that_received_less_sees_more_room():
+    """A flood elsewhere fills each place; small accounts still get in."""
+    board = PeerBoard()
+    shares = {'a': TargetShare(4000, 4, 90_000)}
+    service = {'flood': 500_000.0, 'small': 1000.0}
+    report = PeerReport('p', 1, 1, 1.0, 1, 0.1, False, shares, service)
+    granted = {}
+    for account in ('flood', 'small'):
+        scheduler = scheduler_of('a', board=board)
+        board.hear(report, 0.0)
+        scheduler.submit(ticket(account, work_of('s', 'o')), 0.0)
+        granted[account] = scheduler.run_pass('llm', 0.0)
+    assert not granted['flood']
+    assert granted['small']
+
+
 class BusyStore:
     """A store in which something has changed each time it is asked."""
 
