Take listening ports of tests below the range of outgoing connections

Ports are now taken from 10000 to 32000, which systems do not give to outgoing connections. Ruled out: two tests with one port; they run one after another.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -24,6 +25,8 @@
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 20.0
 POLL_S = 0.05
+# Ports for listening sockets, below the usual range of outgoing connections.
+LISTEN_PORTS = (10_000, 32_000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -372,11 +375,19 @@
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
+    """Return ports that were free a moment ago.
+
+    They lie below those that systems give to outgoing connections, so that
+    no connection of another process takes one before it is used.
+    """
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
         opened = socket.socket()
-        opened.bind(('127.0.0.1', 0))
+        try:
+            opened.bind(('127.0.0.1', random.randint(*LISTEN_PORTS)))
+        except OSError:
+            opened.close()
+            continue
         sockets.append(opened)
     ports = [opened.getsockname()[1] for opened in sockets]
     for opened in sockets:
