Three instances watch the store for fleets of eight and more

Cause: the largest price on the grown fleets was store calls, 0.8 a second and instance for a watch that only proves that nothing has changed. Three instances watch, half a second at a time; the others ask one of them twice a second for its revision and the age of its proof. Equal revisions prove the asker's view from the moment of its question, by its own clock that counts suspension, so that no delay or repeat on the way makes it younger. Another revision, no answer within 0.1 s or an old proof: it asks the store. Small fleets go on as before.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -106,6 +106,7 @@
             parts.source,
             settings.store.target_report_s,
             self._forget_targets,
+            self.exchange,
         )
         self.warmup = CacheWarmup(
             self.view,
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -13,6 +13,12 @@
 from dandelionplank.events import Event
 from dandelionplank.fleet.peers import PeerBoard, PeerReport, PromptRead
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.vouching import (
+    ASK_TIMEOUT_S,
+    ViewAnswer,
+    ViewQuestion,
+    WatchDuty,
+)
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.scheduler import Scheduler
@@ -33,7 +39,7 @@
 RENEWAL_SPREAD = (0.8, 1.2)
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(PeerReport)
+_DECODER = msgspec.msgpack.Decoder(PeerReport | ViewQuestion | ViewAnswer)
 
 
 class Presence(Protocol):
@@ -67,6 +73,9 @@
         self.recent_reads: deque[tuple[PromptRead, ...]] = deque(
             maxlen=READ_REPEATS,
         )
+        # A random start, so that no answer to an earlier process counts here.
+        self.questions = random.getrandbits(BOOT_BITS)
+        self.awaited: asyncio.Future[ViewAnswer] | None = None
         self.transport: asyncio.DatagramTransport | None = None
 
     @property
@@ -94,24 +103,41 @@
         block: bytes,
         addr: tuple[str, int],
     ) -> None:
-        """Take in another instance's report."""
+        """Take in another instance's message."""
         try:
-            report = _DECODER.decode(block)
+            message = _DECODER.decode(block)
         except msgspec.DecodeError:
             METRICS.add('peer_reports_malformed_total')
             return
-        if report.sender == self.name:
-            return
-        is_new = report.sender not in self.board.heard
-        if not self.board.hear(report, time.monotonic()):
-            return
-        if is_new:
-            log_event(
-                Event.MEMBER_ALIVE,
-                instance=report.sender,
-                version=report.version,
-            )
-        self.scheduler.note_reads(report.reads)
+        if isinstance(message, PeerReport):
+            self._hear(message)
+        elif isinstance(message, ViewQuestion):
+            self._answer(message)
+        else:
+            self._take_answer(message)
+
+    @property
+    def duty(self) -> WatchDuty:
+        """Who watches the store."""
+        return WatchDuty.from_fleet(self.name, self.view, self.board)
+
+    async def ask(self) -> ViewAnswer | None:
+        """Return a watcher's answer, none if this instance must watch."""
+        duty = self.duty
+        if duty.is_watcher or self.transport is None:
+            return None
+        self.questions += 1
+        question = ViewQuestion(self.name, self.questions)
+        loop = asyncio.get_running_loop()
+        awaited: asyncio.Future[ViewAnswer] = loop.create_future()
+        self.awaited = awaited
+        self._send(duty.watcher_to_ask(self.questions), question)
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                return await awaited
+        except TimeoutError:
+            METRICS.add('view_questions_unanswered_total')
+            return None
 
     def error_received(self, exc: Exception) -> None:
         """Count errors of the socket; a report that is lost does no harm."""
@@ -132,13 +158,57 @@
         """Send this instance's load to all others."""
         if self.transport is None:
             return
-        block = _ENCODER.encode(self._report())
-        for name, address in tuple(self.view.peers.items()):
-            if name == self.name:
-                continue
-            ip, _, port = address.rpartition(':')
-            METRICS.add('peer_bytes_total', len(block))
-            self.transport.sendto(block, (ip, int(port)))
+        report = _ENCODER.encode(self._report())
+        for name in tuple(self.view.peers):
+            if name != self.name:
+                self._send_block(name, report)
+
+    def _answer(self, question: ViewQuestion) -> None:
+        """Tell another instance how current the view is."""
+        if self.view.revision is None:
+            return
+        answer = ViewAnswer(
+            question.number,
+            self.view.revision,
+            self.view.known_age_s,
+        )
+        self._send(question.sender, answer)
+
+    def _take_answer(self, answer: ViewAnswer) -> None:
+        """Hand an answer to the question that waits for it."""
+        awaited = self.awaited
+        if awaited is None or awaited.done():
+            return
+        if answer.number == self.questions:
+            awaited.set_result(answer)
+
+    def _hear(self, report: PeerReport) -> None:
+        """Take in another instance's report."""
+        if report.sender == self.name:
+            return
+        is_new = report.sender not in self.board.heard
+        if not self.board.hear(report, time.monotonic()):
+            return
+        if is_new:
+            log_event(
+                Event.MEMBER_ALIVE,
+                instance=report.sender,
+                version=report.version,
+            )
+        self.scheduler.note_reads(report.reads)
+
+    def _send(self, name: str, message: ViewQuestion | ViewAnswer) -> None:
+        """Send a message to one instance."""
+        self._send_block(name, _ENCODER.encode(message))
+
+    def _send_block(self, name: str, block: bytes) -> None:
+        """Send an encoded message to an instance, if its address is known."""
+        address = self.view.peers.get(name)
+        if address is None or self.transport is None:
+            return
+        ip, _, port = address.rpartition(':')
+        METRICS.add('peer_bytes_total', len(block))
+        self.transport.sendto(block, (ip, int(port)))
 
     def _report(self) -> PeerReport:
         """Return this instance's load."""
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -11,6 +11,12 @@
 from dandelionplank.fleet.clock import boot_time_s
 from dandelionplank.fleet.registry import RETURN_GRACE_S
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.vouching import (
+    ASK_PERIOD_S,
+    VOUCHED_SHARE,
+    WATCHER_SHARE,
+    Voucher,
+)
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.routes import RouteTable
@@ -83,17 +89,19 @@
         source: ChangeSource,
         target_report_s: float,
         on_targets: Callable[[tuple[str, ...]], None],
+        voucher: Voucher,
     ) -> None:
         """Start without a revision.
 
         :param target_report_s: period at which targets renew their entries
         :param on_targets: is told the names of targets that are gone
+        :param voucher: asks other instances whether the view is current
         """
         self.view = view
         self.source = source
         self.outage_s = target_report_s * MISSED_REPORTS
         self.on_targets = on_targets
-        self.revision: int | None = None
+        self.voucher = voucher
         self.answered_s = time.monotonic()
         self.returned_s = float('-inf')
         self.failures = 0
@@ -102,19 +110,10 @@
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            began_s = time.monotonic()
-            wait_s = self.view.revoked_after_s * WATCH_SHARE
-            try:
-                # A short call proves the view sooner than a watch that waits.
-                await self._step(0 if self.failures else wait_s)
-            except StoreError as error:
-                self._note_failure(error)
-                pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * self.failures)
-                await asyncio.sleep(pause_s * (0.5 + random.random()))
+            if await self._is_vouched():
+                await asyncio.sleep(ASK_PERIOD_S)
             else:
-                pause_s = began_s + WATCH_PERIOD_S - time.monotonic()
-                if self.view.is_known:
-                    await asyncio.sleep(max(0.0, pause_s))
+                await self._watch()
 
     async def run_expiry(self) -> None:
         """Drop targets that were not listed again in time."""
@@ -166,20 +165,58 @@
         self.known_malformed.add(key)
         log_event(Event.DOCUMENT_MALFORMED, key=key, why=reason)
 
+    async def _is_vouched(self) -> bool:
+        """Ask another instance to prove the view; tell whether it is young."""
+        if self.view.revision is None or self.failures:
+            return False
+        asked_s = boot_time_s()
+        answer = await self.voucher.ask()
+        if answer is None or answer.revision != self.view.revision:
+            return False
+        self.view.prove(asked_s - answer.age_s)
+        self.answered_s = time.monotonic()
+        return self.view.age_s < self.view.revoked_after_s * VOUCHED_SHARE
+
+    async def _watch(self) -> None:
+        """Ask the store, and pause before it is asked again."""
+        began_s = time.monotonic()
+        try:
+            # A short call proves the view sooner than a watch that waits.
+            await self._step(0 if self.failures else self._wait_s())
+        except StoreError as error:
+            self._note_failure(error)
+            pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * self.failures)
+            await asyncio.sleep(pause_s * (0.5 + random.random()))
+            return
+        pause_s = began_s + WATCH_PERIOD_S - time.monotonic()
+        if self.view.is_known:
+            await asyncio.sleep(max(0.0, pause_s))
+
+    def _wait_s(self) -> float:
+        """Return how long a watch waits for a change."""
+        duty = self.voucher.duty
+        if not duty.is_watcher:
+            # The watchers have seen a change, or they do not answer.
+            return 0
+        share = WATCHER_SHARE if duty.is_shared else WATCH_SHARE
+        return self.view.revoked_after_s * share
+
     async def _step(self, wait_s: float) -> None:
         """Read everything, or wait for the next changes."""
         asked_s = boot_time_s()
         METRICS.add('store_calls_total')
-        if self.revision is None:
+        if self.view.revision is None:
             listed, revision = await self.source.resync(self)
             self._note_answer(asked_s)
             self._drop_unlisted(listed)
-            self.revision = revision
+            self.view.revision = revision
             self.view.has_targets = True
             return
-        self.revision = await self.source.follow(self, self.revision, wait_s)
+        self.view.revision = await self.source.follow(
+            self, self.view.revision, wait_s
+        )
         self._note_answer(asked_s)
-        if self.revision is None:
+        if self.view.revision is None:
             log_event(Event.VIEW_RESYNCED, why='history dropped')
 
     def _drop_unlisted(self, listed: frozenset[str]) -> None:
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -42,7 +42,7 @@
     parts: tuple[tuple[str, int], ...]
 
 
-class PeerReport(msgspec.Struct, frozen=True, array_like=True):
+class PeerReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """One instance's load, sent to the others.
 
     :param boot: random id of the start of the process
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -34,6 +34,7 @@
         self.table: RouteTable | None = None
         self.registry = TargetRegistry()
         self.peers: dict[str, str] = {}
+        self.revision: int | None = None
         self.proven_s = -math.inf
         self.has_targets = False
         self.listeners: list[TableListener] = []
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,9 +12,14 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 
 from dandelionplank.events import Event
+from dandelionplank.fleet import vouching
+from dandelionplank.fleet.follower import StoreFollower
 from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.vouching import ViewAnswer, WatchDuty
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.metrics import METRICS
+from dandelionplank.platform.follow import StoreChanges
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformengine import TargetFaults
 from tests.fixtures import eventually, only, run_async
@@ -404,3 +409,95 @@
         gateway.reloading.signalled.set()
         await when(lambda: METRICS.counters[told] > rejected)
         assert math.isclose(gateway.view.revoked_after_s, 7)
+
+
+@contextlib.asynccontextmanager
+async def vouching_fleet():
+    """Run three gateways of which one watches the store."""
+    with (
+        mock.patch.object(vouching, 'VOUCHING_FLEET', 3),
+        mock.patch.object(vouching, 'WATCHERS', 1),
+    ):
+        async with platform_fleet(gateways=3) as fleet:
+            await when(
+                lambda: all(
+                    len(gateway.board.heard) == 2 for gateway in fleet.gateways
+                ),
+            )
+            yield fleet
+
+
+@run_async
+async def test_instances_that_do_not_watch_learn_of_changes():
+    """One instance watches; a revoked key is refused by all in time."""
+    async with vouching_fleet() as fleet:
+        duties = [gateway.exchange.duty for gateway in fleet.gateways]
+        assert [duty.is_watcher for duty in duties].count(True) == 1
+        fleet.store.put('op/config', configuration(2, keys=('key-b',)))
+        await when(
+            lambda: all(
+                gateway.view.table.version == 2 for gateway in fleet.gateways
+            ),
+        )
+
+
+@run_async
+async def test_a_vouched_view_stays_current_without_own_calls():
+    """Questions to the watcher take the place of calls to the store."""
+    async with vouching_fleet() as fleet:
+        await asyncio.sleep(1)
+        with mock.patch.object(
+            StoreChanges,
+            'follow',
+            autospec=True,
+            side_effect=StoreChanges.follow,
+        ) as followed:
+            await asyncio.sleep(2)
+        sources = [call.args[0] for call in followed.call_args_list]
+        watchers = [
+            gateway.parts.source
+            for gateway in fleet.gateways
+            if gateway.exchange.duty.is_watcher
+        ]
+        assert set(sources) == set(watchers)
+        for gateway in fleet.gateways:
+            assert gateway.view.may_deny
+            assert not gateway.view.is_stale
+
+
+@run_async
+async def test_without_answers_an_instance_reads_the_store_itself():
+    """Watchers that do not answer leave no view unproven."""
+    async with vouching_fleet() as fleet:
+        for gateway in fleet.gateways:
+            gateway.exchange._answer = lambda question: None
+        fleet.store.put('op/config', configuration(2, keys=('key-b',)))
+        await when(
+            lambda: all(
+                gateway.view.table.version == 2 for gateway in fleet.gateways
+            ),
+        )
+
+
+class LateVoucher:
+    """Answers after a delay, as over a slow link or after a suspension."""
+
+    delay_s = 0.3
+    duty = WatchDuty('a', ('b',), is_shared=True)
+
+    async def ask(self):
+        """Answer late."""
+        await asyncio.sleep(self.delay_s)
+        return ViewAnswer(1, 7, 0.1)
+
+
+@run_async
+async def test_a_late_answer_makes_the_view_no_younger():
+    """A proof counts from the moment of the question."""
+    view = FleetView(5.0)
+    view.revision = 7
+    follower = StoreFollower(view, None, 1.2, lambda names: None, LateVoucher())
+    assert await follower._is_vouched()
+    assert view.age_s > LateVoucher.delay_s
+    view.revision = 8
+    assert not await follower._is_vouched()
