--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -160,7 +160,7 @@
             self.dispatcher.note_first_event(attempt.grant)
             is_good = answer.status < FIRST_FAILURE_STATUS
             self._check_unrun(attempt)
-            attempt.grant.load.health.note_answer(is_good=is_good)
+            _note_outcome(attempt.grant, is_good=is_good)
             whole = self._whole(attempt, body)
             if is_good or not self._may_go_on(
                 request,
@@ -183,12 +183,12 @@
             self._check_unrun(attempt)
             if answer.status not in SUCCESS_STATUSES:
                 body = await attempt.read_whole()
-                attempt.grant.load.health.note_answer(is_good=False)
+                _note_outcome(attempt.grant, is_good=False)
                 if progress.is_started:
                     raise _broken(attempt, f'status {answer.status}')
                 return self._whole(attempt, body)
             await self._pass_events(request, attempt, sink, progress)
-            attempt.grant.load.health.note_answer(is_good=True)
+            _note_outcome(attempt.grant, is_good=True)
             return None
 
     async def _pass_events(
@@ -294,7 +294,7 @@
                 why=error.reason,
             )
         elif error.code is not ErrorCode.TARGET_REFUSED:
-            grant.load.health.note_answer(is_good=False)
+            _note_outcome(grant, is_good=False)
 
     def _check_unrun(self, attempt: Attempt) -> None:
         """Raise if the target says that it did not run the request."""
@@ -369,6 +369,11 @@
         )
 
 
+def _note_outcome(grant: Grant, *, is_good: bool) -> None:
+    """Let a target's soundness follow the outcome of a request."""
+    grant.load.health.note_answer(time.monotonic(), is_good=is_good)
+
+
 async def _next_events(
     attempt: Attempt,
     stream: AsyncIterator[list[StreamEvent]],
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -25,8 +25,12 @@
 # Advantage of a cold subject's home, so that instances that see it first at
 # the same time choose alike, in seconds.
 HOME_S = 0.1
-# Cost of a target per unit of its smoothed share of failures, in seconds.
+# Cost of one expected failure for each good answer: in seconds for a prompt,
+# so that even odds outweigh reading most prefixes once more, and as a multiple
+# of the work ahead for a plain request, since a target that fails at once
+# always looks idle.
 FAILURE_COST_S = 2.0
+PLAIN_FAILURE_COST = 4.0
 # Advantage of a target in the same data centre, in seconds.
 NEARNESS_S = 0.005
 # Targets weighed for a prompt besides those that keep its subject.
@@ -67,7 +71,7 @@
 
     __slots__ = (
         'advantage_s',
-        'failure_s',
+        'failure_odds',
         'kept',
         'load',
         'others',
@@ -79,6 +83,7 @@
         load: TargetLoad,
         others: TargetShare,
         data_center: str,
+        now_s: float,
     ) -> None:
         """Take in the load of the others.
 
@@ -88,7 +93,7 @@
         self.others = others
         self.others_tokens = others.unread_tokens + others.queued_tokens
         self.kept = load.residency.parts if load.residency else NOTHING_KEPT
-        self.failure_s = load.health.failure_share * FAILURE_COST_S
+        self.failure_odds = load.health.failure_odds(now_s)
         is_near = load.target.data_center == data_center
         self.advantage_s = NEARNESS_S if is_near else 0.0
 
@@ -103,7 +108,8 @@
         load = self.load
         ahead = load.unread_tokens + load.queued_tokens + self.others_tokens
         reading_s = (ahead + tokens) / load.tokens_per_s
-        return reading_s + self.failure_s - self.advantage_s
+        failure_s = self.failure_odds * FAILURE_COST_S
+        return reading_s + failure_s - self.advantage_s
 
     def idle_cost_s(self) -> float:
         """Return the expected time until a new request's turn."""
@@ -112,7 +118,8 @@
     def plain_cost(self, now_s: float) -> float:
         """Return the expected cost of one more plain request."""
         ahead = self.load.plain_load(self.others, now_s)
-        return ahead * (1 + self.failure_s) - self.advantage_s
+        failures = self.failure_odds * PLAIN_FAILURE_COST
+        return ahead * (1 + failures) - self.advantage_s
 
     def has_room(self, read_tokens: float, queue_s: float) -> bool:
         """Tell whether a request may be sent now.
@@ -141,7 +148,7 @@
         self.homes: dict[str, str] = {}
         self.ranked: Set[str] = frozenset()
 
-    def look(self, names: Iterable[str]) -> Outlooks:
+    def look(self, names: Iterable[str], now_s: float) -> Outlooks:
         """Return the targets of a service as they stand now."""
         share_of = self.peers.share_of
         return {
@@ -149,6 +156,7 @@
                 self.loads[name],
                 share_of(name),
                 self.data_center,
+                now_s,
             )
             for name in names
         }
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -264,7 +264,7 @@
         ]
         if not names:
             names = [load.target.name for load in loads]
-        outlooks = self._policy(service).look(names)
+        outlooks = self._policy(service).look(names, now_s)
         self.outlooks[service] = (now_s, outlooks)
         return outlooks
 
