Targets that take no connection cost no request; streams in a module of their own

Connections that are not taken spend no budget, and eight of them may be tried (a millisecond each). Ruled out: the pauses of unreachable targets; each of 35 instances has to find out by itself.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -137,6 +137,11 @@
             self.connection.abort()
         self.connection = None
 
+    def broken(self, reason: str) -> TargetError:
+        """Return the error of a stream that does not go on."""
+        self.state = AttemptState.UNKNOWN
+        return self._error(reason, Outcome.UNKNOWN)
+
     async def _own_answer(self, connection: TargetConnection) -> Answer:
         """Return the answer to this request; skip those to earlier ones."""
         wanted = self.request.facts.request_id
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Mapping
-from typing import Protocol
+from collections.abc import AsyncIterator
 
 from dandelionplank.delivery.attempt import (
     FIRST_FAILURE_STATUS,
@@ -14,15 +13,13 @@
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.dispatch import Dispatcher
-from dandelionplank.delivery.events import StreamEvent
 from dandelionplank.delivery.progress import (
     Progress,
-    new_events,
     note_first_event,
     note_grant,
-    note_pause,
 )
 from dandelionplank.delivery.requests import CallerRequest, WholeAnswer
+from dandelionplank.delivery.streams import CallerSink, StreamRelay
 from dandelionplank.errors import (
     DandelionplankError,
     ErrorCode,
@@ -41,33 +38,18 @@
 # A safe request without an answer after this part of its objective is sent
 # to a second target as well.
 HEDGE_SHARE = 0.6
-# A resumable stream that is silent for this many times its longest pause on
-# time goes on at another target.
-SILENCE_PAUSES = 5
 # A target that says it is full or another one rests for this long.
 FULL_REST_S = 0.1
 MISDIRECTED_REST_S = 2.0
 MISDIRECTED = 421
-# Tries at targets that take no connection or do not run the request.
+# Tries at targets that do not run the request.
 MOST_UNRUN_TRIES = 4
+# Tries at targets that take no connection: they cost a millisecond each, and
+# after many targets were lost at once most of the idle ones are dead.
+MOST_UNREACHABLE_TRIES = 8
 UNRUN_RETRY_S = 0.5
 
 
-class CallerSink(Protocol):
-    """Where a stream's events go."""
-
-    async def start(
-        self,
-        status: int,
-        reason: str,
-        headers: Mapping[str, str],
-    ) -> None:
-        """Send the head of the answer."""
-
-    async def write(self, block: bytes) -> None:
-        """Send whole events."""
-
-
 class Delivery:
     """Delivers requests; one object serves all requests of the process."""
 
@@ -185,56 +167,19 @@
                 body = await attempt.read_whole()
                 _note_outcome(attempt.grant, is_good=False)
                 if progress.is_started:
-                    raise _broken(attempt, f'status {answer.status}')
+                    raise attempt.broken(f'status {answer.status}')
                 return self._whole(attempt, body)
-            await self._pass_events(request, attempt, sink, progress)
+            relay = StreamRelay(
+                request,
+                progress,
+                sink,
+                self.codec,
+                self.dispatcher.note_first_event,
+            )
+            await relay.run(attempt)
             _note_outcome(attempt.grant, is_good=True)
             return None
 
-    async def _pass_events(
-        self,
-        request: CallerRequest,
-        attempt: Attempt,
-        sink: CallerSink,
-        progress: Progress,
-    ) -> None:
-        """Pass whole events on until the stream ends."""
-        silence_s = None
-        if request.route.can_resume and request.route.gap_target_s:
-            silence_s = request.route.gap_target_s * SILENCE_PAUSES
-        stream = attempt.events()
-        passed_s = 0.0
-        while True:
-            events = await _next_events(attempt, stream, silence_s)
-            if events is None:
-                break
-            note_first_event(request, attempt.grant)
-            self.dispatcher.note_first_event(attempt.grant)
-            passed_s = note_pause(request, passed_s)
-            block = new_events(events, progress)
-            if block:
-                await self._start(attempt, sink, progress)
-                await sink.write(block)
-        await self._start(attempt, sink, progress)
-
-    async def _start(
-        self,
-        attempt: Attempt,
-        sink: CallerSink,
-        progress: Progress,
-    ) -> None:
-        """Send the head of the answer before the first event."""
-        if progress.is_started:
-            return
-        progress.is_started = True
-        answer = attempt.answer
-        assert answer is not None
-        await sink.start(
-            answer.status,
-            answer.reason,
-            self.codec.caller_headers(answer.headers),
-        )
-
     @contextlib.asynccontextmanager
     async def _attempt(
         self,
@@ -324,7 +269,15 @@
         """Tell whether a failed attempt is followed by another one."""
         if not isinstance(error, TargetError):
             return False
-        if not self._may_go_on(request, progress, error.outcome):
+        if error.code is ErrorCode.TARGET_UNREACHABLE:
+            # Nothing has arrived anywhere, so no budget of repeats is spent.
+            goes_on = (
+                progress.tries < MOST_UNREACHABLE_TRIES
+                and request.time_left_s > 0
+            )
+        else:
+            goes_on = self._may_go_on(request, progress, error.outcome)
+        if not goes_on:
             return False
         self._log_repeat(request, error)
         return True
@@ -374,38 +327,6 @@
     grant.load.health.note_answer(time.monotonic(), is_good=is_good)
 
 
-async def _next_events(
-    attempt: Attempt,
-    stream: AsyncIterator[list[StreamEvent]],
-    silence_s: float | None,
-) -> list[StreamEvent] | None:
-    """Return the next events, nothing at the end of the stream.
-
-    :param silence_s: longest wait, none if only the deadline ends it
-    :raises TargetError: the target was silent for too long
-    """
-    if silence_s is None:
-        return await anext(stream, None)
-    try:
-        async with asyncio.timeout(silence_s):
-            return await anext(stream, None)
-    except TimeoutError as error:
-        raise _broken(attempt, f'silent for {silence_s} s') from error
-
-
-def _broken(attempt: Attempt, reason: str) -> TargetError:
-    """Return the error of a stream that does not go on."""
-    attempt.state = AttemptState.UNKNOWN
-    return TargetError(
-        reason,
-        step=STEP,
-        peer=attempt.target_name,
-        request_id=attempt.request.facts.request_id,
-        code=ErrorCode.TARGET_FAILED,
-        outcome=Outcome.UNKNOWN,
-    )
-
-
 async def _first_success(
     tasks: set[asyncio.Task[WholeAnswer | None]],
 ) -> WholeAnswer | None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,6 +11,7 @@
 import yaml
 from aiohttp.client_exceptions import ClientConnectionResetError
 
+from bench.fleet import reserve_ports
 from dandelionplank.events import Event
 from dandelionplank.fleet import vouching
 from dandelionplank.fleet.follower import StoreFollower
@@ -501,3 +502,20 @@
     assert view.age_s > LateVoucher.delay_s
     view.revision = 8
     assert not await follower._is_vouched()
+
+
+@run_async
+async def test_many_lost_targets_cost_connections_but_no_request():
+    """Refused connections spend no budget; the target that lives is found."""
+    async with platform_fleet(engines=1, repeat_extra=0.1) as fleet:
+        for port in reserve_ports(5):
+            name = f'lost-{port}'
+            address = f'127.0.0.1:{port}'
+            fleet.store.put(
+                f'servers/{name}',
+                entry_of(name, 'plain', address),
+            )
+        gateway = only(fleet.gateways)
+        await when(lambda: len(gateway.view.targets_of('plain')) == 6)
+        status, _, _ = await fleet.call('/book/x', method='POST')
+        assert status == 200
