--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -66,6 +66,17 @@
     STORE_BACK = (504, Level.INFO, 'the key-value service answers again')
     VIEW_RESYNCED = (507, Level.INFO, 'all documents were read again')
     DOCUMENT_MALFORMED = (508, Level.WARNING, 'a document cannot be read')
+    WATCHERS_CHOSEN = (
+        509,
+        Level.INFO,
+        'who reads the store for the fleet has changed',
+    )
+    VOUCHING_LOST = (
+        510,
+        Level.WARNING,
+        'no watcher proves the view; the instance asks the store',
+    )
+    VOUCHING_BACK = (511, Level.INFO, 'a watcher proves the view again')
     CERTIFICATE_LOADED = (505, Level.INFO, 'a new certificate is in use')
     CERTIFICATE_REFUSED = (506, Level.WARNING, 'a certificate is not valid')
     INTENT_WRITTEN = (600, Level.INFO, 'an intent was recorded')
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -102,6 +102,8 @@
         self.outage_s = target_report_s * MISSED_REPORTS
         self.on_targets = on_targets
         self.voucher = voucher
+        self.duty = voucher.duty
+        self.vouching_lost_why = ''
         self.answered_s = time.monotonic()
         self.returned_s = float('-inf')
         self.failures = 0
@@ -169,13 +171,46 @@
         """Ask another instance to prove the view; tell whether it is young."""
         if self.view.revision is None or self.failures:
             return False
+        self._note_duty()
         asked_s = boot_time_s()
         answer = await self.voucher.ask()
-        if answer is None or answer.revision != self.view.revision:
+        if answer is None:
+            if not self.duty.is_watcher:
+                self._note_vouching('no answer')
+            return False
+        if answer.revision != self.view.revision:
             return False
         self.view.prove(asked_s - answer.age_s)
         self.answered_s = time.monotonic()
-        return self.view.age_s < self.view.revoked_after_s * VOUCHED_SHARE
+        limit_s = self.view.revoked_after_s * VOUCHED_SHARE
+        is_young = self.view.age_s < limit_s
+        self._note_vouching('' if is_young else 'old proof')
+        return is_young
+
+    def _note_duty(self) -> None:
+        """Write a log line when other instances read the store."""
+        duty = self.voucher.duty
+        if duty != self.duty:
+            log_event(
+                Event.WATCHERS_CHOSEN,
+                watchers=duty.watchers,
+                is_watcher=duty.is_watcher,
+            )
+        self.duty = duty
+
+    def _note_vouching(self, lost_why: str) -> None:
+        """Write a log line when proofs stop or come again.
+
+        :param lost_why: empty if there is a proof
+        """
+        if bool(lost_why) != bool(self.vouching_lost_why):
+            event = Event.VOUCHING_LOST if lost_why else Event.VOUCHING_BACK
+            log_event(
+                event,
+                why=lost_why or self.vouching_lost_why,
+                view_age_s=round(self.view.age_s, 2),
+            )
+        self.vouching_lost_why = lost_why
 
     async def _watch(self) -> None:
         """Ask the store, and pause before it is asked again."""
@@ -194,11 +229,10 @@
 
     def _wait_s(self) -> float:
         """Return how long a watch waits for a change."""
-        duty = self.voucher.duty
-        if not duty.is_watcher:
+        if not self.duty.is_watcher:
             # The watchers have seen a change, or they do not answer.
             return 0
-        share = WATCHER_SHARE if duty.is_shared else WATCH_SHARE
+        share = WATCHER_SHARE if self.duty.is_shared else WATCH_SHARE
         return self.view.revoked_after_s * share
 
     async def _step(self, wait_s: float) -> None:
