A fault soak of the gateway: processes, relays, signals, overlapping faults

Gateways run as processes; the platform's stand-ins run in the soak, behind relays that hold or reset connections. Documents and settings for stand-ins moved from the tests to bench/platform.py.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 MINUTES ?= 1
+SECONDS ?= 30
 
-.PHONY: demo test lint bench bench-short soak docs clean
+.PHONY: demo test lint bench bench-short soak platform-soak docs clean
 
 $(STAMP): constraints.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -33,6 +34,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m bench.soak --seed $(SEED) --minutes $(MINUTES)
 
+platform-soak: $(STAMP)
+	$(BIN)/python -m bench.platformsoak --seed $(SEED) --seconds $(SECONDS)
+
 docs: $(STAMP)
 	$(BIN)/python -m docs.generate
 
--- /dev/null
+++ b/bench/gatewayprocess.py
@@ -0,0 +1,72 @@
+"""One gateway in a process of its own."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from bench.fleet import reserve_ports
+from bench.links import LinkRelay
+from bench.platform import settings_of
+from dandelionplank.settings import Address
+
+# Bounds of the gateways, as the platform's sheets state them.
+REVOKED_AFTER_S = 5.0
+GRACE_S = 8.0
+
+
+class GatewayProcess:
+    """One gateway, with a relay to the store of its own."""
+
+    def __init__(self, number: int, directory: Path, store: Address) -> None:
+        """Write the settings; nothing runs."""
+        ports = reserve_ports(2)
+        self.relay = LinkRelay(ports[0], store.port, 0)
+        self.address = f'127.0.0.1:{ports[1]}'
+        self.settings = settings_of(
+            number,
+            self.address,
+            f'127.0.0.1:{ports[0]}',
+            revoked_after_s=REVOKED_AFTER_S,
+            grace_s=GRACE_S,
+        )
+        self.path = directory / f'gateway-{number}.yaml'
+        self.log = directory / f'gateway-{number}.log'
+        self.process: subprocess.Popen[bytes] | None = None
+        self.write_settings()
+
+    def write_settings(self, **bounds: float) -> None:
+        """Write the settings file, with other bounds if any are given."""
+        document = msgspec.to_builtins(self.settings)
+        document['bounds'].update(bounds)
+        self.path.write_text(yaml.safe_dump(document), encoding='utf-8')
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open('ab') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'dandelionplank.commands.gateway'],
+                env={**os.environ, 'DANDELIONPLANK_SETTINGS': str(self.path)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    async def wait(self) -> int:
+        """Return the process's exit status."""
+        assert self.process is not None
+        return await asyncio.to_thread(self.process.wait)
--- a/bench/links.py
+++ b/bench/links.py
@@ -26,6 +26,7 @@
         self.is_open = asyncio.Event()
         self.is_open.set()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.transport: asyncio.DatagramTransport | None = None
 
@@ -58,6 +59,11 @@
         """Let everything pass again."""
         self.is_open.set()
 
+    def reset(self) -> None:
+        """Break all open connections off, on both sides."""
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
     def forward(self, payload: bytes) -> None:
         """Pass on one datagram unless the link is cut."""
         if self.is_open.is_set() and self.transport:
@@ -92,12 +98,14 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Copy bytes until either side ends."""
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError):
             while block := await reader.read(READ_BYTES):
                 await asyncio.sleep(self.delay_s)
                 await self.is_open.wait()
                 writer.write(block)
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
 
--- /dev/null
+++ b/bench/platform.py
@@ -0,0 +1,106 @@
+"""Documents, settings and servers for gateways on the platform's stand-ins."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from aiohttp import web
+
+from bench.fleet import reserve_ports
+from dandelionplank.fleet.settings import (
+    GatewayBounds,
+    GatewayListen,
+    GatewaySettings,
+    GatewayStore,
+)
+from dandelionplank.settings import InstanceSettings
+
+HOST = 'shop.example'
+ROUTES: tuple[tuple[str, str, str, dict[str, Any]], ...] = (
+    ('stream', '/chat/', 'streaming', {'GapTargetMs': 300}),
+    ('resume', '/draft/', 'streaming', {'CanResume': True, 'Attempts': 2}),
+    ('unsafe', '/book/', 'unsafe', {'Public': True}),
+    ('safe', '/look/', 'safe', {'Public': True, 'Attempts': 2}),
+    ('keyed', '/mine/', 'safe', {}),
+)
+SERVICES = {'stream': 'llm', 'resume': 'llm'}
+
+
+def configuration(
+    version: int,
+    keys: Sequence[str] = ('key-a',),
+    **changes: dict[str, Any],
+) -> dict[str, Any]:
+    """Return a document of the operator."""
+    routes = []
+    for name, prefix, kind, extra in ROUTES:
+        route = {
+            'Name': name,
+            'Host': HOST,
+            'Prefix': prefix,
+            'Kind': kind,
+            'TimeoutMs': 3000,
+            'GoalMs': 1000,
+            'Attempts': 1,
+            'Service': SERVICES.get(name, 'plain'),
+            **extra,
+            **changes.get(name, {}),
+        }
+        routes.append(route)
+    return {
+        'Version': version,
+        'Routes': routes,
+        'Services': [
+            {'Name': 'llm', 'Engine': {'Slots': 8, 'KvTokens': 90_000}},
+            {'Name': 'plain'},
+        ],
+        'Limits': {'MaxBodyBytes': 10_000, 'IdleTimeoutMs': 5000},
+        'Tenants': [{'Name': 'account-a', 'ApiKeys': list(keys)}],
+    }
+
+
+def entry_of(
+    name: str,
+    service: str,
+    address: str,
+    **changes: Any,
+) -> dict[str, Any]:
+    """Return a target's entry in the store."""
+    return {
+        'Service': service,
+        'Addr': address,
+        'Zone': 'a',
+        'Slots': 8,
+        'State': 'ready',
+        **changes,
+    }
+
+
+def settings_of(
+    number: int,
+    address: str,
+    store_address: str,
+    **bounds: Any,
+) -> GatewaySettings:
+    """Return the settings of a gateway."""
+    ports = reserve_ports(4)
+    return GatewaySettings(
+        InstanceSettings(f'front-{number}', 'a', 'r'),
+        GatewayListen(
+            address,
+            f'127.0.0.1:{ports[0]}',
+            f'127.0.0.1:{ports[1]}',
+            ports[2],
+        ),
+        GatewayStore(store_address, call_timeout_s=0.3),
+        GatewayBounds(**bounds),
+    )
+
+
+async def serve(application: web.Application) -> tuple[str, web.AppRunner]:
+    """Serve an application; return its address and its runner."""
+    address = f'127.0.0.1:{reserve_ports(1)[0]}'
+    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    await runner.setup()
+    ip, _, port = address.partition(':')
+    await web.TCPSite(runner, ip, int(port)).start()
+    return address, runner
--- a/src/dandelionplank_standins/platformengine.py
+++ b/src/dandelionplank_standins/platformengine.py
@@ -11,13 +11,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """A request that was run, as the target got it."""
+    """A request that was run, as the target got it.
+
+    :param at_s: monotonic time at which it began to run
+    """
 
     request_id: str
     method: str
     path: str
     body: bytes
     headers: dict[str, str]
+    at_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,6 +101,7 @@
                 request.raw_path,
                 body,
                 dict(request.headers),
+                asyncio.get_running_loop().time(),
             ),
         )
         if self.faults.loses:
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -8,61 +8,22 @@
 from pathlib import Path
 
 import aiohttp
-from aiohttp import web
 from yarl import URL
 
 from bench.fleet import reserve_ports
-from dandelionplank.commands.gateway import build_daemon
-from dandelionplank.fleet.settings import (
-    GatewayBounds,
-    GatewayListen,
-    GatewaySettings,
-    GatewayStore,
+from bench.platform import (
+    HOST,
+    configuration,
+    entry_of,
+    serve,
+    settings_of,
 )
-from dandelionplank.settings import InstanceSettings
+from dandelionplank.commands.gateway import build_daemon
 from dandelionplank_standins.platformengine import TargetStandin
 from dandelionplank_standins.platformstore import StoreStandin
 
-HOST = 'shop.example'
 START_LIMIT_S = 10
 REQUEST_NUMBERS = itertools.count(1)
-ROUTES = (
-    ('stream', '/chat/', 'streaming', {'GapTargetMs': 300}),
-    ('resume', '/draft/', 'streaming', {'CanResume': True, 'Attempts': 2}),
-    ('unsafe', '/book/', 'unsafe', {'Public': True}),
-    ('safe', '/look/', 'safe', {'Public': True, 'Attempts': 2}),
-    ('keyed', '/mine/', 'safe', {}),
-)
-SERVICES = {'stream': 'llm', 'resume': 'llm'}
-
-
-def configuration(version, keys=('key-a',), **changes):
-    """Return a document of the operator."""
-    routes = []
-    for name, prefix, kind, extra in ROUTES:
-        route = {
-            'Name': name,
-            'Host': HOST,
-            'Prefix': prefix,
-            'Kind': kind,
-            'TimeoutMs': 3000,
-            'GoalMs': 1000,
-            'Attempts': 1,
-            'Service': SERVICES.get(name, 'plain'),
-            **extra,
-            **changes.get(name, {}),
-        }
-        routes.append(route)
-    return {
-        'Version': version,
-        'Routes': routes,
-        'Services': [
-            {'Name': 'llm', 'Engine': {'Slots': 8, 'KvTokens': 90_000}},
-            {'Name': 'plain'},
-        ],
-        'Limits': {'MaxBodyBytes': 10_000, 'IdleTimeoutMs': 5000},
-        'Tenants': [{'Name': 'account-a', 'ApiKeys': list(keys)}],
-    }
 
 
 @dataclasses.dataclass
@@ -99,44 +60,6 @@
         return [run for each in self.targets.values() for run in each.runs]
 
 
-def entry_of(name, service, address, **changes):
-    """Return a target's entry in the store."""
-    return {
-        'Service': service,
-        'Addr': address,
-        'Zone': 'a',
-        'Slots': 8,
-        'State': 'ready',
-        **changes,
-    }
-
-
-def settings_of(number, address, store_address, **bounds):
-    """Return the settings of a gateway."""
-    ports = reserve_ports(4)
-    return GatewaySettings(
-        InstanceSettings(f'front-{number}', 'a', 'r'),
-        GatewayListen(
-            address,
-            f'127.0.0.1:{ports[0]}',
-            f'127.0.0.1:{ports[1]}',
-            ports[2],
-        ),
-        GatewayStore(store_address, call_timeout_s=0.3),
-        GatewayBounds(**bounds),
-    )
-
-
-async def serve(application):
-    """Serve an application; return its address and its runner."""
-    address = f'127.0.0.1:{reserve_ports(1)[0]}'
-    runner = web.AppRunner(application, shutdown_timeout=0.1)
-    await runner.setup()
-    ip, _, port = address.partition(':')
-    await web.TCPSite(runner, ip, int(port)).start()
-    return address, runner
-
-
 @contextlib.asynccontextmanager
 async def platform_fleet(gateways=1, engines=2, **bounds):
     """Run a fleet on stand-ins until the test ends."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 
 from bench.fleet import reserve_ports
+from bench.platform import configuration, entry_of
 from dandelionplank.events import Event
 from dandelionplank.fleet import vouching
 from dandelionplank.fleet.follower import StoreFollower
@@ -24,7 +25,7 @@
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformengine import TargetFaults
 from tests.fixtures import eventually, only, run_async
-from tests.platformfleet import configuration, entry_of, platform_fleet
+from tests.platformfleet import platform_fleet
 
 TEMPLATE = Path(__file__).parent.parent / 'deploy' / 'settings.yaml'
 FIELDS = {
