--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -26,11 +26,10 @@
 # the same time choose alike, in seconds.
 HOME_S = 0.1
 # Cost of one expected failure for each good answer: in seconds for a prompt,
-# so that even odds outweigh reading most prefixes once more, and as a multiple
-# of the work ahead for a plain request, since a target that fails at once
-# always looks idle.
-FAILURE_COST_S = 2.0
-PLAIN_FAILURE_COST = 4.0
+# and as a multiple of the work ahead for a plain request, since a target that
+# fails at once always looks idle.
+FAILURE_COST_S = 1.0
+PLAIN_FAILURE_COST = 10.0
 # Advantage of a target in the same data centre, in seconds.
 NEARNESS_S = 0.005
 # Targets weighed for a prompt besides those that keep its subject.
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -294,7 +294,7 @@
     def _rank(self, account: str) -> float:
         """Return what an account received, as a part of the highest level."""
         if not self.highest:
-            return 0.0
+            return 1.0
         return min(1.0, self.levels.get(account, 0) / self.highest)
 
     def _queue_s(self, account: str) -> float:
