One place for each step of placement, budgets, settings and duties

Cause: read again as a whole, the change did several things twice. Room at a target was worked out in the placement and again before sending; the room of an account twice for each placement; work ahead, and a prompt counted as read, each by two copies of a formula; the watchers were ranked twice for each question; the figures of the repeat budget stood in three places and were copied by hand on a reload; the daemon kept settings that the reload keeps; a refused connection had a check of its own beside the one for all failures; the settings file was looked at twice; three constants for one unit of the wire. Levels of accounts are now refreshed in a step that says so, instead of by calling a getter for its effect. Ruled out: sharing the certificate's file check with the settings' one; it goes by times alone and reports a missing file, so one of them would change. Behaviour, bounds and assertions are as before; two tests build a budget and read its figure through the new type.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -269,15 +269,12 @@
         """Tell whether a failed attempt is followed by another one."""
         if not isinstance(error, TargetError):
             return False
-        if error.code is ErrorCode.TARGET_UNREACHABLE:
-            # Nothing has arrived anywhere, so no budget of repeats is spent.
-            goes_on = (
-                progress.tries < MOST_UNREACHABLE_TRIES
-                and request.time_left_s > 0
-            )
-        else:
-            goes_on = self._may_go_on(request, progress, error.outcome)
-        if not goes_on:
+        if not self._may_go_on(
+            request,
+            progress,
+            error.outcome,
+            has_arrived=error.code is not ErrorCode.TARGET_UNREACHABLE,
+        ):
             return False
         self._log_repeat(request, error)
         return True
@@ -287,17 +284,26 @@
         request: CallerRequest,
         progress: Progress,
         outcome: Outcome,
+        *,
+        has_arrived: bool = True,
     ) -> bool:
-        """Tell whether another target may be tried."""
-        if progress.tries >= MOST_UNRUN_TRIES or request.time_left_s <= 0:
-            return False
-        if outcome is Outcome.NOT_RUN:
-            return self.budgets.take(request.service, time.monotonic())
-        if not request.route.may_repeat:
-            return False
-        if progress.runs >= request.route.attempts:
+        """Tell whether another target may be tried.
+
+        :param has_arrived: the failed attempt reached a target; one that did
+            not spends nothing of the budget of repeats
+        """
+        most = MOST_UNRUN_TRIES if has_arrived else MOST_UNREACHABLE_TRIES
+        if progress.tries >= most or request.time_left_s <= 0:
             return False
-        return self.budgets.take(request.service, time.monotonic())
+        if not has_arrived:
+            return True
+        may_run = outcome is Outcome.NOT_RUN or (
+            request.route.may_repeat and progress.runs < request.route.attempts
+        )
+        return may_run and self.budgets.take(
+            request.service,
+            time.monotonic(),
+        )
 
     def _whole(self, attempt: Attempt, body: bytes) -> WholeAnswer:
         """Return the target's answer as the caller gets it."""
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -21,14 +21,14 @@
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
 from dandelionplank.fleet.peers import PeerBoard
 from dandelionplank.fleet.reload import SettingsFollower
-from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CacheWarmup, KeptPartsReader
 from dandelionplank.ingress.gateway import Gateway
 from dandelionplank.ingress.server import CallerServer
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
-from dandelionplank.routing.budget import Budgets
+from dandelionplank.routing.budget import Budgets, RepeatLimits
 from dandelionplank.routing.scheduler import Scheduler
 from dandelionplank.settings import Address
 
@@ -70,7 +70,6 @@
 
         :param settings_path: file that the settings come from
         """
-        self.settings = settings
         self.parts = parts
         bounds = settings.bounds
         self.view = FleetView(bounds.revoked_after_s)
@@ -90,12 +89,7 @@
             self.scheduler,
         )
         self.reloading = SettingsFollower(settings_path, settings, self._apply)
-        self.budgets = Budgets(
-            bounds.repeat_ratio,
-            bounds.repeat_extra,
-            bounds.repeat_window_s,
-            self._count_instances,
-        )
+        self.budgets = Budgets(_repeat_limits(bounds), self._count_instances)
         self.gateway = Gateway(
             self.view,
             Delivery(self.dispatcher, self.pool, parts.codec, self.budgets),
@@ -118,6 +112,11 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.AppRunner] = []
 
+    @property
+    def settings(self) -> GatewaySettings:
+        """Settings in force."""
+        return self.reloading.settings
+
     @classmethod
     def from_settings(
         cls,
@@ -276,11 +275,15 @@
 
     def _apply(self, settings: GatewaySettings) -> None:
         """Take in bounds that have changed."""
-        self.settings = settings
         bounds = settings.bounds
         self.view.revoked_after_s = bounds.revoked_after_s
-        self.budgets.change(
-            bounds.repeat_ratio,
-            bounds.repeat_extra,
-            bounds.repeat_window_s,
-        )
+        self.budgets.change(_repeat_limits(bounds))
+
+
+def _repeat_limits(bounds: GatewayBounds) -> RepeatLimits:
+    """Return the limits of repeats that the settings state."""
+    return RepeatLimits(
+        bounds.repeat_ratio,
+        bounds.repeat_extra,
+        bounds.repeat_window_s,
+    )
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -121,11 +121,8 @@
         """Who watches the store."""
         return WatchDuty.from_fleet(self.name, self.view, self.board)
 
-    async def ask(self) -> ViewAnswer | None:
-        """Return a watcher's answer, none if this instance must watch."""
-        duty = self.duty
-        if duty.is_watcher or self.transport is None:
-            return None
+    async def ask(self, duty: WatchDuty) -> ViewAnswer | None:
+        """Return the answer of one of the watchers, none if it is silent."""
         self.questions += 1
         question = ViewQuestion(self.name, self.questions)
         loop = asyncio.get_running_loop()
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -172,11 +172,12 @@
         if self.view.revision is None or self.failures:
             return False
         self._note_duty()
+        if self.duty.is_watcher:
+            return False
         asked_s = boot_time_s()
-        answer = await self.voucher.ask()
+        answer = await self.voucher.ask(self.duty)
         if answer is None:
-            if not self.duty.is_watcher:
-                self._note_vouching('no answer')
+            self._note_vouching('no answer')
             return False
         if answer.revision != self.view.revision:
             return False
--- a/src/dandelionplank/fleet/reload.py
+++ b/src/dandelionplank/fleet/reload.py
@@ -1,8 +1,7 @@
 """The task that follows the settings file and applies what it can."""
 
 import asyncio
-import dataclasses
-import os
+import contextlib
 from collections.abc import Callable
 from pathlib import Path
 
@@ -20,24 +19,6 @@
 LIVE_SECTIONS = frozenset(('bounds',))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FileMark:
-    """What tells one content of a file from another."""
-
-    modified_ns: int
-    size: int
-    inode: int
-
-    @classmethod
-    def of_path(cls, path: Path) -> 'FileMark | None':
-        """Return the mark of a file, nothing if it is not there."""
-        try:
-            stated = os.stat(path)
-        except OSError:
-            return None
-        return cls(stated.st_mtime_ns, stated.st_size, stated.st_ino)
-
-
 class SettingsFollower:
     """Reads the settings again after a signal or a change of the file."""
 
@@ -54,22 +35,20 @@
         self.path = path
         self.settings = settings
         self.apply = apply
-        self.mark = FileMark.of_path(path)
+        self.mark = _mark_of(path)
         self.signalled = asyncio.Event()
 
     async def run(self) -> None:
         """Follow the file until cancelled."""
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LOOK_PERIOD_S):
                     await self.signalled.wait()
-            except TimeoutError:
-                mark = FileMark.of_path(self.path)
-                if mark is None or mark == self.mark:
-                    continue
-            self.signalled.clear()
-            self.mark = FileMark.of_path(self.path)
-            self.read()
+            mark = _mark_of(self.path)
+            if self.signalled.is_set() or mark not in {None, self.mark}:
+                self.signalled.clear()
+                self.mark = mark
+                self.read()
 
     def read(self) -> None:
         """Read the file; settings that are not valid change nothing."""
@@ -95,6 +74,15 @@
         )
 
 
+def _mark_of(path: Path) -> tuple[int, int, int] | None:
+    """Return what tells a file's content from another, none without a file."""
+    try:
+        stated = path.stat()
+    except OSError:
+        return None
+    return stated.st_mtime_ns, stated.st_size, stated.st_ino
+
+
 def _changed_sections(
     known: GatewaySettings,
     wanted: GatewaySettings,
--- a/src/dandelionplank/fleet/vouching.py
+++ b/src/dandelionplank/fleet/vouching.py
@@ -57,8 +57,8 @@
     def duty(self) -> 'WatchDuty':
         """Who watches the store."""
 
-    async def ask(self) -> ViewAnswer | None:
-        """Return a watcher's answer, none if this instance must watch."""
+    async def ask(self, duty: 'WatchDuty') -> ViewAnswer | None:
+        """Return the answer of one of the watchers, none if it is silent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from dandelionplank.errors import ErrorCode, StoreError
+from dandelionplank.platform.names import MILLISECONDS
 from dandelionplank.routing.routes import (
     ModelMemory,
     RequestKind,
@@ -23,7 +24,6 @@
 from dandelionplank.targets import Target, TargetState
 
 STEP = 'decode'
-MILLISECONDS = 1000
 DEFAULT_TIMEOUT_MS = 30_000
 
 _KINDS = types.MappingProxyType(
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -26,7 +26,6 @@
 )
 NOT_EXECUTED_STATUSES = frozenset((421,))
 LOAD_FIGURES = 3
-MILLISECONDS = 1000
 PERCENT = 100
 
 
@@ -44,7 +43,7 @@
 def _milliseconds(text: str) -> float | None:
     """Return a duration in seconds, none if the text is not a number."""
     figures = _figures(text)
-    return figures[0] / MILLISECONDS if len(figures) == 1 else None
+    return figures[0] / names.MILLISECONDS if len(figures) == 1 else None
 
 
 def _figures(text: str) -> list[float]:
@@ -100,7 +99,7 @@
         if _is_passed_on(name.lower(), dropped)
     ]
     sent.append((names.EXPECTED_TARGET, target))
-    left_ms = max(1, int(time_left_s * MILLISECONDS))
+    left_ms = max(1, int(time_left_s * names.MILLISECONDS))
     sent.append((names.DEADLINE, str(left_ms)))
     if account:
         sent.append((names.ACCOUNT, account))
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -39,3 +39,6 @@
 CONFIGURATION_KEY = 'op/config'
 TARGET_PREFIX = 'servers/'
 PEER_PREFIX = 'fleet/'
+
+# Durations on the wire are in milliseconds, ours in seconds.
+MILLISECONDS = 1000
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -15,10 +15,10 @@
     StoreError,
     StoreUnknownError,
 )
+from dandelionplank.platform import names
 
 STEP = 'store'
 CONNECT_TIMEOUT_S = 1.0
-MILLISECONDS = 1000
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -118,7 +118,7 @@
             query={
                 'Prefix': prefix,
                 'After': str(after),
-                'WaitMs': str(int(wait_s * MILLISECONDS)),
+                'WaitMs': str(int(wait_s * names.MILLISECONDS)),
             },
             wait_s=wait_s,
         )
@@ -135,7 +135,7 @@
         answer = await self._call(
             'POST',
             '/v1/kv-lease',
-            body={'TtlMs': int(ttl_s * MILLISECONDS)},
+            body={'TtlMs': int(ttl_s * names.MILLISECONDS)},
         )
         lease: int = answer['Lease']
         return lease
--- a/src/dandelionplank/routing/budget.py
+++ b/src/dandelionplank/routing/budget.py
@@ -4,6 +4,7 @@
 of first attempts in every window, whatever fails.
 """
 
+import dataclasses
 from collections import deque
 from typing import Protocol
 
@@ -12,19 +13,26 @@
 USED_SHARE = 0.6
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatLimits:
+    """How many repeats the fleet may make.
+
+    :param ratio: repeats per request
+    :param extra: repeats beyond it in a window, for all instances together
+    :param window_s: length of the window
+    """
+
+    ratio: float
+    extra: float
+    window_s: float
+
+
 class WindowBudget:
     """Counts requests and repeats of one service in a sliding window."""
 
-    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
-        """Start with no request.
-
-        :param ratio: repeats per request that the fleet may make
-        :param extra: repeats beyond it, for all instances together
-        :param window_s: length of the window
-        """
-        self.ratio = ratio
-        self.extra = extra
-        self.window_s = window_s
+    def __init__(self, limits: RepeatLimits) -> None:
+        """Start with no request."""
+        self.limits = limits
         self.requests: deque[float] = deque()
         self.repeats: deque[float] = deque()
 
@@ -39,8 +47,9 @@
         :param instances: instances that share the budget, this one included
         """
         self._forget(now_s)
+        limits = self.limits
         allowed = USED_SHARE * (
-            self.ratio * len(self.requests) + self.extra / max(1, instances)
+            limits.ratio * len(self.requests) + limits.extra / max(1, instances)
         )
         if len(self.repeats) + 1 > allowed:
             return False
@@ -50,7 +59,7 @@
     def _forget(self, now_s: float) -> None:
         """Drop what has left the window."""
         for times in (self.requests, self.repeats):
-            while times and times[0] <= now_s - self.window_s:
+            while times and times[0] <= now_s - self.limits.window_s:
                 times.popleft()
 
 
@@ -64,17 +73,9 @@
 class Budgets:
     """The repeat budgets of all services."""
 
-    def __init__(
-        self,
-        ratio: float,
-        extra: float,
-        window_s: float,
-        instances: InstanceCount,
-    ) -> None:
-        """Keep the agreed figures; see :class:`WindowBudget`."""
-        self.ratio = ratio
-        self.extra = extra
-        self.window_s = window_s
+    def __init__(self, limits: RepeatLimits, instances: InstanceCount) -> None:
+        """Start with no request."""
+        self.limits = limits
         self.instances = instances
         self.by_service: dict[str, WindowBudget] = {}
 
@@ -86,20 +87,16 @@
         """Spend one repeat if the budget allows it."""
         return self._budget(service).take(now_s, self.instances())
 
-    def change(self, ratio: float, extra: float, window_s: float) -> None:
-        """Take in other figures; what was spent still counts."""
-        self.ratio = ratio
-        self.extra = extra
-        self.window_s = window_s
+    def change(self, limits: RepeatLimits) -> None:
+        """Take in other limits; what was spent still counts."""
+        self.limits = limits
         for budget in self.by_service.values():
-            budget.ratio = ratio
-            budget.extra = extra
-            budget.window_s = window_s
+            budget.limits = limits
 
     def _budget(self, service: str) -> WindowBudget:
         """Return the budget of one service."""
         budget = self.by_service.get(service)
         if budget is None:
-            budget = WindowBudget(self.ratio, self.extra, self.window_s)
+            budget = WindowBudget(self.limits)
             self.by_service[service] = budget
         return budget
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -97,7 +97,7 @@
         self,
         read_tokens: float,
         others: TargetShare,
-        queue_s: float = QUEUE_S,
+        queue_s: float,
     ) -> bool:
         """Tell whether a request may be sent now.
 
@@ -134,8 +134,7 @@
         """Note that the target has read a request's prompt."""
         if sent.is_read:
             return
-        sent.is_read = True
-        self.unread_tokens = max(0.0, self.unread_tokens - sent.read_tokens)
+        self._note_read(sent)
         tokens = sent.read_tokens + sent.ahead_tokens
         if tokens < SMALLEST_SAMPLE_TOKENS:
             return
@@ -148,11 +147,7 @@
         """Note that a request is at the target no more."""
         self.running -= 1
         if not sent.is_read:
-            sent.is_read = True
-            self.unread_tokens = max(
-                0.0,
-                self.unread_tokens - sent.read_tokens,
-            )
+            self._note_read(sent)
 
     def note_report(self, report: TargetReport, now_s: float) -> None:
         """Take in what the target says of its load."""
@@ -167,3 +162,8 @@
             ahead = max(ahead, self.reported_running)
             return (ahead + 1) * self.slowness
         return ahead + 1
+
+    def _note_read(self, sent: Dispatched) -> None:
+        """Count a request's prompt as read."""
+        sent.is_read = True
+        self.unread_tokens = max(0.0, self.unread_tokens - sent.read_tokens)
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -42,6 +42,7 @@
 class Placement:
     """The target chosen for a request.
 
+    :param outlook: the target and what all instances put on it
     :param read_tokens: tokens that it must read
     :param wait_s: expected time until it begins to read, as far as this
         instance's requests and those that the target holds decide it
@@ -49,12 +50,17 @@
     :param has_room: the request may be sent now
     """
 
-    load: TargetLoad
+    outlook: 'TargetOutlook'
     read_tokens: float
     wait_s: float
     others_wait_s: float
     has_room: bool
 
+    @property
+    def load(self) -> TargetLoad:
+        """Load that this instance put on the target."""
+        return self.outlook.load
+
     @property
     def first_event_s(self) -> float:
         """Expected time until the prompt is read."""
@@ -104,9 +110,7 @@
 
     def cost_s(self, tokens: float) -> float:
         """Return the expected time until tokens are read, with advantages."""
-        load = self.load
-        ahead = load.unread_tokens + load.queued_tokens + self.others_tokens
-        reading_s = (ahead + tokens) / load.tokens_per_s
+        reading_s = self.load.reading_s(self.ahead_tokens + tokens)
         failure_s = self.failure_odds * FAILURE_COST_S
         return reading_s + failure_s - self.advantage_s
 
@@ -165,15 +169,15 @@
         outlooks: Outlooks,
         work: TokenWork | None,
         now_s: float,
+        queue_s: float,
         avoided: Sequence[str] = (),
-        queue_s: float = QUEUE_S,
     ) -> Placement | None:
         """Return the cheapest target, or nothing if there is none.
 
         :param outlooks: sound targets of the service
         :param work: size of a model's work, none for plain requests
-        :param avoided: targets that have failed this request
         :param queue_s: work that may wait inside the target
+        :param avoided: targets that have failed this request
         """
         usable = outlooks
         if avoided:
@@ -215,7 +219,7 @@
         chosen = outlooks[best]
         others_tokens = chosen.others.queued_tokens
         return Placement(
-            chosen.load,
+            chosen,
             unread[best],
             chosen.load.reading_s(chosen.ahead_tokens - others_tokens),
             chosen.load.reading_s(others_tokens),
@@ -260,7 +264,7 @@
         outlooks.values(),
         key=lambda outlook: outlook.plain_cost(now_s),
     )
-    return Placement(best.load, 0, 0, 0, best.has_room(0, QUEUE_S))
+    return Placement(best, 0, 0, 0, best.has_room(0, QUEUE_S))
 
 
 def _weighed(tokens: float, fewest: float) -> float:
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -118,14 +118,15 @@
 
     def submit(self, waiting: Waiting, now_s: float) -> Turndown | None:
         """Let a request wait, or turn it down at once."""
-        self._levels(now_s)
+        self._refresh_levels(now_s)
         outlooks = self._look(waiting.service, now_s)
-        placement = self._place(waiting, outlooks, now_s)
+        queue_s = self._queue_s(waiting.account)
+        placement = self._place(waiting, outlooks, queue_s, now_s)
         if placement is None:
             return Turndown(waiting, 'no sound target', NO_TARGET_RETRY_S)
         room = self.rooms.setdefault(waiting.service, WaitingRoom())
         if not placement.has_room or room.count:
-            prospect = self._prospect(waiting, placement, room, now_s)
+            prospect = self._prospect(waiting, placement, room)
             if is_hopeless(prospect, waiting.objective_ends_s - now_s):
                 return Turndown(
                     waiting,
@@ -147,25 +148,26 @@
         room = self.rooms.get(service)
         if room is None or not room.count:
             return []
+        self._refresh_levels(now_s)
         outlooks = self._look(service, now_s)
         grants = []
-        candidates = room.in_order(self._levels(now_s), now_s)
+        candidates = room.in_order(self.levels, now_s)
         for waiting in itertools.islice(candidates, SCAN_LIMIT):
             queue_s = self._queue_s(waiting.account)
             if _stays_put(waiting, outlooks, queue_s, now_s):
                 continue
             self._stop_waiting(waiting)
-            placement = self._place(waiting, outlooks, now_s)
-            if placement is None or not _may_send(
+            placement = self._place(waiting, outlooks, queue_s, now_s)
+            if placement is None:
+                continue
+            if placement.has_room and _may_take_room(
                 waiting,
-                outlooks[placement.load.target.name],
-                placement.read_tokens,
-                queue_s,
+                placement.outlook,
                 now_s,
             ):
+                grants.append(self._grant(waiting, placement, now_s))
+            else:
                 self._wait_for(waiting, placement, now_s)
-                continue
-            grants.append(self._grant(waiting, placement, now_s))
         for grant in grants:
             room.remove(grant.waiting)
         return grants
@@ -280,6 +282,7 @@
         self,
         waiting: Waiting,
         outlooks: Outlooks,
+        queue_s: float,
         now_s: float,
     ) -> Placement | None:
         """Choose a target for a request."""
@@ -287,8 +290,8 @@
             outlooks,
             waiting.work,
             now_s,
+            queue_s,
             waiting.avoided,
-            self._queue_s(waiting.account),
         )
 
     def _rank(self, account: str) -> float:
@@ -311,14 +314,9 @@
         waiting: Waiting,
         placement: Placement,
         room: WaitingRoom,
-        now_s: float,
     ) -> Prospect:
         """Estimate when a newcomer would be served, given its turn."""
-        ahead = room.cost_ahead(
-            waiting.account,
-            waiting.cost,
-            self._levels(now_s),
-        )
+        ahead = room.cost_ahead(waiting.account, waiting.cost, self.levels)
         total = sum(room.costs.values()) + waiting.cost
         others_s = placement.others_wait_s * self._rank(waiting.account)
         return Prospect(
@@ -326,25 +324,23 @@
             placement.load.reading_s(placement.read_tokens),
         )
 
-    def _levels(self, now_s: float) -> dict[str, float]:
-        """Return what each account received lately from all instances."""
-        if now_s - self.levels_s > LEVELS_AGE_S:
-            self.levels_s = now_s
-            self.levels = self.peers.service(now_s)
-            for account, level in self.received.settle(now_s).items():
-                self.levels[account] = self.levels.get(account, 0) + level
-            self.highest = max(self.levels.values(), default=0.0)
-        return self.levels
+    def _refresh_levels(self, now_s: float) -> None:
+        """Add up what each account received lately from all instances."""
+        if now_s - self.levels_s <= LEVELS_AGE_S:
+            return
+        self.levels_s = now_s
+        self.levels = self.peers.service(now_s)
+        for account, level in self.received.settle(now_s).items():
+            self.levels[account] = self.levels.get(account, 0) + level
+        self.highest = max(self.levels.values(), default=0.0)
 
     def _wait_for(
         self,
         waiting: Waiting,
-        placement: Placement | None,
+        placement: Placement,
         now_s: float,
     ) -> None:
         """Count a request at the target for which it waits."""
-        if placement is None:
-            return
         waiting.placed_s = now_s
         waiting.home = placement.load.target.name
         waiting.home_tokens = placement.read_tokens
@@ -369,23 +365,20 @@
     home = outlooks.get(waiting.home)
     if home is None or now_s - waiting.placed_s > PLACEMENT_AGE_S:
         return False
-    return not _may_send(waiting, home, waiting.home_tokens, queue_s, now_s)
+    has_room = home.has_room(waiting.home_tokens, queue_s)
+    return not (has_room and _may_take_room(waiting, home, now_s))
 
 
-def _may_send(
+def _may_take_room(
     waiting: Waiting,
     outlook: TargetOutlook,
-    read_tokens: float,
-    queue_s: float,
     now_s: float,
 ) -> bool:
-    """Tell whether a request may be sent to the target chosen for it.
+    """Tell whether a request may take the room that its target has.
 
     One that has missed its objective takes only a target that reads
     nothing else, so that it delays none that is still on time.
     """
-    if not outlook.has_room(read_tokens, queue_s):
-        return False
     if waiting.objective_ends_s > now_s:
         return True
     return outlook.load.unread_tokens + outlook.others.unread_tokens <= 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -404,7 +404,7 @@
         path = gateway.reloading.path
         write_settings(path, gateway, revoked_after_s=7, repeat_extra=9)
         await when(lambda: math.isclose(gateway.view.revoked_after_s, 7))
-        assert math.isclose(gateway.budgets.extra, 9)
+        assert math.isclose(gateway.budgets.limits.extra, 9)
         told = event_counter(Event.SETTINGS_REJECTED)
         rejected = METRICS.counters[told]
         path.write_text('bounds: [', encoding='utf-8')
@@ -487,7 +487,7 @@
     delay_s = 0.3
     duty = WatchDuty('a', ('b',), is_shared=True)
 
-    async def ask(self):
+    async def ask(self, duty):
         """Answer late."""
         await asyncio.sleep(self.delay_s)
         return ViewAnswer(1, 7, 0.1)
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -36,7 +36,7 @@
     decode_target,
 )
 from dandelionplank.routing.admission import Prospect, is_hopeless
-from dandelionplank.routing.budget import WindowBudget
+from dandelionplank.routing.budget import RepeatLimits, WindowBudget
 from dandelionplank.routing.health import TargetHealth
 from dandelionplank.routing.routes import (
     ModelMemory,
@@ -306,7 +306,7 @@
 
 def test_repeats_stay_inside_the_fleets_budget():
     """Four instances together stay under ratio and extra in any window."""
-    budgets = [WindowBudget(0.2, 56, 10) for _ in range(4)]
+    budgets = [WindowBudget(RepeatLimits(0.2, 56, 10)) for _ in range(4)]
     taken = []
     for step in range(4000):
         now_s = step / 100
