The soak's fleet in a module of its own; one copy of what callers send

Cause: read again as a whole, disturbances and the soak named each other's types across two modules; the headers of a caller, those of a prompt and the whole stream of a stand-in stood in the soak and in the tests; three faults of the store and four of targets repeated the same steps. bench/soakfleet.py holds the fleet, platformsoak.py plays and checks it, and disturbances.py imports the fleet. Ruled out: one process class for gateways and routers; they share no settings and wait for their ends in different ways.

--- a/bench/disturbances.py
+++ b/bench/disturbances.py
@@ -6,16 +6,13 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
-from typing import TYPE_CHECKING
 
 from bench.gatewayprocess import GRACE_S, REVOKED_AFTER_S
 from bench.platform import entry_of
+from bench.soakfleet import SoakFleet
 from dandelionplank_standins.platformengine import TargetFaults
 from dandelionplank_standins.platformstore import StoreFaults
 
-if TYPE_CHECKING:
-    from bench.platformsoak import PlatformSoak
-
 # A disturbance begins after this time, while others still last.
 PAUSE_S = (0.1, 0.9)
 LASTS_S = (0.2, 3.0)
@@ -26,7 +23,7 @@
 class Disturbances:
     """Does at random what the platform's days do to a fleet."""
 
-    def __init__(self, fleet: 'PlatformSoak', seed: int) -> None:
+    def __init__(self, fleet: SoakFleet, seed: int) -> None:
         """Start without any."""
         self.fleet = fleet
         self.random = random.Random(seed)
@@ -88,6 +85,10 @@
         finally:
             self.busy.discard(number)
 
+    def any_target(self) -> str:
+        """Return the name of a target."""
+        return self.random.choice(sorted(self.fleet.targets))
+
     async def freeze(self) -> None:
         """Suspend a gateway for a while."""
         with self.victim() as number:
@@ -139,16 +140,12 @@
 
     async def silence_store(self) -> None:
         """Let the store answer nobody."""
-        self.fleet.store.faults = StoreFaults(is_silent=True)
-        await self.last()
-        self.fleet.store.faults = StoreFaults()
+        await self.disturb_store(StoreFaults(is_silent=True))
 
     async def refuse_store_calls(self) -> None:
         """Let the store refuse all calls."""
         status = self.random.choice((429, 503))
-        self.fleet.store.faults = StoreFaults(status=status)
-        await self.last()
-        self.fleet.store.faults = StoreFaults()
+        await self.disturb_store(StoreFaults(status=status))
 
     async def drop_history(self) -> None:
         """Make the store forget its changes."""
@@ -156,27 +153,29 @@
 
     async def lose_store_answers(self) -> None:
         """Let the store do writes without an answer."""
-        self.fleet.store.faults = StoreFaults(loses_answers=True)
+        await self.disturb_store(StoreFaults(loses_answers=True))
+
+    async def disturb_store(self, faults: StoreFaults) -> None:
+        """Let the store fail for a while."""
+        self.fleet.store.faults = faults
         await self.last()
         self.fleet.store.faults = StoreFaults()
 
     async def silence_target(self) -> None:
         """Hold back all bytes between the gateways and a target."""
-        relay = self.fleet.relays[self.random.choice(sorted(self.fleet.relays))]
+        relay = self.fleet.relays[self.any_target()]
         relay.cut()
         await self.last()
         relay.join()
 
     async def reset_target(self) -> None:
         """Reset all connections to a target."""
-        self.fleet.relays[self.random.choice(sorted(self.fleet.relays))].reset()
+        self.fleet.relays[self.any_target()].reset()
 
     async def fail_target(self) -> None:
         """Let a target refuse, lose, break off, mix up or fail requests."""
-        target = self.fleet.targets[
-            self.random.choice(sorted(self.fleet.targets))
-        ]
-        fault = self.random.choice(
+        target = self.fleet.targets[self.any_target()]
+        target.faults = self.random.choice(
             (
                 TargetFaults(sheds=5),
                 TargetFaults(loses=3),
@@ -186,13 +185,12 @@
                 TargetFaults(delay_s=0.5),
             ),
         )
-        target.faults = fault
         await self.last()
         target.faults = TargetFaults()
 
     async def replace_target(self) -> None:
         """Drain a target and list another one."""
-        name = self.random.choice(sorted(self.fleet.targets))
+        name = self.any_target()
         service = name.partition('-')[0]
         await self.fleet.add_target(f'{service}-{next(self.fleet.numbers)}')
         port = self.fleet.relays[name].port
--- a/bench/gatewayprocess.py
+++ b/bench/gatewayprocess.py
@@ -70,3 +70,9 @@
         """Return the process's exit status."""
         assert self.process is not None
         return await asyncio.to_thread(self.process.wait)
+
+    def end(self) -> None:
+        """Kill the process if it still runs."""
+        if self.process is not None and self.is_running:
+            self.process.kill()
+            self.process.wait()
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -23,6 +23,15 @@
     ('keyed', '/mine/', 'safe', {}),
 )
 SERVICES = {'stream': 'llm', 'resume': 'llm'}
+MODEL_HEADERS = {
+    'Dandelionplank-Model': 'm',
+    'Dandelionplank-Token-Usage': '300,20',
+    'Dandelionplank-Prefix-Hash': 'ab:200,cd:100',
+}
+# What a stand-in of a model engine streams.
+WHOLE_STREAM = b''.join(
+    b'id: %d\ndata: x\n\n' % number for number in range(1, 6)
+)
 
 
 def configuration(
@@ -58,6 +67,16 @@
     }
 
 
+def request_headers(request_id: str, key: str) -> dict[str, str]:
+    """Return the headers that every caller sends."""
+    return {
+        'Host': HOST,
+        'Dandelionplank-Request-Id': request_id,
+        'Dandelionplank-Deadline-Ms': '3000',
+        'Dandelionplank-Key': key,
+    }
+
+
 def entry_of(
     name: str,
     service: str,
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 
+from bench.platform import WHOLE_STREAM
 from dandelionplank_standins.platformengine import Run
 
-STREAM = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
 # Paths, and whether a request to it may run a second time.
 KINDS = {
     '/chat/': False,
@@ -97,7 +97,7 @@
     for call in calls:
         wanted = call.request_id.encode()
         if call.prefix in STREAMS:
-            wanted = STREAM
+            wanted = WHOLE_STREAM
         if call.status == SUCCESS and call.body != wanted:
             broken.append(f'{call.request_id} got {call.body[:80]!r}')
     return broken
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -12,9 +12,9 @@
 
 from bench.fleet import reserve_ports
 from bench.platform import (
-    HOST,
     configuration,
     entry_of,
+    request_headers,
     serve,
     settings_of,
 )
@@ -40,13 +40,7 @@
         """Send a request; return status, body and headers."""
         given = options.pop('headers', {})
         request_id = f'q{next(REQUEST_NUMBERS)}'
-        sent = {
-            'Host': HOST,
-            'Dandelionplank-Request-Id': request_id,
-            'Dandelionplank-Deadline-Ms': '3000',
-            'Dandelionplank-Key': 'key-a',
-            **given,
-        }
+        sent = {**request_headers(request_id, 'key-a'), **given}
         async with self.session.request(
             method,
             URL(self.urls[gateway] + path, encoded=True),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,7 +12,12 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 
 from bench.fleet import reserve_ports
-from bench.platform import configuration, entry_of
+from bench.platform import (
+    MODEL_HEADERS,
+    WHOLE_STREAM,
+    configuration,
+    entry_of,
+)
 from dandelionplank.events import Event
 from dandelionplank.fleet import vouching
 from dandelionplank.fleet.follower import StoreFollower
@@ -44,12 +49,6 @@
     'Bounds.BudgetExtra': '56',
     'Bounds.BudgetWindowS': '10',
 }
-MODEL = {
-    'Dandelionplank-Model': 'm',
-    'Dandelionplank-Token-Usage': '300,20',
-    'Dandelionplank-Prefix-Hash': 'ab:200,cd:100',
-}
-WHOLE_STREAM = b''.join(b'id: %d\ndata: x\n\n' % n for n in range(1, 6))
 
 
 async def when(condition):
@@ -102,7 +101,7 @@
 async def test_a_stream_is_passed_on_whole_and_names_the_account():
     """All events arrive once, and the target learns the key's account."""
     async with platform_fleet() as fleet:
-        status, body, _ = await fleet.call('/chat/x', headers=MODEL)
+        status, body, _ = await fleet.call('/chat/x', headers=MODEL_HEADERS)
         run = only(fleet.runs())
     assert (status, body) == (200, WHOLE_STREAM)
     assert run.headers['Dandelionplank-Tenant'] == 'account-a'
@@ -205,7 +204,7 @@
         once = TargetFaults(breaks_after=2)
         for target in fleet.targets.values():
             target.faults = once
-        status, body, _ = await fleet.call('/draft/x', headers=MODEL)
+        status, body, _ = await fleet.call('/draft/x', headers=MODEL_HEADERS)
         assert (status, body) == (200, WHOLE_STREAM)
         assert len(fleet.runs()) == 2
 
@@ -218,7 +217,7 @@
             target.faults.breaks_after = 2
         cut = False
         try:
-            await fleet.call('/chat/x', headers=MODEL)
+            await fleet.call('/chat/x', headers=MODEL_HEADERS)
         except aiohttp.ClientError:
             cut = True
         assert cut
@@ -301,7 +300,7 @@
         before = METRICS.counters[told]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.3):
-                await fleet.call('/chat/x', headers=MODEL)
+                await fleet.call('/chat/x', headers=MODEL_HEADERS)
         gateway = fleet.gateways[0].gateway
         await when(lambda: gateway.open_requests == 0)
         assert METRICS.counters[told] == before + 1
@@ -322,7 +321,7 @@
         stream = asyncio.ensure_future(
             fleet.call(
                 '/chat/x',
-                headers={**MODEL, 'Dandelionplank-Deadline-Ms': '9000'},
+                headers={**MODEL_HEADERS, 'Dandelionplank-Deadline-Ms': '9000'},
             ),
         )
         await asyncio.sleep(0.1)
@@ -357,7 +356,7 @@
         for target in fleet.targets.values():
             target.events = 60
         stream = asyncio.ensure_future(
-            fleet.call('/chat/x', gateway=1, headers=MODEL),
+            fleet.call('/chat/x', gateway=1, headers=MODEL_HEADERS),
         )
 
         def is_seen():
