Bound what a target may send, and end stalled streams only if they can resume

Cause: a target that sends bytes without end in place of a response made the process grow until it was killed (bodies, events, other requests' responses) or blocked its loop (interim responses, an event that never ends). A stream that was slow beyond the silence limit was cut although no other target could resume it, while comments or repeated events kept a stalled one open. A response without a request id on a reused connection was taken for the present one, which let a late copy's 'not executed' stand for another request.

Change: limits in delivery/bounds.py (body, shared total, event, parsed heads, interim and skipped responses); any byte on an idle connection closes it; responses on a reused connection must state their request; a stream makes progress by new data only, and is given up only where it may be resumed.

--- a/docs/generate.py
+++ b/docs/generate.py
@@ -6,10 +6,58 @@
 
 import msgspec
 
+from dandelionplank.delivery import bounds, connections, streams
 from dandelionplank.errors import ErrorCode
 from dandelionplank.events import Event
 from dandelionplank.settings import Settings
 
+BOUNDS = (
+    (
+        'connect',
+        f'{connections.CONNECT_TIMEOUT_S} s',
+        'another target is tried; the request was not executed',
+    ),
+    (
+        'head',
+        f'lines of {connections.MAX_HEADER_LINE_BYTES} bytes, the time of '
+        'the request',
+        '502, or 504 at the timeout',
+    ),
+    (
+        'interim responses',
+        f'{bounds.MAX_INTERIM_RESPONSES} to a request',
+        'the connection closes, 502',
+    ),
+    (
+        "other requests' responses",
+        f'{bounds.MAX_SKIPPED_RESPONSES} with bodies of '
+        f'{bounds.MAX_SKIPPED_BODY_BYTES} bytes',
+        'the connection closes, 502',
+    ),
+    (
+        'body that is no stream',
+        f'{bounds.MAX_BODY_BYTES} bytes; {bounds.MAX_HELD_BYTES} for all '
+        f'together, without the first {bounds.RESERVED_BODY_BYTES} of each',
+        'the connection closes, 502',
+    ),
+    (
+        'one event',
+        f'{bounds.MAX_EVENT_BYTES} bytes',
+        'the stream is resumed elsewhere or truncated',
+    ),
+    (
+        'between new events',
+        f'{streams.SILENCE_GAP_FACTOR} times the gap target, if the stream '
+        'may be resumed elsewhere',
+        'it is resumed; otherwise it goes on until the timeout',
+    ),
+    (
+        'between responses',
+        'no byte',
+        'the connection closes and is not reused',
+    ),
+    ('whole request', 'timeout of the route, time of the caller', '504'),
+)
 DOCS = Path(__file__).parent
 
 
@@ -67,10 +115,28 @@
         '| setting | type | default |',
         '|---|---|---|',
         *_rows(Settings, ''),
+        '',
+        *_bound_rows(),
     ]
     return '\n'.join((*lines, ''))
 
 
+def _bound_rows() -> list[str]:
+    """Return the table of the bounds on what a target may send or delay."""
+    rows = [
+        '## Bounds of the gateway towards targets',
+        '',
+        'A hundred endless bodies at once take at most 128 MB.',
+        '',
+        '| phase | bound | beyond it |',
+        '|---|---|---|',
+    ]
+    rows.extend(
+        f'| {phase} | {bound} | {effect} |' for phase, bound, effect in BOUNDS
+    )
+    return rows
+
+
 def _rows(model: type[msgspec.Struct], prefix: str) -> list[str]:
     """Return one row per setting of a type and of its nested types."""
     rows = []
--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -1,13 +1,16 @@
 """One attempt: sends a request to one target and reads the response."""
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 from http import HTTPStatus
 
 import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
 
+from dandelionplank.delivery.bounds import (
+    MAX_SKIPPED_BODY_BYTES,
+    MAX_SKIPPED_RESPONSES,
+    HeldBytes,
+)
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import (
     ConnectionPool,
@@ -46,12 +49,18 @@
         grant: Grant,
         pool: ConnectionPool,
         codec: RequestCodec,
+        held: HeldBytes,
     ) -> None:
-        """Hold the request and its grant; nothing is sent before ``open``."""
+        """Hold the request and its grant; nothing is sent before ``open``.
+
+        :param held: limit on the bodies that are being read
+        """
         self.request = request
         self.grant = grant
         self.pool = pool
         self.codec = codec
+        self.held = held
+        self.framer = EventFramer()
         self.state = AttemptState.NOT_SENT
         self.connection: TargetConnection | None = None
         self.response: TargetResponse | None = None
@@ -93,39 +102,35 @@
     async def read_body(self) -> bytes:
         """Read the body of the response to its end.
 
-        :raises TargetError: the response is truncated
+        :raises TargetError: the response is truncated or too long
         """
         assert self.response is not None
-        try:
-            body = await self.response.body.read()
-        except RESPONSE_ERRORS as error:
-            self.state = AttemptState.UNKNOWN
-            raise self._error(repr(error), Outcome.UNKNOWN) from error
+        chunks = []
+        with self.held.hold_body(self.target_name) as body:
+            while chunk := await self._read_chunk():
+                body.add(len(chunk))
+                chunks.append(chunk)
         self.is_fully_read = True
-        return body
+        return b''.join(chunks)
 
-    async def events(self) -> AsyncIterator[list[StreamEvent]]:
-        """Yield the complete events of the response as they arrive.
+    async def read_events(self) -> list[StreamEvent]:
+        """Return the next complete events, none at the end of the stream.
 
-        :raises TargetError: the stream is truncated
+        May be cancelled and called again without losing an event.
+
+        :raises TargetError: the stream is truncated or malformed
         """
-        assert self.response is not None
-        framer = EventFramer()
-        try:
-            while True:
-                chunk = await self.response.body.readany()
-                if not chunk:
-                    break
-                events = framer.feed(chunk)
-                if events:
-                    yield events
-        except RESPONSE_ERRORS as error:
-            self.state = AttemptState.UNKNOWN
-            raise self._error(repr(error), Outcome.UNKNOWN) from error
-        if framer.remainder:
-            self.state = AttemptState.UNKNOWN
-            raise self._error('stream ends inside an event', Outcome.UNKNOWN)
+        while chunk := await self._read_chunk():
+            try:
+                events = self.framer.feed(chunk)
+            except ValueError as error:
+                raise self.stream_error(str(error)) from error
+            if events:
+                return events
+        if self.framer.remainder:
+            raise self.stream_error('stream ends inside an event')
         self.is_fully_read = True
+        return []
 
     def finish(self) -> None:
         """Release the connection for reuse, or abort it if bytes are unread."""
@@ -146,17 +151,17 @@
         self, connection: TargetConnection
     ) -> TargetResponse:
         """Return the response to this request; skip mismatched responses."""
-        request_id = self.request.metadata.request_id
-        while True:
+        for _ in range(MAX_SKIPPED_RESPONSES + 1):
             response = await connection.read_response()
             marks = self.codec.response_metadata(
                 response.status, response.headers
             )
-            if not marks.request_id or marks.request_id == request_id:
+            if self._is_ours(marks, connection):
                 break
             connection.keep_alive = False
-            with contextlib.suppress(*RESPONSE_ERRORS):
-                await response.body.read()
+            await _skip_body(response)
+        else:
+            raise aiohttp.ClientPayloadError('responses to other requests')
         self.response = response
         self.marks = marks
         if marks.report:
@@ -175,6 +180,31 @@
             )
         return response
 
+    def _is_ours(
+        self, marks: ResponseMetadata, connection: TargetConnection
+    ) -> bool:
+        """Return whether a response is the one to this request.
+
+        :raises aiohttp.ClientError: the response has no id and may be a late
+            copy of an earlier one, because the connection was reused
+        """
+        if marks.request_id or connection.request_count == 1:
+            return marks.request_id in {'', self.request.metadata.request_id}
+        if self.request.metadata.request_id:
+            raise aiohttp.ClientPayloadError('response has no request id')
+        return True
+
+    async def _read_chunk(self) -> bytes:
+        """Return the next bytes of the body, none at its end.
+
+        :raises TargetError: the response is truncated
+        """
+        assert self.response is not None
+        try:
+            return await self.response.body.readany()
+        except RESPONSE_ERRORS as error:
+            raise self.stream_error(repr(error)) from error
+
     def _has_valid_marks(self, marks: ResponseMetadata) -> bool:
         """Return whether a success carries the marks of this request."""
         request_id = self.request.metadata.request_id
@@ -214,3 +244,15 @@
             code=ErrorCode.TARGET_FAILED,
             outcome=outcome,
         )
+
+
+async def _skip_body(response: TargetResponse) -> None:
+    """Read the body of a response to another request.
+
+    :raises aiohttp.ClientError: the body is truncated or too long
+    """
+    skipped = 0
+    while chunk := await response.body.readany():
+        skipped += len(chunk)
+        if skipped > MAX_SKIPPED_BODY_BYTES:
+            raise aiohttp.ClientPayloadError('long body of another response')
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -11,9 +11,16 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from dandelionplank.delivery.bounds import (
+    MAX_INTERIM_RESPONSES,
+    MAX_PARSED_HEADS,
+    PARSED_SLICE_BYTES,
+    READ_BUFFER_BYTES,
+)
 from dandelionplank.errors import ErrorCode, Outcome, TargetError
 from dandelionplank.events import Event
 from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
 from dandelionplank.targets import Target
 
 STEP = 'connect'
@@ -32,7 +39,34 @@
 
 
 class TargetProtocol(ResponseHandler):
-    """Parses responses; a reset is an error, never the end of a body."""
+    """Parses responses; a reset is an error, never the end of a body.
+
+    :param is_idle: no request is open, so that any byte is out of place
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Hold the state of a connection without a request."""
+        super().__init__(loop)
+        self.is_idle = True
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Parse received bytes in slices, within the limits on heads.
+
+        Bytes that belong to no request close the connection, so that they
+        cannot be taken for a response to the next one.
+        """
+        if not data:
+            super().data_received(data)
+            return
+        if self.is_idle:
+            self._end('bytes without a request')
+            return
+        for start in range(0, len(data), PARSED_SLICE_BYTES):
+            super().data_received(data[start : start + PARSED_SLICE_BYTES])
+            if len(self._buffer) > MAX_PARSED_HEADS:
+                self._end('too many responses to one request')
+            if self.transport is None or self.transport.is_closing():
+                return
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on a body that a reset truncated."""
@@ -41,6 +75,17 @@
             payload.set_exception(ClientPayloadError(repr(exc)))
         super().connection_lost(exc)
 
+    def _end(self, reason: str) -> None:
+        """Close the connection; a reader gets an error."""
+        METRICS.add('target_bytes_refused_total', reason=reason)
+        error = ClientPayloadError(reason)
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetResponse:
@@ -61,6 +106,7 @@
         self.last_used_s = time.monotonic()
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.keep_alive = True
+        self.request_count = 0
 
     @property
     def is_usable(self) -> bool:
@@ -81,10 +127,13 @@
         transport = self.protocol.transport
         if transport is None or transport.is_closing():
             return False
+        self.protocol.is_idle = False
+        self.request_count += 1
         self.protocol.set_response_params(
             skip_payload=not has_response_body,
             read_until_eof=True,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
@@ -94,12 +143,14 @@
     async def read_response(self) -> TargetResponse:
         """Read the head of the next final response.
 
-        :raises aiohttp.ClientError: the connection broke
+        :raises aiohttp.ClientError: the connection broke, or too many interim
+            responses have arrived
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             message, body = await self.protocol.read()
             if message.code >= FIRST_FINAL_STATUS:
                 return self._to_response(message, body)
+        raise ClientPayloadError('too many interim responses')
 
     def close(self) -> None:
         """Close the connection; the target cancels requests that run on it."""
@@ -167,6 +218,9 @@
             ) from error
         raw_socket = transport.get_extra_info('socket')
         raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BUFFER_BYTES
+        )
         return TargetConnection(protocol)
 
     def release(self, target: Target, connection: TargetConnection) -> None:
@@ -174,6 +228,7 @@
         if not connection.is_usable:
             connection.close()
             return
+        connection.protocol.is_idle = True
         connection.last_used_s = time.monotonic()
         self.idle.setdefault(target.name, []).append(connection)
 
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from collections.abc import AsyncIterator
 
@@ -10,6 +11,7 @@
     SUCCESS_STATUSES,
     Attempt,
 )
+from dandelionplank.delivery.bounds import HeldBytes
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.dispatch import Dispatcher
@@ -67,6 +69,7 @@
         self.pool = pool
         self.codec = codec
         self.budgets = budgets
+        self.held = HeldBytes()
 
     async def fetch(self, request: CallerRequest) -> CompleteResponse:
         """Return the complete response to a request that is not a stream.
@@ -184,6 +187,7 @@
                 sink,
                 self.codec,
                 self.dispatcher.record_first_event,
+                functools.partial(self._may_resume, request, progress),
             )
             await relay.run(attempt)
             _record_outcome(attempt.grant, is_success=True)
@@ -199,7 +203,7 @@
         grant = await self.dispatcher.acquire(
             request.to_waiting_request(progress.avoided),
         )
-        attempt = Attempt(request, grant, self.pool, self.codec)
+        attempt = Attempt(request, grant, self.pool, self.codec, self.held)
         progress.tries += 1
         record_grant(request, grant)
         progress.avoided = (*progress.avoided, attempt.target_name)
@@ -296,7 +300,7 @@
         *,
         reached_target: bool = True,
     ) -> bool:
-        """Return whether another target may be tried.
+        """Return whether another target is tried; spend the retry budget.
 
         :param reached_target: the failed attempt reached a target; one that
             did not takes nothing from the retry budget
@@ -306,13 +310,16 @@
             return False
         if not reached_target:
             return True
-        may_run = outcome is Outcome.NOT_RUN or (
-            request.route.is_retryable
-            and progress.possible_executions < request.route.attempts
-        )
-        return may_run and self.budgets.take(
-            request.service,
-            time.monotonic(),
+        return _may_execute_again(
+            request, progress, outcome
+        ) and self.budgets.take(request.service, time.monotonic())
+
+    def _may_resume(self, request: CallerRequest, progress: Progress) -> bool:
+        """Return whether a stream without progress may be resumed elsewhere."""
+        return (
+            progress.tries < MAX_TRIES
+            and _may_execute_again(request, progress, Outcome.UNKNOWN)
+            and self.budgets.has_retry(request.service, time.monotonic())
         )
 
     def _complete_response(
@@ -340,6 +347,16 @@
         )
 
 
+def _may_execute_again(
+    request: CallerRequest, progress: Progress, outcome: Outcome
+) -> bool:
+    """Return whether the route allows another execution after an attempt."""
+    return outcome is Outcome.NOT_RUN or (
+        request.route.is_retryable
+        and progress.possible_executions < request.route.attempts
+    )
+
+
 def _record_outcome(grant: Grant, *, is_success: bool) -> None:
     """Record the outcome of a request in the target's health."""
     grant.load.health.record_response(time.monotonic(), is_success=is_success)
--- a/src/dandelionplank/delivery/events.py
+++ b/src/dandelionplank/delivery/events.py
@@ -2,7 +2,11 @@
 
 import dataclasses
 
+from dandelionplank.delivery.bounds import MAX_EVENT_BYTES
+
 BLANK_LINES = (b'\n\n', b'\r\n\r\n')
+# Bytes of a blank line that may have arrived with the chunk before.
+MAX_SPLIT_BYTES = 3
 ID_FIELD = b'id:'
 
 
@@ -22,26 +26,34 @@
 
     def __init__(self) -> None:
         """Hold the bytes of an incomplete event."""
-        self.remainder = b''
+        self.remainder = bytearray()
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that are complete now."""
-        pending = self.remainder + chunk
+        """Add bytes and return the events that are complete now.
+
+        Only the new bytes are searched, so that the time for an event grows
+        linearly with its length.
+
+        :raises ValueError: the incomplete event is too long
+        """
+        searched = max(0, len(self.remainder) - MAX_SPLIT_BYTES)
+        self.remainder += chunk
         events: list[StreamEvent] = []
-        while True:
-            end = _end_of_event(pending)
-            if not end:
-                self.remainder = pending
-                return events
-            events.append(_parse_event(pending[:end]))
-            pending = pending[end:]
+        start = 0
+        while end := _end_of_event(self.remainder, max(start, searched)):
+            events.append(_parse_event(bytes(self.remainder[start:end])))
+            start = end
+        self.remainder = self.remainder[start:]
+        if len(self.remainder) > MAX_EVENT_BYTES:
+            raise ValueError(f'event is longer than {MAX_EVENT_BYTES} bytes')
+        return events
 
 
-def _end_of_event(pending: bytes) -> int:
-    """Return the end of the first event, zero if it is incomplete."""
+def _end_of_event(pending: bytearray, start: int) -> int:
+    """Return the end of the first event after a position, zero if none."""
     ends = []
     for blank in BLANK_LINES:
-        position = pending.find(blank)
+        position = pending.find(blank, start)
         if position >= 0:
             ends.append(position + len(blank))
     return min(ends, default=0)
--- a/src/dandelionplank/delivery/streams.py
+++ b/src/dandelionplank/delivery/streams.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator, Callable, Mapping
+import time
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from dandelionplank.delivery.attempt import Attempt
@@ -20,6 +21,8 @@
 # A resumable stream that is silent for this many times its gap target is
 # resumed at another target.
 SILENCE_GAP_FACTOR = 5
+# Events with this field are progress; comments and empty events are not.
+DATA_FIELD = b'data:'
 
 
 class CallerSink(Protocol):
@@ -42,6 +45,7 @@
     """Passes the events of one attempt to the caller.
 
     :param on_events: called for each block of events received
+    :param may_resume: returns whether another target may resume the stream
     """
 
     request: CallerRequest
@@ -49,10 +53,11 @@
     sink: CallerSink
     codec: RequestCodec
     on_events: Callable[[Grant], None]
+    may_resume: Callable[[], bool]
 
     @property
     def silence_limit_s(self) -> float | None:
-        """Longest wait for events, None if only the deadline limits it."""
+        """Longest time without progress, None if only the deadline counts."""
         route = self.request.route
         if route.can_resume and route.gap_target_s:
             return route.gap_target_s * SILENCE_GAP_FACTOR
@@ -61,18 +66,21 @@
     async def run(self, attempt: Attempt) -> None:
         """Pass complete events on until the stream ends.
 
-        :raises TargetError: the stream is truncated or silent for too long
+        Events that the caller has already, and comments, are no progress: a
+        stalled stream may send them for ever.
+
+        :raises TargetError: the stream is truncated, or makes no progress and
+            another target may resume it
         """
-        stream = attempt.events()
         last_passed_s = 0.0
-        while True:
-            events = await self._next_events(attempt, stream)
-            if events is None:
-                break
+        progress_s = time.monotonic()
+        while events := await self._next_events(attempt, progress_s):
             record_first_event(self.request, attempt.grant)
             self.on_events(attempt.grant)
             last_passed_s = record_pause(self.request, last_passed_s)
             block = new_events(events, self.progress)
+            if DATA_FIELD in block:
+                progress_s = last_passed_s
             if block:
                 await self._send_head(attempt)
                 await self.sink.write(block)
@@ -94,16 +102,25 @@
     async def _next_events(
         self,
         attempt: Attempt,
-        stream: AsyncIterator[list[StreamEvent]],
-    ) -> list[StreamEvent] | None:
-        """Return the next events, None at the end of the stream."""
+        progress_s: float,
+    ) -> list[StreamEvent]:
+        """Return the next events, none at the end of the stream.
+
+        A slow stream that no other target may resume is not given up.
+
+        :param progress_s: monotonic time of the last new event
+        """
         silence_limit_s = self.silence_limit_s
         if silence_limit_s is None:
-            return await anext(stream, None)
-        try:
-            async with asyncio.timeout(silence_limit_s):
-                return await anext(stream, None)
-        except TimeoutError as error:
-            raise attempt.stream_error(
-                f'silent for {silence_limit_s} s'
-            ) from error
+            return await attempt.read_events()
+        left_s = progress_s + silence_limit_s - time.monotonic()
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, left_s)):
+                    return await attempt.read_events()
+            except TimeoutError as error:
+                if self.may_resume():
+                    raise attempt.stream_error(
+                        f'no progress for {silence_limit_s} s'
+                    ) from error
+            left_s = silence_limit_s
--- a/src/dandelionplank/routing/budget.py
+++ b/src/dandelionplank/routing/budget.py
@@ -41,8 +41,8 @@
         self.requests.append(now_s)
         self._drop_expired(now_s)
 
-    def take(self, now_s: float, instances: int) -> bool:
-        """Spend a retry and return whether this instance's part allows it.
+    def has_retry(self, now_s: float, instances: int) -> bool:
+        """Return whether this instance's part allows one more retry.
 
         :param instances: instances that share the budget, this one included
         """
@@ -51,7 +51,11 @@
         allowed = USED_SHARE * (
             limits.ratio * len(self.requests) + limits.extra / max(1, instances)
         )
-        if len(self.retries) + 1 > allowed:
+        return len(self.retries) + 1 <= allowed
+
+    def take(self, now_s: float, instances: int) -> bool:
+        """Spend a retry and return whether this instance's part allows it."""
+        if not self.has_retry(now_s, instances):
             return False
         self.retries.append(now_s)
         return True
@@ -86,6 +90,10 @@
         """Count a caller's request."""
         self._budget(service).record_request(now_s)
 
+    def has_retry(self, service: str, now_s: float) -> bool:
+        """Return whether the budget of a service allows one more retry."""
+        return self._budget(service).has_retry(now_s, self.instances())
+
     def take(self, service: str, now_s: float) -> bool:
         """Spend one retry if the budget allows it; return whether it does."""
         return self._budget(service).take(now_s, self.instances())
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -91,14 +91,17 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         """Execute one request, or reject it."""
         if request.headers.get('Dandelionplank-Expect-Instance') != self.name:
-            return web.Response(status=421)
+            return web.Response(status=421, headers=_echoed_id(request))
         if self.faults.rejected_requests or not self.faults.runs_left:
             self.faults.rejected_requests = max(
                 0, self.faults.rejected_requests - 1
             )
             return web.Response(
                 status=503,
-                headers={'Dandelionplank-Not-Executed': '1'},
+                headers={
+                    **_echoed_id(request),
+                    'Dandelionplank-Not-Executed': '1',
+                },
             )
         self.faults.runs_left -= 1
         body = await request.read()
@@ -158,12 +161,18 @@
         """Return the headers that identify a response and report the load."""
         request_id = request.headers.get('Dandelionplank-Request-Id', '')
         return {
-            'Dandelionplank-Request-Id': request_id,
+            **_echoed_id(request),
             'Dandelionplank-Server-Stamp': f'{self.name}.{request_id}',
             'Dandelionplank-Engine-Load': '1,0,8,100',
         }
 
 
+def _echoed_id(request: web.Request) -> dict[str, str]:
+    """Return the header with the id of the request."""
+    request_id = request.headers.get('Dandelionplank-Request-Id', '')
+    return {'Dandelionplank-Request-Id': request_id}
+
+
 def _reset_connection(request: web.Request) -> None:
     """Reset the connection and end the handler.
 
