Assign engines of large fleets in pools that one instance owns

Cause: each instance chose among all engines by reports that are 1.3 s old at 78 instances, while a prompt is prefilled in 0.02 to 0.28 s. Many sent to the same few engines while others were idle, and accounts were served in the order of what each instance knew.

Change: from eight instances on, engines are split into pools of about eight; rendezvous names an owner for each. An entry sends a ticket of some hundred bytes and gets a grant, a place in the queue or a rejection; the response still goes from the engine to the entry. The owner uses the scheduler that every instance has. Prompts with a long shared prefix prefer one pool; a rejected one is offered to an idle engine of the next pool. An owner that does not answer twice within 25 ms is skipped for the next one, then the entry decides alone. Lost messages are covered by repeated tickets and by lists of open grants, from which a new owner rebuilds its load.

Fleets below eight instances are not affected.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -14,7 +14,7 @@
 from dandelionplank.delivery.bounds import HeldBytes
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
-from dandelionplank.delivery.dispatch import Dispatcher
+from dandelionplank.delivery.dispatch import TargetAssigner
 from dandelionplank.delivery.progress import (
     Progress,
     record_first_event,
@@ -40,10 +40,6 @@
 # Share of its objective after which a safe request without a response is
 # sent to a second target as well.
 HEDGE_DELAY_SHARE = 0.6
-# Pause of a target that reports that it is full, and of one that reports that
-# the request names another target.
-FULL_PAUSE_S = 0.1
-MISDIRECTED_PAUSE_S = 2.0
 MISDIRECTED = 421
 # Attempts per request, including those that a target did not execute.
 MAX_TRIES = 4
@@ -59,7 +55,7 @@
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
+        dispatcher: TargetAssigner,
         pool: ConnectionPool,
         codec: RequestCodec,
         budgets: ServiceRetryBudgets,
@@ -154,7 +150,7 @@
             self.dispatcher.record_first_event(attempt.grant)
             is_success = response.status < FIRST_SERVER_ERROR_STATUS
             self._raise_if_not_executed(attempt)
-            _record_outcome(attempt.grant, is_success=is_success)
+            self.dispatcher.record_outcome(attempt.grant, is_success=is_success)
             complete = self._complete_response(attempt, body)
             if is_success or not self._may_retry(
                 request,
@@ -177,7 +173,7 @@
             self._raise_if_not_executed(attempt)
             if response.status not in SUCCESS_STATUSES:
                 body = await attempt.read_body()
-                _record_outcome(attempt.grant, is_success=False)
+                self.dispatcher.record_outcome(attempt.grant, is_success=False)
                 if progress.is_started:
                     raise attempt.stream_error(f'status {response.status}')
                 return self._complete_response(attempt, body)
@@ -190,7 +186,7 @@
                 functools.partial(self._may_resume, request, progress),
             )
             await relay.run(attempt)
-            _record_outcome(attempt.grant, is_success=True)
+            self.dispatcher.record_outcome(attempt.grant, is_success=True)
             return None
 
     @contextlib.asynccontextmanager
@@ -242,9 +238,8 @@
 
     def _record_failure(self, grant: Grant, error: TargetError) -> None:
         """Record a failed attempt in the target's health."""
-        now_s = time.monotonic()
         if error.code is ErrorCode.TARGET_UNREACHABLE:
-            grant.load.health.record_unreachable(now_s)
+            self.dispatcher.record_unreachable(grant)
             log_event(
                 Event.TARGET_UNREACHABLE,
                 request=grant.waiting.request_id,
@@ -252,7 +247,7 @@
                 why=error.reason,
             )
         elif error.code is not ErrorCode.TARGET_REFUSED:
-            _record_outcome(grant, is_success=False)
+            self.dispatcher.record_outcome(grant, is_success=False)
 
     def _raise_if_not_executed(self, attempt: Attempt) -> None:
         """Pause the target and raise if it did not execute the request."""
@@ -260,10 +255,9 @@
             return
         response = attempt.response
         assert response is not None
-        pause_s = FULL_PAUSE_S
-        if response.status == MISDIRECTED:
-            pause_s = MISDIRECTED_PAUSE_S
-        attempt.grant.load.health.pause_until(time.monotonic() + pause_s)
+        self.dispatcher.record_not_executed(
+            attempt.grant, is_misdirected=response.status == MISDIRECTED
+        )
         raise TargetError(
             f'status {response.status}',
             step=STEP,
@@ -357,11 +351,6 @@
     )
 
 
-def _record_outcome(grant: Grant, *, is_success: bool) -> None:
-    """Record the outcome of a request in the target's health."""
-    grant.load.health.record_response(time.monotonic(), is_success=is_success)
-
-
 async def _first_success(
     tasks: set[asyncio.Task[CompleteResponse | None]],
 ) -> CompleteResponse | None:
--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import Protocol
 
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.fairness.waiting import WaitingRequest
@@ -10,6 +11,37 @@
 # How often waiting requests are checked if no other event triggers a pass.
 POLL_PERIOD_S = 0.02
 STEP = 'queue'
+# Pause of a target that reports that it is full, and of one that reports that
+# the request names another target.
+FULL_PAUSE_S = 0.1
+MISDIRECTED_PAUSE_S = 2.0
+
+
+class TargetAssigner(Protocol):
+    """Assigns targets to requests and learns what became of them."""
+
+    async def acquire(self, waiting: WaitingRequest) -> Grant:
+        """Wait for a target.
+
+        :raises RefusalError: the request was rejected and not executed
+        """
+
+    def record_first_event(self, grant: Grant) -> None:
+        """Record that a target has started to respond."""
+
+    def record_outcome(self, grant: Grant, *, is_success: bool) -> None:
+        """Record the outcome of a request in the target's health."""
+
+    def record_unreachable(self, grant: Grant) -> None:
+        """Record that a target accepted no connection."""
+
+    def record_not_executed(
+        self, grant: Grant, *, is_misdirected: bool
+    ) -> None:
+        """Pause a target that did not execute a request."""
+
+    def release(self, grant: Grant) -> None:
+        """Record that a request has left its target."""
 
 
 class Dispatcher:
@@ -52,6 +84,23 @@
         grant.load.record_first_event(grant.sent, time.monotonic())
         self.wake(grant.waiting.service)
 
+    def record_outcome(self, grant: Grant, *, is_success: bool) -> None:
+        """Record the outcome of a request in the target's health."""
+        grant.load.health.record_response(
+            time.monotonic(), is_success=is_success
+        )
+
+    def record_unreachable(self, grant: Grant) -> None:
+        """Record that a target accepted no connection."""
+        grant.load.health.record_unreachable(time.monotonic())
+
+    def record_not_executed(
+        self, grant: Grant, *, is_misdirected: bool
+    ) -> None:
+        """Pause a target that did not execute a request."""
+        pause_s = MISDIRECTED_PAUSE_S if is_misdirected else FULL_PAUSE_S
+        grant.load.health.pause_until(time.monotonic() + pause_s)
+
     def release(self, grant: Grant) -> None:
         """Record that a request has left its target."""
         grant.load.record_end(grant.sent)
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -87,7 +87,7 @@
         return WaitingRequest(
             self.metadata.request_id,
             self.account,
-            self.route,
+            self.route.objective_s,
             self.service,
             work,
             self.arrived_s,
--- a/src/dandelionplank/fairness/waiting.py
+++ b/src/dandelionplank/fairness/waiting.py
@@ -10,7 +10,6 @@
 import dataclasses
 from collections.abc import Iterator, Mapping
 
-from dandelionplank.routing.routes import Route
 from dandelionplank.routing.work import TokenWork
 
 
@@ -18,7 +17,9 @@
 class WaitingRequest:
     """A request that waits for a target.
 
-    :param service: name of the service to call
+    :param objective_s: time from the arrival after which a response misses
+        its objective
+    :param service: name of the service to call, or of the queue of a pool
     :param arrived_s: monotonic time of its arrival
     :param deadline_s: monotonic time at which it times out
     :param cost: cost in tokens, cached or not, so that the service charged to
@@ -30,7 +31,7 @@
 
     request_id: str
     account: str
-    route: Route
+    objective_s: float
     service: str
     work: TokenWork | None
     arrived_s: float
@@ -44,7 +45,7 @@
     @property
     def objective_deadline_s(self) -> float:
         """Monotonic time after which a response misses the objective."""
-        return self.arrived_s + self.route.objective_s
+        return self.arrived_s + self.objective_s
 
 
 class WaitingQueue:
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -20,8 +20,18 @@
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
 from dandelionplank.fleet.peers import PeerLoadTable
+from dandelionplank.fleet.poolclient import OwnerDirectory, PoolClient
+from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
+from dandelionplank.fleet.tickets import (
+    OpenGrants,
+    Ticket,
+    TicketEvents,
+    TicketGrant,
+    TicketQueued,
+    TicketRejection,
+)
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CachedPartsReader, CacheWarmup
 from dandelionplank.ingress.gateway import Gateway
@@ -29,6 +39,7 @@
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.budget import RetryLimits, ServiceRetryBudgets
+from dandelionplank.routing.pools import TargetPools
 from dandelionplank.routing.scheduler import Scheduler
 from dandelionplank.settings import Address
 
@@ -74,9 +85,10 @@
         bounds = settings.bounds
         self.view = FleetView(bounds.revoked_after_s)
         self.peer_loads = PeerLoadTable()
+        pools = TargetPools(self.view.targets_of)
         self.scheduler = Scheduler(
             settings.instance.data_center,
-            self.view.targets_of,
+            pools.targets_in,
             self.peer_loads,
         )
         self.view.listeners.append(self.scheduler.configure)
@@ -88,6 +100,26 @@
             self.peer_loads,
             self.scheduler,
         )
+        self.pool_owner = PoolOwner(
+            settings.instance.id, self.dispatcher, self.exchange.send
+        )
+        self.pool_client = PoolClient(
+            settings.instance.id,
+            self.dispatcher,
+            pools,
+            OwnerDirectory(settings.instance.id, self.view, self.peer_loads),
+            self.exchange.send,
+        )
+        self.exchange.receivers.update(
+            {
+                Ticket: self.pool_owner.receive_ticket,
+                TicketEvents: self.pool_owner.receive_events,
+                OpenGrants: self.pool_owner.receive_open_grants,
+                TicketGrant: self.pool_client.receive_reply,
+                TicketQueued: self.pool_client.receive_reply,
+                TicketRejection: self.pool_client.receive_reply,
+            }
+        )
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
@@ -96,7 +128,7 @@
         )
         self.gateway = Gateway(
             self.view,
-            Delivery(self.dispatcher, self.pool, parts.codec, self.budgets),
+            Delivery(self.pool_client, self.pool, parts.codec, self.budgets),
             parts.codec,
         )
         self.follower = StoreFollower(
@@ -151,6 +183,8 @@
             self.follower.run(),
             self.follower.run_expiry(),
             self.dispatcher.run(),
+            self.pool_owner.run_expiry(),
+            self.pool_client.run_listing(),
             self.warmup.run(),
             self.settings_follower.run(),
             self._sweep(),
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -5,7 +5,8 @@
 import random
 import time
 from collections import deque
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import msgspec
 
@@ -18,6 +19,7 @@
     WatcherRole,
 )
 from dandelionplank.fleet.peers import PeerLoadTable, PeerReport, PrefillReport
+from dandelionplank.fleet.tickets import TicketMessage
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
@@ -40,7 +42,8 @@
 RENEWAL_SPREAD = (0.8, 1.2)
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(PeerReport | ViewQuery | ViewResponse)
+PeerMessage = PeerReport | ViewQuery | ViewResponse | TicketMessage
+_DECODER = msgspec.msgpack.Decoder(PeerMessage)
 
 
 class Presence(Protocol):
@@ -78,6 +81,11 @@
         self.query_number = random.getrandbits(RANDOM_ID_BITS)
         self.pending_response: asyncio.Future[ViewResponse] | None = None
         self.transport: asyncio.DatagramTransport | None = None
+        self.receivers: dict[type, Callable[[Any], None]] = {
+            PeerReport: self._receive_report,
+            ViewQuery: self._respond,
+            ViewResponse: self._receive_response,
+        }
 
     @property
     def period_s(self) -> float:
@@ -110,12 +118,9 @@
         except msgspec.DecodeError:
             METRICS.add('peer_reports_malformed_total')
             return
-        if isinstance(message, PeerReport):
-            self._receive_report(message)
-        elif isinstance(message, ViewQuery):
-            self._respond(message)
-        else:
-            self._receive_response(message)
+        receive = self.receivers.get(type(message))
+        if receive:
+            receive(message)
 
     @property
     def watcher_role(self) -> WatcherRole:
@@ -129,7 +134,7 @@
         loop = asyncio.get_running_loop()
         pending: asyncio.Future[ViewResponse] = loop.create_future()
         self.pending_response = pending
-        self._send(role.watcher_to_query(self.query_number), query)
+        self.send(role.watcher_to_query(self.query_number), query)
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_S):
                 return await pending
@@ -161,6 +166,10 @@
             if name != self.name:
                 self._send_block(name, report)
 
+    def send(self, name: str, message: PeerMessage) -> None:
+        """Send a message to one instance."""
+        self._send_block(name, _ENCODER.encode(message))
+
     def _respond(self, query: ViewQuery) -> None:
         """Send the revision and age of the view to another instance."""
         if self.view.revision is None:
@@ -170,7 +179,7 @@
             self.view.revision,
             self.view.capped_age_s,
         )
-        self._send(query.sender, response)
+        self.send(query.sender, response)
 
     def _receive_response(self, response: ViewResponse) -> None:
         """Complete the pending query if this is its response."""
@@ -195,10 +204,6 @@
             )
         self.scheduler.record_prefill_reports(report.prefills)
 
-    def _send(self, name: str, message: ViewQuery | ViewResponse) -> None:
-        """Send a message to one instance."""
-        self._send_block(name, _ENCODER.encode(message))
-
     def _send_block(self, name: str, block: bytes) -> None:
         """Send an encoded message to an instance, if its address is known."""
         address = self.view.peers.get(name)
--- /dev/null
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -0,0 +1,489 @@
+"""Entry's side of the pools: obtains targets from the owners of pools.
+
+An owner that does not answer within some tens of milliseconds is skipped: the
+next owner is asked, and then this instance decides alone.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import time
+from collections import defaultdict
+from collections.abc import Callable
+
+from dandelionplank.delivery.dispatch import Dispatcher
+from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.fairness.waiting import WaitingRequest
+from dandelionplank.fleet.peers import PeerLoadTable
+from dandelionplank.fleet.tickets import (
+    OpenGrant,
+    OpenGrants,
+    Ticket,
+    TicketEvent,
+    TicketEvents,
+    TicketGrant,
+    TicketMessage,
+    TicketQueued,
+    TicketRejection,
+    TicketReply,
+)
+from dandelionplank.fleet.view import FleetView
+from dandelionplank.metrics import METRICS
+from dandelionplank.routing.load import DispatchedRequest
+from dandelionplank.routing.pools import TargetPools
+from dandelionplank.routing.rendezvous import rank_instances
+from dandelionplank.routing.scheduler import Grant
+from dandelionplank.routing.work import TokenWork
+
+STEP = 'pool'
+# Smallest fleet with owners; in a smaller one reports are recent enough for
+# each instance to decide alone.
+MIN_POOLED_FLEET = 8
+# Owners that are asked for one pool.
+OWNERS_ASKED = 2
+# Time after which an unanswered ticket is sent again, and how often it is sent
+# before its owner counts as silent.
+REPLY_TIMEOUT_S = 0.025
+SENDS_PER_OWNER = 2
+# Period at which the owner of a queued ticket is asked whether it still waits.
+QUEUED_CHECK_S = 0.1
+# First and longest time for which a silent owner is not asked.
+FIRST_SUSPICION_S = 0.5
+LONGEST_SUSPICION_S = 8.0
+# The owners of a pool are determined again after this time.
+OWNERS_MAX_AGE_S = 0.2
+# Period at which open grants are listed to their owners.
+LISTING_PERIOD_S = 0.5
+RANDOM_NUMBER_BITS = 48
+
+MessageSender = Callable[[str, TicketMessage], None]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class RemoteGrant:
+    """A grant of another instance.
+
+    :param owner: instance that made it
+    """
+
+    owner: str
+    number: int
+    queue: str
+    sent: DispatchedRequest
+    target: str
+
+    @property
+    def listing(self) -> OpenGrant:
+        """Return the entry of this grant in a list of open grants."""
+        return OpenGrant(
+            self.number,
+            self.queue,
+            self.target,
+            self.sent.uncached_tokens,
+            self.sent.is_prefilled,
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Suspicion:
+    """An instance that did not answer a ticket.
+
+    :param until_s: monotonic time until which it is not asked
+    """
+
+    until_s: float
+    length_s: float
+
+
+class OwnerDirectory:
+    """Determines the owners of pools as this instance sees the fleet."""
+
+    def __init__(
+        self, name: str, view: FleetView, peer_loads: PeerLoadTable
+    ) -> None:
+        """Hold the view and the reports of the other instances."""
+        self.name = name
+        self.view = view
+        self.peer_loads = peer_loads
+        self.suspicions: dict[str, Suspicion] = {}
+        self.ranked: dict[str, tuple[float, list[str]]] = {}
+
+    @property
+    def is_pooled(self) -> bool:
+        """Return whether the fleet is large enough for owners."""
+        return len(self.peer_loads.reports) + 1 >= MIN_POOLED_FLEET
+
+    def owners_of(self, queue: str, now_s: float) -> list[str]:
+        """Return the owner of a pool and the instances that follow it."""
+        ranked_s, owners = self.ranked.get(queue, (float('-inf'), []))
+        if now_s - ranked_s > OWNERS_MAX_AGE_S:
+            owners = rank_instances(queue, self._present(now_s))
+            owners = owners[:OWNERS_ASKED]
+            self.ranked[queue] = (now_s, owners)
+        return owners
+
+    def record_silent(self, owner: str, now_s: float) -> None:
+        """Record that an owner did not answer; it is not asked for a while."""
+        METRICS.add('pool_owners_silent_total')
+        known = self.suspicions.get(owner)
+        length_s = FIRST_SUSPICION_S
+        if known:
+            length_s = min(LONGEST_SUSPICION_S, known.length_s * 2)
+        self.suspicions[owner] = Suspicion(now_s + length_s, length_s)
+        self.ranked.clear()
+
+    def record_answer(self, owner: str) -> None:
+        """Record that an owner answered."""
+        self.suspicions.pop(owner, None)
+
+    def _present(self, now_s: float) -> list[str]:
+        """Return the instances that may own a pool."""
+        return [
+            peer
+            for peer in self.view.peers
+            if peer == self.name or self._may_own(peer, now_s)
+        ]
+
+    def _may_own(self, peer: str, now_s: float) -> bool:
+        """Return whether another instance may own a pool."""
+        received = self.peer_loads.reports.get(peer)
+        if received is None or received.report.is_leaving:
+            return False
+        suspicion = self.suspicions.get(peer)
+        return suspicion is None or now_s >= suspicion.until_s
+
+
+class PoolClient:
+    """Obtains targets: from owners for prompts, alone for other work."""
+
+    def __init__(
+        self,
+        name: str,
+        dispatcher: Dispatcher,
+        pools: TargetPools,
+        owners: OwnerDirectory,
+        send: MessageSender,
+    ) -> None:
+        """Hold the parts of the decision.
+
+        :param name: this instance
+        :param dispatcher: decides for this instance, and for its own pools
+        :param send: sends a message to another instance
+        """
+        self.name = name
+        self.dispatcher = dispatcher
+        self.pools = pools
+        self.owners = owners
+        self.send = send
+        # A random start, so that no reply to an earlier process matches.
+        self.first_number = random.getrandbits(RANDOM_NUMBER_BITS)
+        self.numbers = itertools.count(self.first_number)
+        self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
+        self.grants: dict[int, RemoteGrant] = {}
+        self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
+            defaultdict(list)
+        )
+
+    async def acquire(self, waiting: WaitingRequest) -> Grant:
+        """Wait for a target.
+
+        :raises RefusalError: the request was rejected and not executed
+        """
+        work = waiting.work
+        if work is None or not self.owners.is_pooled:
+            return await self.dispatcher.acquire(waiting)
+        queues = self.pools.rank(waiting.service, work)
+        if not queues:
+            return await self.dispatcher.acquire(waiting)
+        try:
+            return await self._acquire_in(queues[0], waiting, work)
+        except RefusalError:
+            grant = None
+            for queue in queues[1:2]:
+                grant = await self._overflow_to(queue, waiting, work)
+            if grant is None:
+                raise
+            return grant
+
+    def record_first_event(self, grant: Grant) -> None:
+        """Record that a target has started to respond."""
+        if grant.ticket_number < 0:
+            self.dispatcher.record_first_event(grant)
+        elif not grant.sent.is_prefilled:
+            grant.sent.is_prefilled = True
+            self._report(grant, TicketEvent.PREFILLED)
+
+    def record_outcome(self, grant: Grant, *, is_success: bool) -> None:
+        """Record the outcome of a request in the target's health."""
+        self._report(
+            grant,
+            TicketEvent.SUCCEEDED if is_success else TicketEvent.FAILED,
+        )
+        self.dispatcher.record_outcome(grant, is_success=is_success)
+
+    def record_unreachable(self, grant: Grant) -> None:
+        """Record that a target accepted no connection."""
+        self._report(grant, TicketEvent.UNREACHABLE)
+        self.dispatcher.record_unreachable(grant)
+
+    def record_not_executed(
+        self, grant: Grant, *, is_misdirected: bool
+    ) -> None:
+        """Pause a target that did not execute a request."""
+        self._report(
+            grant,
+            TicketEvent.MISDIRECTED if is_misdirected else TicketEvent.FULL,
+        )
+        self.dispatcher.record_not_executed(
+            grant, is_misdirected=is_misdirected
+        )
+
+    def release(self, grant: Grant) -> None:
+        """Record that a request has left its target."""
+        if grant.ticket_number < 0:
+            self.dispatcher.release(grant)
+            return
+        self._report(grant, TicketEvent.ENDED)
+        self.grants.pop(grant.ticket_number, None)
+
+    def receive_reply(self, reply: TicketReply) -> None:
+        """Pass a reply on to its request; give an unwanted target back."""
+        replies = self.replies.get(reply.number)
+        if replies is not None:
+            replies.put_nowait(reply)
+        elif isinstance(reply, TicketGrant) and (
+            reply.number not in self.grants
+        ):
+            self._put_event(reply.owner, reply.number, TicketEvent.ENDED)
+
+    async def run_listing(self) -> None:
+        """List the open grants to their owners until cancelled."""
+        while True:
+            await asyncio.sleep(LISTING_PERIOD_S)
+            self.list_grants(time.monotonic())
+
+    def list_grants(self, now_s: float) -> None:
+        """Send the open grants to the owners of their pools."""
+        by_owner: dict[str, list[OpenGrant]] = defaultdict(list)
+        for grant in self.grants.values():
+            owners = {
+                grant.owner,
+                *self.owners.owners_of(grant.queue, now_s)[:1],
+            }
+            for owner in owners - {self.name}:
+                by_owner[owner].append(grant.listing)
+        for owner, grants in by_owner.items():
+            self.send(
+                owner, OpenGrants(self.name, self.first_number, tuple(grants))
+            )
+
+    async def _overflow_to(
+        self, queue: str, waiting: WaitingRequest, work: TokenWork
+    ) -> Grant | None:
+        """Return a target of a pool that is not the preferred one."""
+        try:
+            return await self._acquire_in(
+                queue, waiting, work, is_overflow=True
+            )
+        except RefusalError:
+            return None
+
+    async def _acquire_in(
+        self,
+        queue: str,
+        waiting: WaitingRequest,
+        work: TokenWork,
+        *,
+        is_overflow: bool = False,
+    ) -> Grant:
+        """Wait for a target of one pool.
+
+        :raises RefusalError: the owner rejected the request
+        """
+        for owner in self.owners.owners_of(queue, time.monotonic()):
+            if owner == self.name:
+                return await self._acquire_here(
+                    queue, waiting, is_overflow=is_overflow
+                )
+            grant = await self._ask(
+                owner, queue, waiting, work, is_overflow=is_overflow
+            )
+            if grant:
+                return grant
+        if is_overflow:
+            raise _refusal(waiting, 'pool has no owner', 0)
+        METRICS.add('pool_decisions_alone_total')
+        return await self.dispatcher.acquire(waiting)
+
+    async def _acquire_here(
+        self, queue: str, waiting: WaitingRequest, *, is_overflow: bool
+    ) -> Grant:
+        """Wait for a target of a pool that this instance owns."""
+        own = dataclasses.replace(waiting, service=queue)
+        scheduler = self.dispatcher.scheduler
+        if is_overflow and not scheduler.may_start(own, time.monotonic()):
+            raise _refusal(waiting, 'pool has no idle target', 0)
+        return await self.dispatcher.acquire(own)
+
+    async def _ask(
+        self,
+        owner: str,
+        queue: str,
+        waiting: WaitingRequest,
+        work: TokenWork,
+        *,
+        is_overflow: bool,
+    ) -> Grant | None:
+        """Send a ticket to an owner and wait for its decision.
+
+        :return: None if the owner does not answer
+        :raises RefusalError: the owner rejected the request
+        """
+        number = next(self.numbers)
+        replies: asyncio.Queue[TicketReply] = asyncio.Queue()
+        self.replies[number] = replies
+        is_settled = False
+        try:
+            while True:
+                reply = await self._next_reply(
+                    owner,
+                    self._ticket(number, queue, waiting, work, is_overflow),
+                    replies,
+                )
+                if reply is None:
+                    self.owners.record_silent(owner, time.monotonic())
+                    return None
+                self.owners.record_answer(owner)
+                if isinstance(reply, TicketRejection):
+                    is_settled = True
+                    raise _refusal(waiting, reply.reason, reply.retry_after_s)
+                if isinstance(reply, TicketGrant):
+                    is_settled = True
+                    return self._accept(owner, queue, waiting, reply)
+        finally:
+            self.replies.pop(number)
+            if not is_settled:
+                self._put_event(owner, number, TicketEvent.ENDED)
+
+    async def _next_reply(
+        self,
+        owner: str,
+        ticket: Ticket,
+        replies: 'asyncio.Queue[TicketReply]',
+    ) -> TicketReply | None:
+        """Return the decision on a ticket; ask again while it is queued.
+
+        :return: None if the owner does not answer
+        """
+        for _ in range(SENDS_PER_OWNER):
+            self.send(owner, ticket)
+            try:
+                async with asyncio.timeout(REPLY_TIMEOUT_S):
+                    reply = await replies.get()
+            except TimeoutError:
+                continue
+            if not isinstance(reply, TicketQueued):
+                return reply
+            try:
+                async with asyncio.timeout(QUEUED_CHECK_S):
+                    return await _decision(replies)
+            except TimeoutError:
+                return reply
+        return None
+
+    def _accept(
+        self,
+        owner: str,
+        queue: str,
+        waiting: WaitingRequest,
+        reply: TicketGrant,
+    ) -> Grant:
+        """Return the grant of an owner as one of this instance.
+
+        :raises RefusalError: the target is not known here, or draining
+        """
+        target = self.owners.view.registry.targets.get(reply.target)
+        if target is None:
+            self._put_event(owner, reply.number, TicketEvent.MISDIRECTED)
+            self._put_event(owner, reply.number, TicketEvent.ENDED)
+            raise _refusal(waiting, 'granted target is gone', 0)
+        sent = DispatchedRequest(reply.uncached_tokens, 0, time.monotonic())
+        self.grants[reply.number] = RemoteGrant(
+            owner, reply.number, queue, sent, reply.target
+        )
+        return Grant(
+            waiting,
+            self.dispatcher.scheduler.load_of(target),
+            sent,
+            reply.expected_s,
+            reply.number,
+        )
+
+    def _ticket(
+        self,
+        number: int,
+        queue: str,
+        waiting: WaitingRequest,
+        work: TokenWork,
+        is_overflow: bool,  # noqa: FBT001
+    ) -> Ticket:
+        """Return a ticket with the times that are left now."""
+        now_s = time.monotonic()
+        return Ticket(
+            self.name,
+            number,
+            queue,
+            waiting.request_id,
+            waiting.account,
+            waiting.objective_deadline_s - now_s,
+            waiting.deadline_s - now_s,
+            waiting.cost,
+            work.model,
+            work.prompt_tokens,
+            work.output_tokens,
+            tuple((part.part_id, part.tokens) for part in work.parts),
+            waiting.avoided,
+            is_overflow,
+        )
+
+    def _report(self, grant: Grant, event: TicketEvent) -> None:
+        """Report an event to the owner of a grant, if it is another one."""
+        remote = self.grants.get(grant.ticket_number)
+        if remote:
+            self._put_event(remote.owner, remote.number, event)
+
+    def _put_event(self, owner: str, number: int, event: TicketEvent) -> None:
+        """Add an event to the next message to an owner."""
+        if not self.unsent_events:
+            asyncio.get_running_loop().call_soon(self._send_events)
+        self.unsent_events[owner].append((number, event))
+
+    def _send_events(self) -> None:
+        """Send the events of the present turn of the loop."""
+        unsent = tuple(self.unsent_events.items())
+        self.unsent_events.clear()
+        for owner, events in unsent:
+            self.send(owner, TicketEvents(self.name, tuple(events)))
+
+
+async def _decision(replies: 'asyncio.Queue[TicketReply]') -> TicketReply:
+    """Return the next reply that is a decision."""
+    while True:
+        reply = await replies.get()
+        if not isinstance(reply, TicketQueued):
+            return reply
+
+
+def _refusal(
+    waiting: WaitingRequest, reason: str, retry_after_s: float
+) -> RefusalError:
+    """Return the error for a rejected ticket."""
+    return RefusalError(
+        reason,
+        step=STEP,
+        peer=waiting.service,
+        code=ErrorCode.QUEUE_TIMEOUT,
+        request_id=waiting.request_id,
+        retry_after_s=retry_after_s,
+    )
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -131,6 +131,12 @@
         self.running += 1
         return sent
 
+    def adopt(self, sent: DispatchedRequest) -> None:
+        """Count a request that another instance has sent to the target."""
+        self.running += 1
+        if not sent.is_prefilled:
+            self.pending_prefill_tokens += sent.uncached_tokens
+
     def record_first_event(self, sent: DispatchedRequest, now_s: float) -> None:
         """Record that the target has prefilled a request's prompt."""
         if sent.is_prefilled:
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -63,12 +63,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """A request that may be sent to a target."""
+    """A request that may be sent to a target.
+
+    :param expected_s: expected time until its prompt is prefilled
+    :param ticket_number: number of the ticket that another instance granted,
+        negative if this instance decided
+    """
 
     waiting: WaitingRequest
     load: TargetLoad
     sent: DispatchedRequest
     expected_s: float
+    ticket_number: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,6 +153,15 @@
         queue.add(waiting)
         return None
 
+    def may_start(self, waiting: WaitingRequest, now_s: float) -> bool:
+        """Return whether a request could be sent now, ahead of no other."""
+        queue = self.queues.get(waiting.service)
+        if queue and queue.count:
+            return False
+        snapshots = self._snapshots(waiting.service, now_s)
+        placement = self._place(waiting, snapshots, TARGET_QUEUE_S, now_s)
+        return placement is not None and placement.has_capacity
+
     def withdraw(self, waiting: WaitingRequest) -> None:
         """Remove a request from its queue."""
         queue = self.queues.get(waiting.service)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -20,7 +20,11 @@
 )
 from dandelionplank.events import Event
 from dandelionplank.fleet import confirmation
-from dandelionplank.fleet.confirmation import ViewResponse, WatcherRole
+from dandelionplank.fleet.confirmation import (
+    ViewQuery,
+    ViewResponse,
+    WatcherRole,
+)
 from dandelionplank.fleet.follower import StoreFollower
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.fleet.view import FleetView
@@ -475,7 +479,7 @@
     """Without confirmations, the view is kept current by store calls."""
     async with shared_watch_fleet() as fleet:
         for gateway in fleet.gateways:
-            gateway.exchange._respond = lambda question: None
+            gateway.exchange.receivers[ViewQuery] = mock.Mock()
         fleet.store.put('op/config', configuration(2, keys=('key-b',)))
         await wait_until(
             lambda: all(
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -106,7 +106,7 @@
     return WaitingRequest(
         f'{account}-{now_s}',
         account,
-        ROUTE,
+        ROUTE.objective_s,
         'llm',
         work,
         now_s,
@@ -143,7 +143,6 @@
     scheduler = make_scheduler('a', 'b', 'c', 'd')
     for number in range(8):
         waiting = make_request('x', make_work(f's{number}', f'o{number}'))
-        waiting.route = ROUTE
         scheduler.submit(waiting, 0.0)
     granted = scheduler.run_pass('llm', 0.0)
     assert len({grant.load.target.name for grant in granted}) == 4
@@ -664,7 +663,14 @@
     for number in range(100):
         now_s = number * 0.02
         waiting = WaitingRequest(
-            f'r{number}', '', ROUTE, 'llm', None, now_s, now_s + 3, cost=0
+            f'r{number}',
+            '',
+            ROUTE.objective_s,
+            'llm',
+            None,
+            now_s,
+            now_s + 3,
+            cost=0,
         )
         scheduler.submit(waiting, now_s)
         grant = only(scheduler.run_pass('llm', now_s))
