Pass changes of the store on from the watchers to the other instances

Cause: each change of a target, a key or an instance cost every instance a call to the store: 78 calls for one, some 6,000 for a release of forty engines.

A watcher that lags behind or does not respond is skipped for the next one; the store is called once no watcher responds or the view is older than the limit before.

Ruled out: reads with StaleOk for every instance (a tenth of the price each, but still one a change and instance, and they may be seconds old).

Before: one store call a change and instance (test with 3 gateways and one watcher fails). After: only the watcher calls.

--- a/src/dandelionplank/fleet/confirmation.py
+++ b/src/dandelionplank/fleet/confirmation.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from dandelionplank.fleet.changes import StoredChange
 from dandelionplank.fleet.peers import PeerLoadTable
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.routing.rendezvous import rank_instances
@@ -33,10 +34,12 @@
     """Query for the revision and age of a watcher's view.
 
     :param number: number of the query, also in its response
+    :param revision: revision of the store that the sender has reached
     """
 
     sender: str
     number: int
+    revision: int
 
 
 class ViewResponse(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -44,11 +47,15 @@
 
     :param revision: revision of the store that the view has reached
     :param age_s: time since that was confirmed as the latest revision
+    :param reached: revision that the sender of the query reaches with the
+        changes, its own if changes are missing
     """
 
     number: int
     revision: int
     age_s: float
+    reached: int
+    changes: tuple[StoredChange, ...] = ()
 
 
 class ViewConfirmer(Protocol):
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -130,7 +130,10 @@
     async def query(self, role: WatcherRole) -> ViewResponse | None:
         """Query one of the watchers; return None if it does not respond."""
         self.query_number += 1
-        query = ViewQuery(self.name, self.query_number)
+        revision = self.view.revision
+        if revision is None:
+            return None
+        query = ViewQuery(self.name, self.query_number, revision)
         loop = asyncio.get_running_loop()
         pending: asyncio.Future[ViewResponse] = loop.create_future()
         self.pending_response = pending
@@ -171,13 +174,19 @@
         self._send_block(name, _ENCODER.encode(message))
 
     def _respond(self, query: ViewQuery) -> None:
-        """Send the revision and age of the view to another instance."""
+        """Send the revision, age and changes of the view to an instance."""
         if self.view.revision is None:
             return
+        reached, changes = self.view.changes.since(query.revision) or (
+            query.revision,
+            (),
+        )
         response = ViewResponse(
             query.number,
             self.view.revision,
             self.view.capped_age_s,
+            reached,
+            changes,
         )
         self.send(query.sender, response)
 
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -8,12 +8,14 @@
 
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
+from dandelionplank.fleet.changes import StoredChange
 from dandelionplank.fleet.clock import boot_time_s
 from dandelionplank.fleet.confirmation import (
     CONFIRMED_AGE_SHARE,
     QUERY_PERIOD_S,
     WATCHER_WAIT_SHARE,
     ViewConfirmer,
+    ViewResponse,
 )
 from dandelionplank.fleet.registry import RELISTING_GRACE_S
 from dandelionplank.fleet.view import FleetView
@@ -40,6 +42,9 @@
 class ChangeSink(Protocol):
     """Receives changes of the store from the platform's adapter."""
 
+    def changed(self, change: StoredChange) -> None:
+        """Record a change before it is decoded."""
+
     def configured(self, table: RouteTable) -> None:
         """Apply a configuration."""
 
@@ -81,6 +86,9 @@
         :raises StoreError: the store did not respond
         """
 
+    def apply(self, change: StoredChange, sink: ChangeSink) -> None:
+        """Decode a change that another instance has passed on."""
+
 
 class StoreFollower:
     """Applies changes of the store to the view and confirms its age."""
@@ -110,11 +118,12 @@
         self.store_back_s = float('-inf')
         self.failures = 0
         self.known_malformed: set[str] = set()
+        self.batch: list[StoredChange] = []
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            if await self._confirm_with_watcher():
+            if await self._confirm_with_watchers():
                 await asyncio.sleep(QUERY_PERIOD_S)
             else:
                 await self._watch()
@@ -127,6 +136,10 @@
             if expired:
                 self._drop_targets(expired, 'not listed again')
 
+    def changed(self, change: StoredChange) -> None:
+        """Record a change for the instances that query this one."""
+        self.batch.append(change)
+
     def configured(self, table: RouteTable) -> None:
         """Apply a configuration."""
         self.view.configure(table)
@@ -169,27 +182,53 @@
         self.known_malformed.add(key)
         log_event(Event.DOCUMENT_MALFORMED, key=key, why=reason)
 
-    async def _confirm_with_watcher(self) -> bool:
-        """Query a watcher; return whether it confirmed a recent view."""
+    async def _confirm_with_watchers(self) -> bool:
+        """Query the watchers; return whether the view is recent."""
         if self.view.revision is None or self.failures:
             return False
         self._update_watcher_role()
         if self.watcher_role.is_watcher:
             return False
+        for _ in self.watcher_role.watchers:
+            if await self._query_watcher():
+                return True
+        return False
+
+    async def _query_watcher(self) -> bool:
+        """Apply what one watcher knows; return whether the view is recent."""
         queried_at_s = boot_time_s()
         response = await self.confirmer.query(self.watcher_role)
         if response is None:
             self._log_confirmation('no response')
             return False
-        if response.revision != self.view.revision:
+        self._apply_changes(response)
+        if response.revision == self.view.revision:
+            self.view.confirm(queried_at_s - response.age_s)
+            self.last_response_s = time.monotonic()
+        elif response.revision > (self.view.revision or 0):
+            # The watcher cannot pass on all that it has.
             return False
-        self.view.confirm(queried_at_s - response.age_s)
-        self.last_response_s = time.monotonic()
         limit_s = self.view.revoked_after_s * CONFIRMED_AGE_SHARE
         is_recent = self.view.age_s < limit_s
         self._log_confirmation('' if is_recent else 'confirmation too old')
         return is_recent
 
+    def _apply_changes(self, response: ViewResponse) -> None:
+        """Apply the changes that a watcher has passed on.
+
+        Changes from before the present revision are skipped, as other calls
+        may have applied them meanwhile.
+        """
+        revision = self.view.revision
+        if revision is None or response.reached <= revision:
+            return
+        self.batch.clear()
+        for change in response.changes:
+            if change.revision > revision:
+                self.source.apply(change, self)
+        self._advance(response.reached)
+        METRICS.add('changes_passed_on_total', len(response.changes))
+
     def _update_watcher_role(self) -> None:
         """Update the watcher role and log a change of watchers."""
         role = self.confirmer.watcher_role
@@ -253,13 +292,21 @@
             self.view.revision = revision
             self.view.has_targets = True
             return
-        self.view.revision = await self.source.follow(
-            self, self.view.revision, wait_s
+        self.batch.clear()
+        self._advance(
+            await self.source.follow(self, self.view.revision, wait_s)
         )
         self._record_response(queried_at_s)
         if self.view.revision is None:
             log_event(Event.VIEW_RESYNCED, why='history dropped')
 
+    def _advance(self, revision: int | None) -> None:
+        """Set the revision that the changes of the batch have reached."""
+        if self.view.revision is not None and revision is not None:
+            self.view.changes.record(self.view.revision, revision, self.batch)
+        self.batch.clear()
+        self.view.revision = revision
+
     def _drop_unlisted(self, listed: frozenset[str]) -> None:
         """Remove targets that a resync does not list, after any grace."""
         for name in tuple(self.view.registry.targets):
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from dandelionplank.fleet.changes import StoredChange
 from dandelionplank.fleet.follower import ChangeSink
 from dandelionplank.platform import names
 from dandelionplank.platform.documents import (
@@ -12,7 +13,6 @@
 from dandelionplank.platform.store import (
     PlatformStore,
     RevisionCompactedError,
-    StoredItem,
 )
 
 ALL_KEYS = ''
@@ -29,7 +29,10 @@
         """Read all documents; see :class:`ChangeSource`."""
         batch = await self.store.read_range(ALL_KEYS)
         for change in batch.entries:
-            _apply(change, sink)
+            self.apply(
+                StoredChange(change.key, change.revision, change.document),
+                sink,
+            )
         listed = frozenset(
             change.key.removeprefix(names.TARGET_PREFIX)
             for change in batch.entries
@@ -49,27 +52,30 @@
         except RevisionCompactedError:
             return None
         for change in batch.entries:
-            _apply(change, sink)
+            self.apply(
+                StoredChange(change.key, change.revision, change.document),
+                sink,
+            )
         return max(revision, batch.revision)
 
-
-def _apply(change: StoredItem, sink: ChangeSink) -> None:
-    """Decode one change and pass it to the sink by its kind."""
-    try:
-        if (
-            change.key == names.CONFIGURATION_KEY
-            and change.document is not None
-        ):
-            sink.configured(decode_configuration(change.document))
-        elif change.key.startswith(names.TARGET_PREFIX):
-            _apply_target(change, sink)
-        elif change.key.startswith(names.PEER_PREFIX):
-            _apply_peer(change, sink)
-    except MalformedDocumentError as error:
-        sink.malformed(change.key, error.reason)
-
-
-def _apply_target(change: StoredItem, sink: ChangeSink) -> None:
+    def apply(self, change: StoredChange, sink: ChangeSink) -> None:
+        """Decode one change and pass it to the sink by its kind."""
+        sink.changed(change)
+        try:
+            if (
+                change.key == names.CONFIGURATION_KEY
+                and change.document is not None
+            ):
+                sink.configured(decode_configuration(change.document))
+            elif change.key.startswith(names.TARGET_PREFIX):
+                _apply_target(change, sink)
+            elif change.key.startswith(names.PEER_PREFIX):
+                _apply_peer(change, sink)
+        except MalformedDocumentError as error:
+            sink.malformed(change.key, error.reason)
+
+
+def _apply_target(change: StoredChange, sink: ChangeSink) -> None:
     """Pass on a change of a target's entry."""
     name = change.key.removeprefix(names.TARGET_PREFIX)
     if change.document is None:
@@ -78,7 +84,7 @@
         sink.target_listed(decode_target(name, change.document))
 
 
-def _apply_peer(change: StoredItem, sink: ChangeSink) -> None:
+def _apply_peer(change: StoredChange, sink: ChangeSink) -> None:
     """Pass on a change of another instance's entry."""
     name = change.key.removeprefix(names.PEER_PREFIX)
     if change.document is None:
