Restart a failed task instead of stopping the daemon

Cause: an unexpected error in any task of the gateway (a store document, a report, a timer) stopped the whole process: its callers' requests had the grace to end, and the instance was gone for a start.

Change: fleet/supervision.py logs and counts the error and starts the task again after a growing pause; only a task that fails twelve times in a row stops the daemon, as before. An error while a peer's message is handled costs that message.

Ruled out: catching errors inside each task (each would need its own loop).

Before: the test that raises one error in each of seven tasks ends with the daemon stopping. After: it serves on. A planned stop under load was looked at as well: twelve callers that go on calling through a stop got an answer for every call that a target executed; nothing had to change.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import dataclasses
+import functools
 import signal
 import time
-from collections.abc import Coroutine
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Self
@@ -24,6 +24,7 @@
 from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
+from dandelionplank.fleet.supervision import TaskFactory, supervise
 from dandelionplank.fleet.tickets import (
     OpenGrants,
     Ticket,
@@ -179,17 +180,17 @@
         """Open all sockets and start all tasks."""
         listen = self.settings.listen
         callers = Address.from_text(listen.callers)
-        for coroutine in (
-            self.follower.run(),
-            self.follower.run_expiry(),
-            self.dispatcher.run(),
-            self.pool_owner.run_expiry(),
-            self.pool_client.run_listing(),
-            self.warmup.run(),
-            self.settings_follower.run(),
-            self._sweep(),
+        for run in (
+            self.follower.run,
+            self.follower.run_expiry,
+            self.dispatcher.run,
+            self.pool_owner.run_expiry,
+            self.pool_client.run_listing,
+            self.warmup.run,
+            self.settings_follower.run,
+            self._sweep,
         ):
-            self._spawn(coroutine)
+            self._spawn(run)
         await self.server.listen(callers)
         readiness = Address.from_text(listen.readiness)
         await self._serve_page(readiness, self.parts.ready_path, self._ready)
@@ -199,14 +200,15 @@
             self._metrics,
         )
         await self.exchange.listen(Address.from_text(listen.peers))
-        self._spawn(self.exchange.run())
+        self._spawn(self.exchange.run)
         self._spawn(
-            keep_presence(
+            functools.partial(
+                keep_presence,
                 self.parts.presence,
                 self.settings.store.presence_ttl_s,
             ),
         )
-        self._spawn(self.server.idle.run())
+        self._spawn(self.server.idle.run)
         log_event(
             Event.STARTED,
             instance=self.settings.instance.id,
@@ -250,18 +252,17 @@
         self.pool.close()
         await self.parts.close()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Start a task whose failure is logged and stops the daemon."""
-        task = asyncio.ensure_future(coroutine)
+    def _spawn(self, run: TaskFactory) -> None:
+        """Start a supervised task; if it fails for good, the daemon stops."""
+        name = getattr(run, '__qualname__', keep_presence.__qualname__)
+        task = asyncio.ensure_future(supervise(name, run))
         task.add_done_callback(self._stop_on_failure)
         self.tasks.append(task)
 
     def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
-        """Log the failure of a task and stop the daemon."""
-        if task.cancelled() or task.exception() is None:
-            return
-        log_event(Event.TASK_FAILED, why=repr(task.exception()))
-        self.stopping.set()
+        """Stop the daemon after a task has failed for good."""
+        if not task.cancelled() and task.exception() is not None:
+            self.stopping.set()
 
     async def _serve_page(
         self,
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -118,9 +118,18 @@
         except msgspec.DecodeError:
             METRICS.add('peer_reports_malformed_total')
             return
-        receive = self.receivers.get(type(message))
-        if receive:
+        receive = self.receivers[type(message)]
+        try:
             receive(message)
+        except Exception as error:
+            # One message must not end the socket that serves all others.
+            METRICS.add('peer_messages_failed_total')
+            log_event(
+                Event.TASK_FAILED,
+                task=type(message).__name__,
+                why=repr(error),
+                peer=addr[0],
+            )
 
     @property
     def watcher_role(self) -> WatcherRole:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 from pathlib import Path
 from unittest import mock
@@ -27,6 +28,14 @@
 )
 from dandelionplank.fleet.follower import StoreFollower
 from dandelionplank.fleet.settings import GatewaySettings
+from dandelionplank.fleet.tickets import (
+    OpenGrant,
+    OpenGrants,
+    Ticket,
+    TicketEvent,
+    TicketEvents,
+    TicketGrant,
+)
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.metrics import METRICS
@@ -524,6 +533,56 @@
         }
 
 
+@run_async
+async def test_an_unexpected_error_restarts_a_task_and_not_the_process():
+    """Each task of the daemon survives one error inside it."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        failures = event_counter(Event.TASK_FAILED)
+        before = METRICS.counters[failures]
+        for owner, method in (
+            (gateway.pool_owner, 'expire'),
+            (gateway.pool_client, 'list_grants'),
+            (gateway.pool, 'close_expired'),
+            (gateway.exchange, 'send_report'),
+            (gateway.follower.source, 'follow'),
+            (gateway.view.registry, 'expire'),
+            (gateway.parts.presence, 'renew'),
+        ):
+            with mock.patch.object(
+                owner, method, side_effect=RuntimeError(method)
+            ) as failing:
+                await wait_until(functools.partial(getattr, failing, 'called'))
+        await wait_until(lambda: METRICS.counters[failures] >= before + 6)
+        assert not gateway.stopping.is_set()
+        assert not any(task.done() for task in gateway.tasks[:5])
+        assert (await fleet.call('/mine/x'))[0] == 200
+
+
+@run_async
+async def test_a_message_that_cannot_be_handled_ends_nothing():
+    """A peer's message with senseless values costs only itself."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        nan = math.nan
+        for message in (
+            Ticket(
+                'i', 1, '#', '', '', nan, nan, nan, '', -1, -1, (), (), False
+            ),
+            Ticket('i', 2, 'llm#0', '', '', 1, 1, 1, 'm', 9, 9, (), (), False),
+            TicketEvents('i', ((1, TicketEvent.ENDED), (9, TicketEvent.FULL))),
+            OpenGrants('i', 1, (OpenGrant(3, 'llm#0', 'llm-0', nan, False),)),
+            TicketGrant('i', 1, 'x', nan, nan),
+        ):
+            block = msgspec.msgpack.encode(message)
+            gateway.exchange.datagram_received(block, ('127.0.0.1', 1))
+        gateway.exchange.datagram_received(b'\xff', ('127.0.0.1', 1))
+        await asyncio.sleep(0.1)
+        assert (await fleet.call('/mine/x'))[0] == 200
+        status, body, _ = await fleet.call('/chat/x', headers=MODEL_HEADERS)
+        assert (status, body) == (200, COMPLETE_STREAM)
+
+
 class SlowConfirmer:
     """Responds after a delay, as over a slow link or after a suspension."""
 
@@ -569,3 +628,40 @@
         await wait_until(lambda: len(gateway.view.targets_of('plain')) == 6)
         status, _, _ = await fleet.call('/book/x', method='POST')
         assert status == 200
+
+
+async def keep_calling(fleet, caller, answered, is_stopped):
+    """Book one thing after the other, and record what was answered."""
+    number = 0
+    while not is_stopped.is_set():
+        number += 1
+        body = b'%d.%d' % (caller, number)
+        try:
+            status, answer, _ = await fleet.call('/book/x', data=body)
+        except aiohttp.ClientError:
+            continue
+        if status == 200:
+            assert answer == body
+            answered.append(body)
+
+
+@run_async
+async def test_a_planned_stop_under_load_leaves_no_executed_call_unanswered():
+    """Callers go on using their connections until the gateway closes them."""
+    async with platform_fleet(grace_s=6.0) as fleet:
+        for target in fleet.targets.values():
+            target.faults.delay_s = 0.03
+        answered = []
+        is_stopped = asyncio.Event()
+        callers = [
+            asyncio.ensure_future(
+                keep_calling(fleet, caller, answered, is_stopped)
+            )
+            for caller in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        await fleet.gateways[0].shut_down()
+        is_stopped.set()
+        await asyncio.gather(*callers)
+        assert len(answered) > 100
+        assert sorted(run.body for run in fleet.runs()) == sorted(answered)
