--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -368,3 +368,25 @@
             raise AssertionError('a target that is gone was used')
         await wait_until(lambda: not owner.count_running())
         assert not entry.client.grants
+
+
+@run_async
+async def test_work_beyond_a_pool_goes_to_an_idle_one_or_is_rejected():
+    """The second pool takes only what an idle target can start at once."""
+    async with pooled_fleet() as network:
+        work = make_work('subject', 'own')
+        owner = owner_of(network, work)
+        entry = entry_other_than(network, owner.name)
+        home, second = entry.pools.rank('llm', work)
+        for queue in (home, second):
+            queue_owner = network.instances[
+                entry.directory.owners_of(queue, time.monotonic())[0]
+            ]
+            grant = await entry.client.acquire(make_waiting(work))
+            assert grant.load.target in entry.pools.targets_in(queue)
+            for target in entry.pools.targets_in(queue):
+                load = queue_owner.scheduler.load_of(target)
+                load.pending_prefill_tokens = 90_000
+        with contextlib.suppress(RefusalError):
+            await entry.client.acquire(make_waiting(work))
+            raise AssertionError('no engine can start the prompt in time')
