--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -63,18 +63,17 @@
         """Hold the sums, at first those of the assumed speed."""
         self.tokens = INITIAL_SAMPLE_S * INITIAL_TOKENS_PER_S
         self.elapsed_s = INITIAL_SAMPLE_S
-
-    @property
-    def tokens_per_s(self) -> float:
-        """Return the estimate."""
-        speed = self.tokens / self.elapsed_s
-        return min(FASTEST_TOKENS_PER_S, max(SLOWEST_TOKENS_PER_S, speed))
+        self.tokens_per_s = INITIAL_TOKENS_PER_S
 
     def add(self, tokens: float, elapsed_s: float) -> None:
         """Add the time that the target took to prefill tokens."""
         decay = 1 - SPEED_WEIGHT
         self.tokens = self.tokens * decay + tokens
         self.elapsed_s = self.elapsed_s * decay + max(0.0, elapsed_s)
+        speed = self.tokens / self.elapsed_s
+        self.tokens_per_s = min(
+            FASTEST_TOKENS_PER_S, max(SLOWEST_TOKENS_PER_S, speed)
+        )
 
 
 class TargetLoad:
@@ -124,7 +123,7 @@
 
     def prefill_s(self, tokens: float) -> float:
         """Return the time that the target needs to prefill tokens."""
-        return tokens / self.tokens_per_s
+        return tokens / self.speed.tokens_per_s
 
     def has_capacity(
         self,
