Let prompts that are longer than their objective compete with a later one

Cause: with the prefill speed estimated well, the largest tenth of spec-review cannot meet its objective at a loaded engine.

Change: a prompt whose own prefill takes longer than its objective gets an objective that it can meet, from its own prefill and 0.8 of the objective as its wait; its own length takes up at most three quarters of an engine's queue limit, so that short prompts do not keep it out for ever.

Ruled out: a share of one half for the own length (an engine's own queue became longer than its test allows).

Test at the crest: 1 of 40 large prompts served before; it passes now.

--- a/src/dandelionplank/routing/admission.py
+++ b/src/dandelionplank/routing/admission.py
@@ -1,6 +1,6 @@
 """Admission control: pure decisions, no I/O and no clock.
 
-Designed for demand above capacity: a request that cannot meet its objective
+Designed for demand above capacity, with prompts of very different size: a request that cannot meet its objective
 is refused on arrival, with a retry time from the expected wait, instead of
 waiting until its deadline passes.
 """
@@ -9,6 +9,9 @@
 
 # Time to the first event besides the wait and the prefill.
 FIRST_EVENT_OVERHEAD_S = 0.15
+# Wait, as a share of the objective, that is allowed to a prompt that cannot
+# meet its objective even at an idle target.
+OVERSIZE_WAIT_SHARE = 0.8
 MIN_RETRY_S = 0.25
 MAX_RETRY_S = 4.0
 
@@ -24,10 +27,15 @@
     wait_s: float
     prefill_s: float
 
+    @property
+    def unloaded_s(self) -> float:
+        """Expected time to the first event at an idle target."""
+        return self.prefill_s + FIRST_EVENT_OVERHEAD_S
+
     @property
     def first_event_s(self) -> float:
         """Expected time to the first event."""
-        return self.wait_s + self.prefill_s + FIRST_EVENT_OVERHEAD_S
+        return self.wait_s + self.unloaded_s
 
 
 def misses_objective(
@@ -37,6 +45,20 @@
     return estimate.first_event_s > objective_left_s
 
 
+def attainable_objective_s(
+    estimate: LatencyEstimate, objective_s: float
+) -> float:
+    """Return the objective, or a longer one if no target could meet it.
+
+    A prompt whose own prefill takes longer than its objective is late at any
+    target, whenever it comes back, and would be refused for ever. It competes
+    with a later objective instead.
+    """
+    if estimate.unloaded_s <= objective_s:
+        return objective_s
+    return estimate.unloaded_s + objective_s * OVERSIZE_WAIT_SHARE
+
+
 def retry_after_s(estimate: LatencyEstimate, jitter: float) -> float:
     """Return the time after which a refused caller should retry.
 
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -29,6 +29,8 @@
 SMALLEST_SAMPLE_TOKENS = 2000
 # Work that may be queued inside a target, in seconds of prefill.
 TARGET_QUEUE_S = 0.25
+# Most of that limit that one prompt takes up.
+LONG_PROMPT_SHARE = 0.75
 # Fraction of the slots that is used.
 RUNNING_SHARE = 1.0
 # A plain target's report of its own load counts for this long.
@@ -141,7 +143,12 @@
         pending = self.pending_prefill_tokens + others.pending_prefill_tokens
         if pending <= 0:
             return True
-        return self.prefill_s(pending + uncached_tokens) <= queue_limit_s
+        # The own length of a long prompt counts in part only, since short
+        # prompts would otherwise keep it out for as long as there are any.
+        own_s = min(
+            self.prefill_s(uncached_tokens), queue_limit_s * LONG_PROMPT_SHARE
+        )
+        return self.prefill_s(pending) + own_s <= queue_limit_s
 
     def send(
         self,
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -19,6 +19,7 @@
 )
 from dandelionplank.routing.admission import (
     LatencyEstimate,
+    attainable_objective_s,
     misses_objective,
     retry_after_s,
 )
@@ -143,6 +144,9 @@
         queue = self.queues.setdefault(waiting.service, WaitingQueue())
         if not placement.has_capacity or queue.count:
             estimate = self._estimate_latency(waiting, placement, queue)
+            waiting.objective_s = attainable_objective_s(
+                estimate, waiting.objective_s
+            )
             if misses_objective(estimate, waiting.objective_deadline_s - now_s):
                 return Rejection(
                     waiting,
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -685,3 +685,42 @@
     odds = scheduler.loads['bad'].health.failure_odds
     assert odds(2) * 10 > 1
     assert odds(30) * 100 < 1
+
+
+def test_a_prompt_longer_than_its_objective_is_served_late_not_never():
+    """Refused at an idle engine, the largest prompts would never be served."""
+    scheduler = make_scheduler('a', 'b')
+    large = make_work('subject', 'own', own_tokens=60_000)
+    assert scheduler.submit(make_request('x', large), 0.0) is None
+    assert scheduler.run_pass('llm', 0.0)
+
+
+def test_a_prompt_longer_than_its_objective_does_not_wait_for_long():
+    """Where work waits already, it is refused like any other."""
+    scheduler = make_scheduler('a')
+    scheduler.load_of(make_target('a')).pending_prefill_tokens = 60_000
+    large = make_work('subject', 'own', own_tokens=60_000)
+    rejection = scheduler.submit(make_request('x', large), 0.0)
+    assert rejection.retry_after_s > 0
+
+
+def test_the_largest_prompts_are_served_at_the_crest():
+    """Twice the demand that one engine can prefill, one prompt in ten large."""
+    scheduler = make_scheduler('a')
+    served = {True: 0, False: 0}
+    for number in range(400):
+        now_s = number * 0.1
+        is_large = number % 10 == 0
+        work = make_work(
+            'subject', f'o{number}', own_tokens=50_000 if is_large else 5000
+        )
+        scheduler.submit(make_request('x', work, now_s), now_s)
+        for load in scheduler.loads.values():
+            load.pending_prefill_tokens = max(
+                0.0, load.pending_prefill_tokens - 4500
+            )
+        for grant in scheduler.run_pass('llm', now_s):
+            served[grant.waiting.work.prompt_tokens > 30_000] += 1
+            grant.load.running -= 1
+        scheduler.expire(now_s)
+    assert served[True] / 40 >= 0.5 * served[False] / 360, served
