--- a/src/dandelionplank/routing/admission.py
+++ b/src/dandelionplank/routing/admission.py
@@ -1,8 +1,8 @@
 """Admission control: pure decisions, no I/O and no clock.
 
-Designed for demand above capacity, with prompts of very different size: a request that cannot meet its objective
-is refused on arrival, with a retry time from the expected wait, instead of
-waiting until its deadline passes.
+Designed for demand above capacity, with prompts of very different size: a
+request that cannot meet its objective is refused on arrival, with a retry time
+from the expected wait, instead of waiting until its deadline passes.
 """
 
 import dataclasses
