Let a caller's close be seen before its request is passed on

Change: one turn of the loop between reading a request and acting on it, in which a close cancels the request.

Test: 20 callers that send and close at once; before, their requests reached the target, now none does. What binds behind it, the processor time of the instance to which most callers stay connected, remains.

--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -99,6 +99,9 @@
             account,
             started_s,
         )
+        # On a busy instance the caller may have left before its request is
+        # read. One turn of the loop lets its close cancel this task.
+        await asyncio.sleep(0)
         self.delivery.budgets.record_request(caller.service, started_s)
         if route.kind is RequestKind.STREAM:
             return await self._stream(request, caller)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,12 +11,14 @@
 import msgspec
 import yaml
 from aiohttp.client_exceptions import ClientConnectionResetError
+from yarl import URL
 
 from bench.fleet import reserve_ports
 from bench.platform import (
     COMPLETE_STREAM,
     MODEL_HEADERS,
     configuration,
+    request_headers,
     target_entry,
 )
 from dandelionplank.events import Event
@@ -665,3 +667,21 @@
         await asyncio.gather(*callers)
         assert len(answered) > 100
         assert sorted(run.body for run in fleet.runs()) == sorted(answered)
+
+
+@run_async
+async def test_a_request_whose_caller_has_left_is_not_passed_on():
+    """A busy instance reads the request and the close at the same time."""
+    async with platform_fleet(engines=1) as fleet:
+        assert (await fleet.call('/look/x'))[0] == 200
+        url = URL(fleet.urls[0])
+        headers = request_headers('left', 'key-a')
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        head = '\r\n'.join(('GET /look/x HTTP/1.1', *lines, '', ''))
+        for _ in range(20):
+            _, writer = await asyncio.open_connection(url.host, url.port)
+            await asyncio.sleep(0.01)
+            writer.write(head.encode())
+            writer.close()
+        await asyncio.sleep(0.2)
+        assert len(fleet.runs()) == 1
