--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -19,8 +19,9 @@
 from dandelionplank.events import Event
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
+from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.peers import PeerLoadTable
-from dandelionplank.fleet.poolclient import OwnerDirectory, PoolClient
+from dandelionplank.fleet.poolclient import PoolClient
 from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -15,7 +15,7 @@
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.fairness.waiting import WaitingRequest
-from dandelionplank.fleet.peers import PeerLoadTable
+from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.tickets import (
     OpenGrant,
     OpenGrants,
@@ -28,31 +28,19 @@
     TicketRejection,
     TicketReply,
 )
-from dandelionplank.fleet.view import FleetView
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.load import DispatchedRequest
 from dandelionplank.routing.pools import TargetPools
-from dandelionplank.routing.rendezvous import rank_instances
 from dandelionplank.routing.scheduler import Grant
 from dandelionplank.routing.work import TokenWork
 
 STEP = 'pool'
-# Smallest fleet with owners; in a smaller one reports are recent enough for
-# each instance to decide alone.
-MIN_POOLED_FLEET = 8
-# Owners that are asked for one pool.
-OWNERS_ASKED = 2
 # Time after which an unanswered ticket is sent again, and how often it is sent
 # before its owner counts as silent.
 REPLY_TIMEOUT_S = 0.025
 SENDS_PER_OWNER = 2
 # Period at which the owner of a queued ticket is asked whether it still waits.
 QUEUED_CHECK_S = 0.1
-# First and longest time for which a silent owner is not asked.
-FIRST_SUSPICION_S = 0.5
-LONGEST_SUSPICION_S = 8.0
-# The owners of a pool are determined again after this time.
-OWNERS_MAX_AGE_S = 0.2
 # Period at which open grants are listed to their owners.
 LISTING_PERIOD_S = 0.5
 RANDOM_NUMBER_BITS = 48
@@ -85,75 +73,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class Suspicion:
-    """An instance that did not answer a ticket.
-
-    :param until_s: monotonic time until which it is not asked
-    """
-
-    until_s: float
-    length_s: float
-
-
-class OwnerDirectory:
-    """Determines the owners of pools as this instance sees the fleet."""
-
-    def __init__(
-        self, name: str, view: FleetView, peer_loads: PeerLoadTable
-    ) -> None:
-        """Hold the view and the reports of the other instances."""
-        self.name = name
-        self.view = view
-        self.peer_loads = peer_loads
-        self.suspicions: dict[str, Suspicion] = {}
-        self.ranked: dict[str, tuple[float, list[str]]] = {}
-
-    @property
-    def is_pooled(self) -> bool:
-        """Return whether the fleet is large enough for owners."""
-        return len(self.peer_loads.reports) + 1 >= MIN_POOLED_FLEET
-
-    def owners_of(self, queue: str, now_s: float) -> list[str]:
-        """Return the owner of a pool and the instances that follow it."""
-        ranked_s, owners = self.ranked.get(queue, (float('-inf'), []))
-        if now_s - ranked_s > OWNERS_MAX_AGE_S:
-            owners = rank_instances(queue, self._present(now_s))
-            owners = owners[:OWNERS_ASKED]
-            self.ranked[queue] = (now_s, owners)
-        return owners
-
-    def record_silent(self, owner: str, now_s: float) -> None:
-        """Record that an owner did not answer; it is not asked for a while."""
-        METRICS.add('pool_owners_silent_total')
-        known = self.suspicions.get(owner)
-        length_s = FIRST_SUSPICION_S
-        if known:
-            length_s = min(LONGEST_SUSPICION_S, known.length_s * 2)
-        self.suspicions[owner] = Suspicion(now_s + length_s, length_s)
-        self.ranked.clear()
-
-    def record_answer(self, owner: str) -> None:
-        """Record that an owner answered."""
-        self.suspicions.pop(owner, None)
-
-    def _present(self, now_s: float) -> list[str]:
-        """Return the instances that may own a pool."""
-        return [
-            peer
-            for peer in self.view.peers
-            if peer == self.name or self._may_own(peer, now_s)
-        ]
-
-    def _may_own(self, peer: str, now_s: float) -> bool:
-        """Return whether another instance may own a pool."""
-        received = self.peer_loads.reports.get(peer)
-        if received is None or received.report.is_leaving:
-            return False
-        suspicion = self.suspicions.get(peer)
-        return suspicion is None or now_s >= suspicion.until_s
-
-
 class PoolClient:
     """Obtains targets: from owners for prompts, alone for other work."""
 
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -96,6 +96,15 @@
             await asyncio.sleep(period_s)
 
 
+async def wait_until(condition):
+    """Wait until a synchronous condition holds."""
+
+    async def check():
+        return condition()
+
+    await eventually(check, period_s=0.01)
+
+
 async def read_metric(fleet, router, name):
     """Return the sum of a router's metrics that start with a name, or zero."""
     async with fleet.session.get(f'{router.url}/metrics') as response:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -44,7 +44,7 @@
 from dandelionplank.platform.follow import StoreChangeSource
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformtarget import TargetFaults
-from tests.fixtures import eventually, only, run_async
+from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet
 
 TEMPLATE = Path(__file__).parent.parent / 'deploy' / 'settings.yaml'
@@ -66,15 +66,6 @@
 }
 
 
-async def wait_until(condition):
-    """Wait until a synchronous condition holds."""
-
-    async def check():
-        return condition()
-
-    await eventually(check, period_s=0.01)
-
-
 def event_counter(event):
     """Return the key of the counter of an event's log lines."""
     return ('events_total', (('event', str(event.number)),))
--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -21,9 +21,8 @@
 from dandelionplank.delivery import bounds
 from dandelionplank.delivery.events import EventFramer
 from dandelionplank_standins.hostiletarget import HostileTarget
-from tests.fixtures import run_async
+from tests.fixtures import run_async, wait_until
 from tests.platformfleet import platform_fleet
-from tests.test_gateway import wait_until
 
 PAGE_BYTES = 4096
 ENDLESS_CALLS = 100
