--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -96,8 +96,7 @@
         self.owners = owners
         self.send = send
         # A random start, so that no reply to an earlier process matches.
-        self.first_number = random.getrandbits(RANDOM_NUMBER_BITS)
-        self.numbers = itertools.count(self.first_number)
+        self.numbers = itertools.count(random.getrandbits(RANDOM_NUMBER_BITS))
         self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
         self.grants: dict[int, RemoteGrant] = {}
         self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
@@ -193,9 +192,7 @@
             for owner in owners - {self.name}:
                 by_owner[owner].append(grant.listing)
         for owner, grants in by_owner.items():
-            self.send(
-                owner, OpenGrants(self.name, self.first_number, tuple(grants))
-            )
+            self.send(owner, OpenGrants(self.name, tuple(grants)))
 
     async def _overflow_to(
         self, queue: str, waiting: WaitingRequest, work: TokenWork
--- a/src/dandelionplank/fleet/tickets.py
+++ b/src/dandelionplank/fleet/tickets.py
@@ -97,13 +97,9 @@
 
 
 class OpenGrants(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """All grants of an entry in the pools of one owner.
-
-    :param first_number: number of the first ticket of the sender's process
-    """
+    """All grants of an entry in the pools of one owner."""
 
     sender: str
-    first_number: int
     grants: tuple[OpenGrant, ...]
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -564,7 +564,7 @@
             ),
             Ticket('i', 2, 'llm#0', '', '', 1, 1, 1, 'm', 9, 9, (), (), False),
             TicketEvents('i', ((1, TicketEvent.ENDED), (9, TicketEvent.FULL))),
-            OpenGrants('i', 1, (OpenGrant(3, 'llm#0', 'llm-0', nan, False),)),
+            OpenGrants('i', (OpenGrant(3, 'llm#0', 'llm-0', nan, False),)),
             TicketGrant('i', 1, 'x', nan, nan),
         ):
             block = msgspec.msgpack.encode(message)
