Use one type for a change of the store

The client of the store had a type of its own with the same three fields as the change that watchers pass on, and each change was copied from one to the other. StoredChange now serves both.

--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -29,10 +29,7 @@
         """Read all documents; see :class:`ChangeSource`."""
         batch = await self.store.read_range(ALL_KEYS)
         for change in batch.entries:
-            self.apply(
-                StoredChange(change.key, change.revision, change.document),
-                sink,
-            )
+            self.apply(change, sink)
         listed = frozenset(
             change.key.removeprefix(names.TARGET_PREFIX)
             for change in batch.entries
@@ -52,10 +49,7 @@
         except RevisionCompactedError:
             return None
         for change in batch.entries:
-            self.apply(
-                StoredChange(change.key, change.revision, change.document),
-                sink,
-            )
+            self.apply(change, sink)
         return max(revision, batch.revision)
 
     def apply(self, change: StoredChange, sink: ChangeSink) -> None:
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -15,6 +15,7 @@
     StoreError,
     StoreUnknownError,
 )
+from dandelionplank.fleet.changes import StoredChange
 from dandelionplank.platform import names
 
 STEP = 'store'
@@ -47,23 +48,11 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredItem:
-    """A key's state after a change.
-
-    :param document: ``None`` if the key was removed
-    """
-
-    key: str
-    revision: int
-    document: bytes | None
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ItemBatch:
     """Items that were read or changed, and the store's revision then."""
 
-    entries: tuple[StoredItem, ...]
+    entries: tuple[StoredChange, ...]
     revision: int
 
 
@@ -90,7 +79,7 @@
 
         :raises StoreError: the call failed
         """
-        found: list[StoredItem] = []
+        found: list[StoredChange] = []
         revision = 0
         query = {'Prefix': prefix}
         while True:
@@ -231,9 +220,9 @@
             raise error(f'status {status}', step=STEP, peer=path)
 
 
-def _stored_item(entry: dict[str, Any]) -> StoredItem:
+def _stored_item(entry: dict[str, Any]) -> StoredChange:
     """Decode one item or event."""
     document = None
     if not entry.get('Tombstone'):
         document = base64.b64decode(entry.get('Value') or '')
-    return StoredItem(entry['Key'], entry['Rev'], document)
+    return StoredChange(entry['Key'], entry['Rev'], document)
