--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,6 +23,7 @@
 )
 from dandelionplank.events import Event
 from dandelionplank.fleet import confirmation
+from dandelionplank.fleet import daemon as daemon_module
 from dandelionplank.fleet.confirmation import (
     ViewQuery,
     ViewResponse,
@@ -676,3 +677,74 @@
             writer.close()
         await asyncio.sleep(0.2)
         assert len(fleet.runs()) == 1
+
+
+async def stop_when_requests_arrive(fleet, heads, arrive):
+    """Stop a gateway; requests arrive when its idle connections close.
+
+    :param arrive: called with the gateway's server, the callers' writers and
+        the heads of their requests
+    :return: the responses, read until the connections close
+    """
+    daemon = fleet.gateways[0]
+    url = URL(fleet.urls[0])
+    callers = [await asyncio.open_connection(url.host, url.port) for _ in heads]
+    await wait_until(
+        lambda: len(daemon.server.server.connections) == len(heads)
+    )
+    stop_accepting = daemon.server.stop_accepting
+
+    def stop_accepting_late():
+        arrive(daemon.server.server, [each[1] for each in callers], heads)
+        stop_accepting()
+
+    with (
+        mock.patch.object(daemon_module, 'BALANCER_REMOVAL_S', 0.05),
+        mock.patch.object(daemon.server, 'stop_accepting', stop_accepting_late),
+    ):
+        await daemon.shut_down()
+    assert not daemon.gateway.open_requests
+    async with asyncio.timeout(1):
+        return [await reader.read() for reader, _ in callers]
+
+
+def request_head(request_id):
+    """Return the head of a request without a body."""
+    headers = request_headers(request_id, 'key-a')
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    return '\r\n'.join(('GET /look/x HTTP/1.1', *lines, '', '')).encode()
+
+
+@run_async
+async def test_the_process_does_not_end_before_a_request_that_it_has_read():
+    """The request is parsed, but its handler has not started to count it."""
+
+    def arrive(server, _, heads):
+        for connection, head in zip(server.connections, heads, strict=True):
+            connection.data_received(head)
+
+    async with platform_fleet(grace_s=6.0) as fleet:
+        for target in fleet.targets.values():
+            target.faults.delay_s = 0.2
+        heads = [request_head(f'read-{number}') for number in range(3)]
+        responses = await stop_when_requests_arrive(fleet, heads, arrive)
+        assert len(fleet.runs()) == len(heads)
+        for response in responses:
+            assert response.startswith(b'HTTP/1.1 200')
+
+
+@run_async
+async def test_a_request_in_the_socket_is_answered_at_a_planned_stop():
+    """The request was sent before its idle connection is closed."""
+
+    def arrive(_, writers, heads):
+        for writer, head in zip(writers, heads, strict=True):
+            writer.write(head)
+
+    async with platform_fleet(grace_s=6.0) as fleet:
+        for target in fleet.targets.values():
+            target.faults.delay_s = 0.2
+        heads = [request_head(f'sent-{number}') for number in range(3)]
+        responses = await stop_when_requests_arrive(fleet, heads, arrive)
+        for response in responses:
+            assert response.startswith(b'HTTP/1.1 200')
