Log the open connections of a stopped instance

The line "stopped" had the open requests only, and a request that is read but not started is in neither: a connection that is open when the process ends is what tells a request cut by the end of the process from one cut by a close while it runs. No logic is changed.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -237,6 +237,7 @@
             Event.STOPPED,
             instance=self.settings.instance.id,
             open_requests=self.gateway.open_requests,
+            open_connections=self.server.connection_count,
             took_s=round(time.monotonic() - start_s, 2),
         )
 
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -33,6 +33,11 @@
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
 
+    @property
+    def connection_count(self) -> int:
+        """Return how many callers' connections are open."""
+        return len(self.server.connections) if self.server else 0
+
     async def listen(self, address: Address) -> None:
         """Open the socket."""
         self.server = web.Server(
