Stop the process only after its callers' connections have closed

Cause: the shutdown ended as soon as no request was counted as open. A request is counted once its handler starts, two turns of the loop after its head is parsed, while the check and the end of the process followed each other without a turn in between for it. Its connection was open.

Change: the shutdown waits until the callers' connections have closed, or until the grace ends. Idle connections are closed by it, and the others close after their responses.

Ruled out: the forced close of idle connections comes 20 ms after the first close, later than the cut; the library's keep-alive timer does not close a connection with a handler.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -227,10 +227,10 @@
         deadline_s = start_s + self.settings.bounds.grace_s - CLOSE_RESERVE_S
         await asyncio.sleep(BALANCER_REMOVAL_S)
         self.server.stop_accepting()
-        while time.monotonic() < deadline_s:
+        # A request may have been read whose handler has not started yet, so
+        # only closed connections show that none is open.
+        while self.server.connection_count and time.monotonic() < deadline_s:
             self.server.close_idle()
-            if not self.gateway.open_requests:
-                break
             await asyncio.sleep(DRAIN_POLL_S)
         await self._leave()
         log_event(
