Serve the requests in the sockets before idle connections close

What callers saw at a planned stop: a connection closed without a response though the request was in its socket.

Cause: an idle connection was told to close 20 ms before it was closed by force, and the HTTP library drops what arrives on a connection that was told to close. The 20 ms, meant for requests on their way, lost them.

Change: the connection is left alone for these 20 ms and for the turns in which a request in the socket is read and started; then it is closed if it is still idle.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -230,7 +230,7 @@
         # A request may have been read whose handler has not started yet, so
         # only closed connections show that none is open.
         while self.server.connection_count and time.monotonic() < deadline_s:
-            self.server.close_idle()
+            await self.server.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
         await self._leave()
         log_event(
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -17,8 +17,10 @@
 BACKLOG_CONNECTIONS = 4096
 # Limit of the HTTP parser; the configured limits apply in addition.
 MAX_HEADER_LINE_BYTES = 65_536
-# Time within which the handling of a request that has arrived starts.
-REQUEST_START_S = 0.02
+# Time for the requests that are on their way when idle connections close.
+REQUEST_ARRIVAL_S = 0.02
+# Turns of the loop from a request in a socket to the start of its handler.
+REQUEST_START_TURNS = 5
 
 
 class CallerServer:
@@ -61,26 +63,18 @@
         if self.listener:
             self.listener.close()
 
-    def close_idle(self) -> None:
+    async def close_idle(self) -> None:
         """Close the connections that carry no request.
 
-        A request that has just arrived is still served: the connection closes
-        after it, and is closed at once only if no request has started.
+        Requests that are in the sockets are read first and are served. The
+        connection is not told to close before: it would drop their bytes.
         """
-        if self.server is None:
-            return
-        loop = asyncio.get_running_loop()
-        for connection in self.server.connections:
+        await asyncio.sleep(REQUEST_ARRIVAL_S)
+        for _ in range(REQUEST_START_TURNS):
+            await asyncio.sleep(0)
+        for connection in self.server.connections if self.server else ():
             if self.idle.is_idle(connection):
-                connection.close()
-                loop.call_later(
-                    REQUEST_START_S, self._force_close_idle, connection
-                )
-
-    def _force_close_idle(self, connection: Any) -> None:
-        """Force a connection to close on which no request has started."""
-        if self.idle.is_idle(connection):
-            connection.force_close()
+                connection.force_close()
 
     async def _handle_request(
         self, request: web.BaseRequest
