Release a claim whose lost write another writer built on

Cause: a compare-and-swap with claims took effect and its response was lost; a second instance wrote the same shard before the value was read back, with those claims in it. The read-back reported a conflict, so the batch was tried again; the read after it got no response, and the claims failed with StoreError, which says that nothing was written. Only StoreUnknownError releases a claim, so the key stayed claimed by a live instance and every later call got 409 key_in_progress.

Change: the read-back reports StoreOverwrittenError, a conflict that may hide a write that took effect; a batch that fails after one fails with StoreUnknownError.

Ruled out: lost wake-ups and slow calls (the test's calls were answered, the timeout fell into its pause), an unknown outcome at the target.

--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -231,6 +231,13 @@
     default_code = ErrorCode.STORE_CONFLICT
 
 
+class StoreOverwrittenError(StoreConflictError):
+    """Another writer changed a value after a write of unknown outcome.
+
+    The write may have taken effect before, and be part of the new value.
+    """
+
+
 class StoreUnknownError(StoreError):
     """A write to the key-value service may or may not have taken effect."""
 
--- a/src/dandelionplank/platform/keyvalue.py
+++ b/src/dandelionplank/platform/keyvalue.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from dandelionplank.errors import (
-    StoreConflictError,
     StoreError,
+    StoreOverwrittenError,
     StoreUnknownError,
 )
 
@@ -81,6 +81,8 @@
 
     :return: revision of the write
     :raises StoreConflictError: another writer changed the value first
+    :raises StoreOverwrittenError: another writer changed the value first, or
+        after the write
     :raises StoreUnknownError: the outcome is still unknown
     """
     try:
@@ -96,4 +98,4 @@
     found = present.revision if present else NO_REVISION
     if found == expected:
         raise unknown
-    raise StoreConflictError(step='settle', peer=key) from unknown
+    raise StoreOverwrittenError(step='settle', peer=key) from unknown
--- a/src/dandelionplank/router/intents.py
+++ b/src/dandelionplank/router/intents.py
@@ -12,6 +12,7 @@
 from dandelionplank.errors import (
     StoreConflictError,
     StoreError,
+    StoreOverwrittenError,
     StoreUnknownError,
 )
 from dandelionplank.events import Event
@@ -122,25 +123,42 @@
                     operation.fail(error)
 
     async def _write(self, batch: list[ShardOperation]) -> None:
-        """Apply a batch to the latest shard and store it."""
+        """Apply a batch to the latest shard and store it.
+
+        :raises StoreError: nothing was written
+        :raises StoreUnknownError: an earlier attempt may have been written
+        """
         METRICS.add('intent_batches_total')
         METRICS.add('intent_operations_total', len(batch))
+        is_unknown = False
         for _ in range(MAX_WRITE_ATTEMPTS):
-            shard = await self._load()
-            found: list[IntentShard] = []
-            changed = shard
-            for operation in batch:
-                found.append(changed)
-                changed = operation.update(changed)
             try:
-                await self._store(shard, changed, batch)
-            except StoreConflictError:
+                return await self._write_once(batch)
+            except StoreConflictError as conflict:
+                is_unknown |= isinstance(conflict, StoreOverwrittenError)
                 self.shard = None
-                continue
-            for operation, before in zip(batch, found, strict=True):
-                operation.succeed(before)
-            return
-        raise StoreError('too many writers', step='intent', peer=self.key)
+            except StoreError as error:
+                if not is_unknown:
+                    raise
+                raise StoreUnknownError(
+                    error.reason,
+                    step=error.step,
+                    peer=self.key,
+                ) from error
+        kind = StoreUnknownError if is_unknown else StoreError
+        raise kind('too many writers', step='intent', peer=self.key)
+
+    async def _write_once(self, batch: list[ShardOperation]) -> None:
+        """Apply a batch to the latest shard, store it and complete it."""
+        shard = await self._load()
+        found: list[IntentShard] = []
+        changed = shard
+        for operation in batch:
+            found.append(changed)
+            changed = operation.update(changed)
+        await self._store(shard, changed, batch)
+        for operation, before in zip(batch, found, strict=True):
+            operation.succeed(before)
 
     async def _load(self) -> IntentShard:
         """Return the cached shard, or read it from the store."""
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -10,7 +10,7 @@
     run_state_machine_as_test,
 )
 
-from dandelionplank.errors import StoreError
+from dandelionplank.errors import StoreError, StoreUnknownError
 from dandelionplank.idempotency.intents import (
     Intent,
     IntentShard,
@@ -155,6 +155,89 @@
         await eventually(claimed)
 
 
+class OverwrittenStore:
+    """Loses the response of the first write, which another writer follows.
+
+    :param overwrite: changes the value before the first write is read back
+    :param failing_read: number of the read that gets no response, from one
+    """
+
+    def __init__(self, store, overwrite, failing_read):
+        """Hold the store that takes the calls."""
+        self.store = store
+        self.overwrite = overwrite
+        self.failing_read = failing_read
+        self.reads = 0
+        self.writes = 0
+
+    async def get(self, key):
+        """Read one value."""
+        self.reads += 1
+        if self.reads == self.failing_read:
+            raise StoreError(step='kv/range')
+        return await self.store.get(key)
+
+    async def put(self, key, payload, *, expected=None, lease=0):
+        """Write a value."""
+        self.writes += 1
+        revision = await self.store.put(
+            key, payload, expected=expected, lease=lease
+        )
+        if self.writes == 1:
+            await self.overwrite()
+            raise StoreUnknownError(step='kv/txn')
+        return revision
+
+
+async def claim_over_lost_write(store, failing_read):
+    """Claim a key while another instance changes its shard.
+
+    :return: verdict, or the error of the claim
+    """
+    one_shard = LedgerSettings(intent_shards=1)
+    other = make_task(store, 'r1')
+    task = make_task(
+        OverwrittenStore(
+            store, lambda: other.claim('other', 'same'), failing_read
+        )
+    )
+    for each in (other, task):
+        each.settings = one_shard
+    try:
+        outcome = await task.claim('key', 'same')
+    except StoreError as error:
+        return error
+    return outcome.verdict
+
+
+@run_async
+async def test_claim_is_granted_when_another_write_follows_its_lost_write():
+    """The claim is in the value that the other instance wrote."""
+    async with key_value_store() as (_, store):
+        outcome = await claim_over_lost_write(store, failing_read=0)
+        assert outcome is Verdict.RUN
+
+
+@run_async
+async def test_key_is_released_when_reads_fail_after_a_lost_write():
+    """The claim was stored, so a failed read after it must not keep it.
+
+    Reads: the shard, the read-back, the shard again, its confirmation.
+    """
+    for failing_read in (2, 3, 4):
+        async with key_value_store() as (_, store):
+            outcome = await claim_over_lost_write(store, failing_read)
+            assert isinstance(outcome, StoreUnknownError)
+            task = make_task(store, 'r2')
+            task.settings = LedgerSettings(intent_shards=1)
+
+            async def claimed(claimant=task):
+                later = await claimant.claim('key', 'same')
+                return later.verdict is Verdict.RUN
+
+            await eventually(claimed)
+
+
 @run_async
 async def test_claim_is_unknown_when_its_holder_has_stopped():
     """The stopped holder may have executed the call, so it is not retried."""
