Leave the first token out of a pool's usual interval

tests.test_pools.test_tickets_use_the_capacity_of_all_pools failed at times with peaks of three streams at a target of two slots.

Trace of a failed run, with a log line for each start at an engine: eight streams were granted two to a target within 5 ms. The entry's first report on the pool sibiu-c fell about 1.2 ms after its two streams' first tokens. It divided this time by all tokens, so that the pool's usual interval was 1.2 ms (the engine makes a token in 5 ms), and both streams, at their normal rate, were below a quarter of the usual one. Each asked for another target; the pool has one, so both were refused, and two such requests marked the target slow (0.26 s after the start at the latest). A slow target is probed with a copy of a call: the copy, 0.41 s after the start, was the third stream.

Cause, first of three: no interval precedes the first token of a stream, but it was counted as one. Only the first report on a pool after the start of a router is affected this much.

Change: the usual interval is the time divided by the tokens without the first ones.

--- a/src/dandelionplank/router/observations.py
+++ b/src/dandelionplank/router/observations.py
@@ -277,8 +277,10 @@
         """Update each pool's usual time between tokens."""
         samples: dict[str, list[float]] = {}
         for (pool, _target), window in windows.items():
-            if window.tokens:
-                token_interval_s = window.stream_seconds / window.tokens
+            # No interval precedes the first token of a stream.
+            intervals = window.tokens - window.first_tokens
+            if intervals > 0:
+                token_interval_s = window.stream_seconds / intervals
                 samples.setdefault(pool, []).append(token_interval_s)
         for pool, intervals_s in samples.items():
             usual_s = median(intervals_s)
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -92,3 +92,27 @@
     assert not find_slow_streams(slow, 0.01)
     slow[streams[0]] = 0.5
     assert find_slow_streams(slow, 0.01) == [streams[0]]
+
+
+def test_usual_stream_is_not_late_whenever_the_first_report_is_made():
+    """A report soon after the first token must not raise the usual rate.
+
+    The first token arrives after 5 ms, the others at 200 a second.
+    """
+    for report_at_ms in range(6, 60):
+        late = []
+        task = ObservationTask(FakeTickets(), 0.25, 10)
+        response = EventCount()
+        stream = task.open(
+            ObservedStream(
+                'p', 't', response, on_late=late.append, started_at_s=0
+            )
+        )
+        stream.record_first_event(0.005)
+        response.events = report_at_ms // 5
+        task.report(0, report_at_ms / 1000)
+        for step in range(2, 20):
+            now_s = 0.05 * step
+            response.events = int(now_s * 200)
+            task.sample(now_s)
+        assert not late, f'reported after {report_at_ms} ms'
