Test a request that is read in the turn in which idle connections close

An idle connection is closed by force if no handler runs on it. A handler starts two turns after its request is read, so a request that is read in the last turns is lost: the caller's connection closes without a response.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -40,6 +40,7 @@
     TicketGrant,
 )
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress import server as server_module
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.metrics import METRICS
 from dandelionplank.platform.follow import StoreChangeSource
@@ -748,3 +749,40 @@
         responses = await stop_when_requests_arrive(fleet, heads, arrive)
         for response in responses:
             assert response.startswith(b'HTTP/1.1 200')
+
+
+@run_async
+async def test_a_request_read_as_idle_connections_close_is_answered():
+    """In each turn of the loop one connection reads a whole request."""
+    read = []
+
+    def arrive(server, _, heads):
+        read.append(
+            asyncio.ensure_future(receive_in_turns(server.connections, heads))
+        )
+
+    with mock.patch.object(server_module, 'REQUEST_ARRIVAL_S', 0):
+        async with platform_fleet(grace_s=6.0) as fleet:
+            heads = [request_head(f'turn-{number}') for number in range(16)]
+            responses = await stop_when_requests_arrive(fleet, heads, arrive)
+            served = [
+                number
+                for number, response in enumerate(responses)
+                if response.startswith(b'HTTP/1.1 200')
+            ]
+            delivered = await only(read)
+            assert served == delivered, (served, delivered)
+
+
+async def receive_in_turns(connections, heads):
+    """Let one open connection a turn of the loop read a request.
+
+    :return: the numbers of the connections that have read one
+    """
+    read = []
+    for number, connection in enumerate(connections):
+        if connection.connected and connection.transport.is_reading():
+            connection.data_received(heads[number])
+            read.append(number)
+        await asyncio.sleep(0)
+    return read
