Read nothing while idle connections are closed

What callers saw at a planned stop: a request that was read got no response.

Cause: an idle connection was closed by force when no handler ran on it, and a handler starts two turns of the loop after its request is read. The turns that were waited before the close only moved the window.

Change: idle connections are paused, then handlers of requests that have been read start, then those that are still idle are closed and the others are read on. A request that comes meanwhile stays unread in the socket, so its caller may send it again.

Ruled out: telling the connections to close instead of pausing them, as before, drops bytes that are read in these turns.

--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -35,10 +35,15 @@
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
 
+    @property
+    def connections(self) -> list[Any]:
+        """Return the callers' open connections."""
+        return self.server.connections if self.server else []
+
     @property
     def connection_count(self) -> int:
         """Return how many callers' connections are open."""
-        return len(self.server.connections) if self.server else 0
+        return len(self.connections)
 
     async def listen(self, address: Address) -> None:
         """Open the socket."""
@@ -66,15 +71,21 @@
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
 
-        Requests that are in the sockets are read first and are served. The
-        connection is not told to close before: it would drop their bytes.
+        Requests that are in the sockets are read first. Nothing is read while
+        the handlers of those requests start, so none is read and then dropped.
         """
         await asyncio.sleep(REQUEST_ARRIVAL_S)
-        for _ in range(REQUEST_START_TURNS):
-            await asyncio.sleep(0)
-        for connection in self.server.connections if self.server else ():
+        await _run_turns()
+        paused = [each for each in self.connections if self.idle.is_idle(each)]
+        for connection in paused:
+            if _is_open(connection):
+                connection.transport.pause_reading()
+        await _run_turns()
+        for connection in paused:
             if self.idle.is_idle(connection):
                 connection.force_close()
+            elif _is_open(connection):
+                connection.transport.resume_reading()
 
     async def _handle_request(
         self, request: web.BaseRequest
@@ -111,6 +122,18 @@
         self.idle.settings = _caller_settings(table.limits)
 
 
+def _is_open(connection: Any) -> bool:
+    """Return whether a connection's transport is neither closed nor closing."""
+    transport = connection.transport
+    return transport is not None and not transport.is_closing()
+
+
+async def _run_turns() -> None:
+    """Let the requests in the sockets be read and their handlers start."""
+    for _ in range(REQUEST_START_TURNS):
+        await asyncio.sleep(0)
+
+
 def _caller_settings(limits: RequestLimits) -> CallerSettings:
     """Return the limits as settings of the idle connection task."""
     return CallerSettings(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -709,10 +709,14 @@
         return [await reader.read() for reader, _ in callers]
 
 
-def request_head(request_id):
-    """Return the head of a request without a body."""
+def request_head(request_id, *extra):
+    """Return the head of a request, without a body unless a line states it.
+
+    :param extra: lines of further headers
+    """
     headers = request_headers(request_id, 'key-a')
     lines = [f'{name}: {text}' for name, text in headers.items()]
+    lines.extend(extra)
     return '\r\n'.join(('GET /look/x HTTP/1.1', *lines, '', '')).encode()
 
 
@@ -774,6 +778,37 @@
             assert served == delivered, (served, delivered)
 
 
+@run_async
+async def test_a_body_is_read_after_idle_connections_have_closed():
+    """In each turn of the loop one connection reads the head of a request."""
+    pieces = (b'in two', b' pieces')
+    length = f'Content-Length: {sum(map(len, pieces))}'
+    writing = []
+
+    async def send(server, writers, heads):
+        read = await receive_in_turns(server.connections, heads)
+        for piece in pieces:
+            await asyncio.sleep(0.15)
+            for number in read:
+                writers[number].write(piece)
+        return read
+
+    def arrive(server, writers, heads):
+        writing.append(asyncio.ensure_future(send(server, writers, heads)))
+
+    with mock.patch.object(server_module, 'REQUEST_ARRIVAL_S', 0):
+        async with platform_fleet(grace_s=2.0) as fleet:
+            heads = [
+                request_head(f'turn-{number}', length) for number in range(16)
+            ]
+            responses = await stop_when_requests_arrive(fleet, heads, arrive)
+            read = await only(writing)
+            for number in read:
+                assert responses[number].startswith(b'HTTP/1.1 200')
+            assert len(read) > server_module.REQUEST_START_TURNS
+            assert {run.body for run in fleet.runs()} == {b''.join(pieces)}
+
+
 async def receive_in_turns(connections, heads):
     """Let one open connection a turn of the loop read a request.
 
