Read nothing while expired connections are closed

What callers could see: 408, which promises that a request does not run, to a request that was read as its connection expired and whose handler started after that.

Cause: the same as at a planned stop: only started handlers counted.

Change: expired connections are paused, read requests start, and those still unused are closed; the planned stop uses the same method of the task. A connection that served a request in these turns is no longer expired.

--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -10,7 +10,7 @@
 
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.gateway import Gateway
-from dandelionplank.router.idle import IdleConnectionTask
+from dandelionplank.router.idle import IdleConnectionTask, run_turns
 from dandelionplank.routing.routes import RequestLimits, RouteTable
 from dandelionplank.settings import Address, CallerSettings
 
@@ -19,8 +19,6 @@
 MAX_HEADER_LINE_BYTES = 65_536
 # Time for the requests that are on their way when idle connections close.
 REQUEST_ARRIVAL_S = 0.02
-# Turns of the loop from a request in a socket to the start of its handler.
-REQUEST_START_TURNS = 5
 
 
 class CallerServer:
@@ -71,21 +69,11 @@
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
 
-        Requests that are in the sockets are read first. Nothing is read while
-        the handlers of those requests start, so none is read and then dropped.
+        Requests that are in the sockets are read first and are served.
         """
         await asyncio.sleep(REQUEST_ARRIVAL_S)
-        await _run_turns()
-        paused = [each for each in self.connections if self.idle.is_idle(each)]
-        for connection in paused:
-            if _is_open(connection):
-                connection.transport.pause_reading()
-        await _run_turns()
-        for connection in paused:
-            if self.idle.is_idle(connection):
-                connection.force_close()
-            elif _is_open(connection):
-                connection.transport.resume_reading()
+        await run_turns()
+        await self.idle.close_idle(self.connections)
 
     async def _handle_request(
         self, request: web.BaseRequest
@@ -122,18 +110,6 @@
         self.idle.settings = _caller_settings(table.limits)
 
 
-def _is_open(connection: Any) -> bool:
-    """Return whether a connection's transport is neither closed nor closing."""
-    transport = connection.transport
-    return transport is not None and not transport.is_closing()
-
-
-async def _run_turns() -> None:
-    """Let the requests in the sockets be read and their handlers start."""
-    for _ in range(REQUEST_START_TURNS):
-        await asyncio.sleep(0)
-
-
 def _caller_settings(limits: RequestLimits) -> CallerSettings:
     """Return the limits as settings of the idle connection task."""
     return CallerSettings(
--- a/src/dandelionplank/router/idle.py
+++ b/src/dandelionplank/router/idle.py
@@ -10,6 +10,8 @@
 from dandelionplank.settings import CallerSettings
 
 CHECK_PERIOD_S = 0.5
+# Turns of the loop from a request in a socket to the start of its handler.
+REQUEST_START_TURNS = 5
 TIMEOUT_RESPONSE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -65,11 +67,46 @@
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
             if self.server:
-                self.check(self.server.connections)
-
-    def check(self, connections: list[Any]) -> None:
-        """Close the connections that have waited longer than their limit."""
+                expired = self.find_expired(self.server.connections)
+                closed = await self.close_idle(expired, TIMEOUT_RESPONSE)
+                METRICS.add('idle_connections_closed_total', closed)
+
+    async def close_idle(
+        self, connections: list[Any], last_bytes: bytes = b''
+    ) -> int:
+        """Close those of some connections that carry no request.
+
+        Nothing is read while the handlers of the requests that have been read
+        start, so no request is read and then dropped.
+
+        :param last_bytes: written before a connection closes
+        :return: how many have been closed
+        """
+        paused = {
+            each: self._activity_of(each).idle_since_s
+            for each in connections
+            if self.is_idle(each)
+        }
+        for connection in paused:
+            if _is_open(connection):
+                connection.transport.pause_reading()
+        await run_turns()
+        closed = 0
+        for connection, idle_since_s in paused.items():
+            is_unused = (
+                idle_since_s == self._activity_of(connection).idle_since_s
+            )
+            if is_unused and self.is_idle(connection):
+                _close(connection, last_bytes)
+                closed += 1
+            elif _is_open(connection):
+                connection.transport.resume_reading()
+        return closed
+
+    def find_expired(self, connections: list[Any]) -> list[Any]:
+        """Return the connections that have waited longer than their limit."""
         now_s = time.monotonic()
+        expired = []
         self.activities = {
             each: self._activity_of(each) for each in connections
         }
@@ -81,8 +118,8 @@
                 not activity.open_requests
                 and now_s - activity.idle_since_s > limit_s
             ):
-                METRICS.add('idle_connections_closed_total')
-                _close(connection)
+                expired.append(connection)
+        return expired
 
     def _activity_of(self, connection: Any) -> ConnectionActivity:
         """Return the activity of a connection, starting now if it is new."""
@@ -93,8 +130,20 @@
         return activity
 
 
-def _close(connection: Any) -> None:
-    """Send a 408 response and close the connection."""
-    if connection.transport:
-        connection.transport.write(TIMEOUT_RESPONSE)
+async def run_turns() -> None:
+    """Let the requests in the sockets be read and their handlers start."""
+    for _ in range(REQUEST_START_TURNS):
+        await asyncio.sleep(0)
+
+
+def _is_open(connection: Any) -> bool:
+    """Return whether a connection's transport is neither closed nor closing."""
+    transport = connection.transport
+    return transport is not None and not transport.is_closing()
+
+
+def _close(connection: Any, last_bytes: bytes) -> None:
+    """Write the last bytes to a connection and close it."""
+    if last_bytes and connection.transport:
+        connection.transport.write(last_bytes)
     connection.force_close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -45,6 +45,7 @@
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.metrics import METRICS
 from dandelionplank.platform.follow import StoreChangeSource
+from dandelionplank.router.idle import REQUEST_START_TURNS
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformtarget import TargetFaults
 from tests.fixtures import only, run_async, wait_until
@@ -806,7 +807,7 @@
             read = await only(writing)
             for number in read:
                 assert responses[number].startswith(b'HTTP/1.1 200')
-            assert len(read) > server_module.REQUEST_START_TURNS
+            assert len(read) > REQUEST_START_TURNS
             assert {run.body for run in fleet.runs()} == {b''.join(pieces)}
 
 
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -42,7 +42,7 @@
         for _ in range(CONNECTION_COUNT)
     ]
     await wait_until(lambda: len(task.server.connections) == CONNECTION_COUNT)
-    task.check(task.server.connections)
+    assert not task.find_expired(task.server.connections)
     await asyncio.sleep(0.05)
     with mock.patch.object(idle, 'CHECK_PERIOD_S', 0):
         read = await receive_as_idle_connections_expire(task)
