--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -10,7 +10,7 @@
 
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.gateway import Gateway
-from dandelionplank.router.idle import IdleConnectionTask
+from dandelionplank.router.idle import IdleConnectionTask, run_turns
 from dandelionplank.routing.routes import RequestLimits, RouteTable
 from dandelionplank.settings import Address, CallerSettings
 
@@ -19,8 +19,6 @@
 MAX_HEADER_LINE_BYTES = 65_536
 # Time for the requests that are on their way when idle connections close.
 REQUEST_ARRIVAL_S = 0.02
-# Turns of the loop from a request in a socket to the start of its handler.
-REQUEST_START_TURNS = 5
 
 
 class CallerServer:
@@ -35,10 +33,15 @@
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
 
+    @property
+    def connections(self) -> list[Any]:
+        """Return the callers' open connections."""
+        return self.server.connections if self.server else []
+
     @property
     def connection_count(self) -> int:
         """Return how many callers' connections are open."""
-        return len(self.server.connections) if self.server else 0
+        return len(self.connections)
 
     async def listen(self, address: Address) -> None:
         """Open the socket."""
@@ -66,15 +69,11 @@
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
 
-        Requests that are in the sockets are read first and are served. The
-        connection is not told to close before: it would drop their bytes.
+        Requests that are in the sockets are read first and are served.
         """
         await asyncio.sleep(REQUEST_ARRIVAL_S)
-        for _ in range(REQUEST_START_TURNS):
-            await asyncio.sleep(0)
-        for connection in self.server.connections if self.server else ():
-            if self.idle.is_idle(connection):
-                connection.force_close()
+        await run_turns()
+        await self.idle.close_idle(self.connections)
 
     async def _handle_request(
         self, request: web.BaseRequest
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import math
+import socket
 from pathlib import Path
 from unittest import mock
 
@@ -40,9 +41,11 @@
     TicketGrant,
 )
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress import server as server_module
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.metrics import METRICS
 from dandelionplank.platform.follow import StoreChangeSource
+from dandelionplank.router.idle import REQUEST_START_TURNS
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformtarget import TargetFaults
 from tests.fixtures import only, run_async, wait_until
@@ -708,10 +711,14 @@
         return [await reader.read() for reader, _ in callers]
 
 
-def request_head(request_id):
-    """Return the head of a request without a body."""
+def request_head(request_id, *extra):
+    """Return the head of a request, without a body unless a line states it.
+
+    :param extra: lines of further headers
+    """
     headers = request_headers(request_id, 'key-a')
     lines = [f'{name}: {text}' for name, text in headers.items()]
+    lines.extend(extra)
     return '\r\n'.join(('GET /look/x HTTP/1.1', *lines, '', '')).encode()
 
 
@@ -748,3 +755,93 @@
         responses = await stop_when_requests_arrive(fleet, heads, arrive)
         for response in responses:
             assert response.startswith(b'HTTP/1.1 200')
+
+
+@run_async
+async def test_a_request_read_as_idle_connections_close_is_answered():
+    """In each turn of the loop one connection reads a whole request."""
+    read = []
+
+    def arrive(server, _, heads):
+        read.append(
+            asyncio.ensure_future(receive_in_turns(server.connections, heads))
+        )
+
+    with mock.patch.object(server_module, 'REQUEST_ARRIVAL_S', 0):
+        async with platform_fleet(grace_s=6.0) as fleet:
+            heads = [request_head(f'turn-{number}') for number in range(16)]
+            responses = await stop_when_requests_arrive(fleet, heads, arrive)
+            served = [
+                number
+                for number, response in enumerate(responses)
+                if response.startswith(b'HTTP/1.1 200')
+            ]
+            delivered = await only(read)
+            assert served == delivered, (served, delivered)
+
+
+@run_async
+async def test_a_body_is_read_after_idle_connections_have_closed():
+    """In each turn of the loop one connection reads the head of a request."""
+    pieces = (b'in two', b' pieces')
+    length = f'Content-Length: {sum(map(len, pieces))}'
+    writing = []
+
+    async def send(server, writers, heads):
+        read = await receive_in_turns(server.connections, heads)
+        for piece in pieces:
+            await asyncio.sleep(0.15)
+            for number in read:
+                writers[number].write(piece)
+        return read
+
+    def arrive(server, writers, heads):
+        writing.append(asyncio.ensure_future(send(server, writers, heads)))
+
+    with mock.patch.object(server_module, 'REQUEST_ARRIVAL_S', 0):
+        async with platform_fleet(grace_s=2.0) as fleet:
+            heads = [
+                request_head(f'turn-{number}', length) for number in range(16)
+            ]
+            responses = await stop_when_requests_arrive(fleet, heads, arrive)
+            read = await only(writing)
+            for number in read:
+                assert responses[number].startswith(b'HTTP/1.1 200')
+            assert len(read) > REQUEST_START_TURNS
+            assert {run.body for run in fleet.runs()} == {b''.join(pieces)}
+
+
+async def receive_in_turns(connections, heads):
+    """Let one open connection a turn of the loop read a request.
+
+    :return: the numbers of the connections that have read one
+    """
+    read = []
+    for number, connection in enumerate(connections):
+        if connection.connected and connection.transport.is_reading():
+            connection.data_received(heads[number])
+            read.append(number)
+        await asyncio.sleep(0)
+    return read
+
+
+@run_async
+async def test_a_connection_accepted_at_the_last_moment_is_served():
+    """The connection has been accepted, but not yet added to the others."""
+    for turns in range(6):
+        async with platform_fleet(grace_s=3.0) as fleet:
+            for target in fleet.targets.values():
+                target.faults.delay_s = 0.2
+            url = URL(fleet.urls[0])
+            with (
+                mock.patch.object(daemon_module, 'BALANCER_REMOVAL_S', 0),
+                socket.create_connection((url.host, url.port)) as caller,
+            ):
+                caller.sendall(request_head(f'accepted-{turns}'))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await fleet.gateways[0].shut_down()
+                assert not fleet.gateways[0].gateway.open_requests
+                caller.setblocking(False)
+                if fleet.runs():
+                    assert caller.recv(12) == b'HTTP/1.1 200'
