--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -232,16 +232,17 @@
         deadline_s = start_s + self.settings.bounds.grace_s - CLOSE_RESERVE_S
         await asyncio.sleep(BALANCER_REMOVAL_S)
         self.server.stop_accepting()
-        while time.monotonic() < deadline_s:
-            self.server.close_idle()
-            if not self.gateway.open_requests:
-                break
+        # A request may have been read whose handler has not started yet, so
+        # only closed connections show that none is open.
+        while self.server.connection_count and time.monotonic() < deadline_s:
+            await self.server.close_idle()
             await asyncio.sleep(DRAIN_POLL_S)
         await self._leave()
         log_event(
             Event.STOPPED,
             instance=self.settings.instance.id,
             open_requests=self.gateway.open_requests,
+            open_connections=self.server.connection_count,
             took_s=round(time.monotonic() - start_s, 2),
         )
 
