Announce the close on streams that start after the signal

Cause: whether a stream's response carries Connection: close was decided when the request arrived. A request that waited for its target as SIGTERM came started without the header; its connection closed after it all the same, and the caller's next request crossed the close.

Change: the sink asks as the response starts.

Test first: test_a_stream_that_starts_after_the_signal_announces_the_close failed (status 200, no Connection header). The test of a write to a closed connection passes a function now instead of a flag; it checks the same.

Ran: tests.test_planned_stops and that test, 6 passed; lint clean.

--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -138,7 +138,7 @@
         caller: CallerRequest,
     ) -> web.StreamResponse:
         """Relay a stream; close the connection if it is truncated."""
-        sink = StreamSink(request, closes_connection=self.is_leaving)
+        sink = StreamSink(request, closes_connection=lambda: self.is_leaving)
         try:
             response = await self.grace.limit(
                 self.delivery.relay(caller, sink), caller.trace
--- a/src/dandelionplank/ingress/sinks.py
+++ b/src/dandelionplank/ingress/sinks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from aiohttp import web
 
@@ -11,11 +11,15 @@
     """Writes a stream to a caller."""
 
     def __init__(
-        self, request: web.BaseRequest, *, closes_connection: bool
+        self,
+        request: web.BaseRequest,
+        *,
+        closes_connection: Callable[[], bool],
     ) -> None:
         """Hold the caller's request; nothing is sent.
 
-        :param closes_connection: the connection closes after this response
+        :param closes_connection: returns, as the response starts, whether the
+            connection closes after it
         """
         self.request = request
         self.closes_connection = closes_connection
@@ -34,7 +38,7 @@
             headers=headers,
         )
         self.response.enable_chunked_encoding()
-        if self.closes_connection:
+        if self.closes_connection():
             self.response.force_close()
         with _reset_as_cancellation():
             await self.response.prepare(self.request)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -388,7 +388,7 @@
 @run_async
 async def test_a_write_to_a_closed_connection_cancels_the_request():
     """The caller's connection may close between two events of a stream."""
-    sink = StreamSink(mock.Mock(), closes_connection=False)
+    sink = StreamSink(mock.Mock(), closes_connection=bool)
     sink.response = mock.Mock()
     sink.response.write = mock.AsyncMock(
         side_effect=ClientConnectionResetError('closing transport'),
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -157,3 +157,18 @@
                 return f'long-{number}', response.status
         except aiohttp.ClientError as error:
             return f'long-{number}', repr(error)
+
+
+@run_async
+async def test_a_stream_that_starts_after_the_signal_announces_the_close():
+    """Its caller sends no further request on a connection that closes."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        with mock.patch.object(gateway.scheduler, 'run_pass', return_value=[]):
+            stream = asyncio.ensure_future(
+                fleet.call('/chat/x', headers=MODEL_HEADERS)
+            )
+            await wait_until(lambda: gateway.dispatcher.futures)
+            gateway.gateway.is_leaving = True
+        status, _, headers = await stream
+        assert (status, headers.get('Connection')) == (200, 'close')
