Add a soak of planned stops that looks for cut requests

bench/plannedstops.py stops and restarts gateway processes in overlapping series, changes the configuration (time-outs, a route removed and added) and the settings, and drains targets, while callers send streams and plain requests on kept connections, a third of them in pieces with pauses. It fails if a whole request got no complete response although a target ran it, or its last byte was sent over 0.2 s before the connection ended; not if its time budget was reached.

--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -9,6 +9,7 @@
 import aiohttp
 from yarl import URL
 
+from bench.plannedstops import play
 from bench.platform import (
     MODEL_HEADERS,
     configuration,
@@ -19,6 +20,8 @@
 from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet
 
+SOAK_SEED = 1
+SOAK_SECONDS = 10
 LONG_DEADLINE = {'Dandelionplank-Deadline-Ms': '20000'}
 
 
@@ -172,3 +175,11 @@
             gateway.gateway.is_leaving = True
         status, _, headers = await stream
         assert (status, headers.get('Connection')) == (200, 'close')
+
+
+@run_async
+async def test_planned_work_in_series_cuts_no_request():
+    """Stops, new configurations and draining targets overlap under load."""
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = await play(SOAK_SEED, SOAK_SECONDS, Path(directory))
+    assert not fleet.violations, '\n'.join(fleet.trace)
