Test responses that end with their connection

Cause: a target's response, a stream too, may have neither a length nor chunks. No test covered it.

Change: tests with raw targets: whole responses, errors and streams, in HTTP/1.1 and HTTP/1.0, on new and reused connections, with pauses, ended by a close or by a reset; on the event loops of asyncio and uvloop. The hostile target can end a connection either way, and hostile_fleet is a shared fixture.

--- a/src/dandelionplank_standins/hostiletarget.py
+++ b/src/dandelionplank_standins/hostiletarget.py
@@ -4,6 +4,8 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+from dandelionplank_standins.resets import reset_on_close
+
 CHUNK_BYTES = 65_536
 TRICKLE_PERIOD_S = 0.05
 REQUEST_ID = 'dandelionplank-request-id'
@@ -33,17 +35,19 @@
         *lines: str,
         status: str = '200 OK',
         request_id: str | None = None,
+        version: str = 'HTTP/1.1',
     ) -> bytes:
         """Return the head of a response with the marks of this request.
 
         :param lines: further header lines
         :param request_id: id in place of the one of this request
+        :param version: protocol version in the status line
         """
         stated_id = (
             self.request.request_id if request_id is None else request_id
         )
         marks = (
-            f'HTTP/1.1 {status}',
+            f'{version} {status}',
             f'Dandelionplank-Request-Id: {stated_id}',
             f'Dandelionplank-Server-Stamp: stamp.{stated_id}',
         )
@@ -59,6 +63,15 @@
         self.writer.write(block)
         await self.writer.drain()
 
+    def end(self, *, is_reset: bool = False) -> None:
+        """Close the connection.
+
+        :param is_reset: reset it, as by a crash
+        """
+        if is_reset:
+            reset_on_close(self.writer.transport)
+        self.writer.close()
+
     async def flood(self, block: bytes) -> None:
         """Repeat bytes until the gateway closes the connection."""
         repeated = block * max(1, CHUNK_BYTES // len(block))
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -5,6 +5,7 @@
 import functools
 
 import aiohttp
+import uvloop
 
 from bench.fleet import (
     AccountPlan,
@@ -48,6 +49,21 @@
     return run
 
 
+def run_on_both_loops(test):
+    """Run an asynchronous test on the event loops of asyncio and uvloop."""
+
+    @functools.wraps(test)
+    def run():
+        async def limited():
+            async with asyncio.timeout(TIME_LIMIT_S):
+                await test()
+
+        asyncio.run(limited())
+        uvloop.run(limited())
+
+    return run
+
+
 def with_fleet(plan=PLAN):
     """Run a test function with a running fleet of processes."""
 
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -19,8 +19,10 @@
     target_entry,
 )
 from dandelionplank.commands.gateway import build_daemon
+from dandelionplank_standins.hostiletarget import HostileTarget
 from dandelionplank_standins.platformstore import StoreStandin
 from dandelionplank_standins.platformtarget import TargetStandin
+from tests.fixtures import wait_until
 
 START_LIMIT_S = 10
 REQUEST_NUMBERS = itertools.count(1)
@@ -36,17 +38,21 @@
     urls: list
     session: aiohttp.ClientSession
 
-    async def call(self, path, *, gateway=0, method='POST', **options):
-        """Send a request; return status, body and headers."""
+    def open(self, path, *, gateway=0, method='POST', **options):
+        """Send a request; return a context whose response is unread."""
         extra = options.pop('headers', {})
         request_id = f'q{next(REQUEST_NUMBERS)}'
         all_headers = {**request_headers(request_id, 'key-a'), **extra}
-        async with self.session.request(
+        return self.session.request(
             method,
             URL(self.urls[gateway] + path, encoded=True),
             headers=all_headers,
             **options,
-        ) as response:
+        )
+
+    async def call(self, path, **options):
+        """Send a request; return status, body and headers."""
+        async with self.open(path, **options) as response:
             return response.status, await response.read(), response.headers
 
     def runs(self):
@@ -99,6 +105,38 @@
         yield fleet
 
 
+@contextlib.asynccontextmanager
+async def hostile_fleet(
+    behaviour, service='plain', *, keeps_sound_target=False, **options
+):
+    """Run a gateway of which one service has only a hostile target.
+
+    :param keeps_sound_target: the service also has one sound target
+    """
+    async with platform_fleet(**options) as fleet:
+        target = HostileTarget(behaviour)
+        port = reserve_ports(1)[0]
+        server = await asyncio.start_server(target.serve, '127.0.0.1', port)
+        kept = [f'{service}-0'] if keeps_sound_target else []
+        for name in tuple(fleet.targets):
+            if name.startswith(service) and name not in kept:
+                fleet.store.delete(f'servers/{name}')
+        entry = target_entry('hostile', service, f'127.0.0.1:{port}', Slots=500)
+        fleet.store.put('servers/hostile', entry)
+        view = fleet.gateways[0].view
+        await wait_until(
+            lambda: (
+                sorted(each.name for each in view.targets_of(service))
+                == ['hostile', *kept]
+            ),
+        )
+        try:
+            yield fleet, target
+        finally:
+            server.close()
+            target.close()
+
+
 async def stop(daemon):
     """Stop a gateway without completing its open requests."""
     for task in daemon.tasks:
--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -11,7 +11,6 @@
 
 import aiohttp
 
-from bench.fleet import reserve_ports
 from bench.platform import (
     COMPLETE_STREAM,
     MODEL_HEADERS,
@@ -20,9 +19,8 @@
 )
 from dandelionplank.delivery import bounds
 from dandelionplank.delivery.events import EventFramer
-from dandelionplank_standins.hostiletarget import HostileTarget
 from tests.fixtures import run_async, wait_until
-from tests.platformfleet import platform_fleet
+from tests.platformfleet import hostile_fleet
 
 PAGE_BYTES = 4096
 ENDLESS_CALLS = 100
@@ -39,31 +37,6 @@
 CHUNKED = 'Transfer-Encoding: chunked'
 
 
-@contextlib.asynccontextmanager
-async def hostile_fleet(behaviour, service='plain', **options):
-    """Run a gateway of which one service has only a hostile target."""
-    async with platform_fleet(**options) as fleet:
-        target = HostileTarget(behaviour)
-        port = reserve_ports(1)[0]
-        server = await asyncio.start_server(target.serve, '127.0.0.1', port)
-        for name in tuple(fleet.targets):
-            if name.startswith(service):
-                fleet.store.delete(f'servers/{name}')
-        entry = target_entry('hostile', service, f'127.0.0.1:{port}', Slots=500)
-        fleet.store.put('servers/hostile', entry)
-        view = fleet.gateways[0].view
-        await wait_until(
-            lambda: (
-                [each.name for each in view.targets_of(service)] == ['hostile']
-            ),
-        )
-        try:
-            yield fleet, target
-        finally:
-            server.close()
-            target.close()
-
-
 def resident_bytes():
     """Return the resident memory of this process."""
     statm = Path('/proc/self/statm').read_text(encoding='utf-8')
--- /dev/null
+++ b/tests/test_unframed_responses.py
@@ -0,0 +1,211 @@
+"""Tests of responses that have neither a length nor chunks.
+
+Such a response ends with its connection. Guards against truncated responses
+that look complete, and against complete ones that do not reach the caller.
+"""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from tests.fixtures import run_on_both_loops
+from tests.platformfleet import hostile_fleet
+
+EVENT_STREAM = 'Content-Type: text/event-stream'
+# Pauses of the target before the body and before the end.
+PAUSES_S = (0.02, 0.02)
+# Ways to send the same response; every two of the values occur together.
+VARIANTS = (
+    {'version': 'HTTP/1.1'},
+    {'version': 'HTTP/1.1', 'pauses_s': PAUSES_S, 'is_reused': True},
+    {'version': 'HTTP/1.0', 'is_reused': True},
+    {'version': 'HTTP/1.0', 'pauses_s': PAUSES_S},
+)
+BODY = b'payload'
+LONG_BODY = b'x' * 2_000_000
+EVENTS = tuple(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
+SERVED = (200, BODY)
+BROKEN = 'truncated'
+
+
+def unframed(
+    body,
+    *lines,
+    pauses_s=(0, 0),
+    is_reset=False,
+    is_reused=False,
+    **head,
+):
+    """Return a behaviour: responses that end with their connection.
+
+    :param pauses_s: before the body and before the end
+    :param is_reused: the first response on a connection has a length
+    """
+
+    async def respond(exchange):
+        if is_reused and exchange.request.number == 1:
+            await exchange.write(exchange.response(EVENTS[0]))
+            return
+        answer = (exchange.head(*lines, **head), body)
+        if not pauses_s[0]:
+            answer = (b''.join(answer),)
+        for block in answer:
+            await exchange.write(block)
+            await asyncio.sleep(pauses_s[0])
+        await asyncio.sleep(pauses_s[1])
+        exchange.end(is_reset=is_reset)
+
+    return respond
+
+
+async def outcome(fleet, path):
+    """Return the status and body that a caller gets, or "truncated"."""
+    try:
+        answer = await fleet.call(path, data=b'd', headers=MODEL_HEADERS)
+    except aiohttp.ClientError:
+        return BROKEN
+    return answer[:2]
+
+
+class Caller:
+    """Sends requests for a path to targets that do not frame their bodies."""
+
+    def __init__(self, fleet, target, path):
+        """Hold a fleet with one target for the path."""
+        self.fleet = fleet
+        self.target = target
+        self.path = path
+
+    async def outcome_of(self, body, *lines, is_reused=False, **options):
+        """Return what a caller gets from a target that does not frame it."""
+        self.target.behaviour = unframed(
+            body, *lines, is_reused=is_reused, **options
+        )
+        if is_reused:
+            assert await outcome(self.fleet, self.path) == (200, EVENTS[0])
+        found = await outcome(self.fleet, self.path)
+        # The connection has ended with the response: it is not reused.
+        assert self.target.requests[-1].number == 1 + is_reused
+        return found
+
+
+@contextlib.asynccontextmanager
+async def caller_of(path):
+    """Run a gateway with one target and yield a caller."""
+    service = 'plain' if path.startswith('/book') else 'llm'
+    async with hostile_fleet(unframed(b''), service) as (fleet, target):
+        yield Caller(fleet, target, path)
+
+
+@run_on_both_loops
+async def test_an_unframed_response_is_served_at_its_end():
+    """A close ends the response; a reset truncates it."""
+    async with caller_of('/book/x') as caller:
+        for options in VARIANTS:
+            assert await caller.outcome_of(BODY, **options) == SERVED, options
+            broken = await caller.outcome_of(BODY, is_reset=True, **options)
+            assert broken[0] == 502, options
+        for body in (b'', LONG_BODY):
+            assert await caller.outcome_of(body) == (200, body)
+            assert (await caller.outcome_of(body, is_reset=True))[0] == 502
+
+
+@run_on_both_loops
+async def test_an_unframed_error_is_served_at_its_end():
+    """An error that is reset does not bear the target's status."""
+    for path in ('/book/x', '/chat/x'):
+        async with caller_of(path) as caller:
+            found = await caller.outcome_of(BODY, status='500 Oops')
+            assert found == (500, BODY)
+            found = await caller.outcome_of(
+                BODY, status='500 Oops', is_reset=True
+            )
+            assert found[0] == 502
+
+
+@run_on_both_loops
+async def test_an_unframed_stream_is_complete_if_closed_between_events():
+    """A close inside an event truncates the stream."""
+    async with caller_of('/chat/x') as caller:
+        for options in VARIANTS:
+            whole = await caller.outcome_of(
+                COMPLETE_STREAM, EVENT_STREAM, **options
+            )
+            assert whole == (200, COMPLETE_STREAM), options
+            broken = await caller.outcome_of(
+                COMPLETE_STREAM[:-1], EVENT_STREAM, **options
+            )
+            assert broken == BROKEN, options
+        broken = await caller.outcome_of(b'id: 1', EVENT_STREAM)
+        assert broken[0] == 502
+
+
+@run_on_both_loops
+async def test_an_unframed_stream_is_truncated_by_a_reset():
+    """A reset truncates a stream also between its events."""
+    async with caller_of('/chat/x') as caller:
+        for body in (COMPLETE_STREAM, COMPLETE_STREAM[:-1]):
+            broken = await caller.outcome_of(
+                body, EVENT_STREAM, pauses_s=PAUSES_S, is_reset=True
+            )
+            assert broken == BROKEN
+        broken = await caller.outcome_of(b'', EVENT_STREAM, is_reset=True)
+        assert broken[0] == 502
+
+
+@run_on_both_loops
+async def test_events_of_an_unframed_stream_are_forwarded_at_once():
+    """An event reaches the caller while its stream is open."""
+    is_received = asyncio.Event()
+
+    async def wait_for_caller(exchange):
+        await exchange.write(exchange.head(EVENT_STREAM) + EVENTS[0])
+        await is_received.wait()
+        await exchange.write(b''.join(EVENTS[1:]))
+        exchange.end()
+
+    async with (
+        hostile_fleet(wait_for_caller, 'llm') as (fleet, _),
+        fleet.open('/chat/x', headers=MODEL_HEADERS) as response,
+    ):
+        assert await response.content.readany() == EVENTS[0]
+        is_received.set()
+        assert await response.read() == b''.join(EVENTS[1:])
+
+
+@run_on_both_loops
+async def test_an_unframed_stream_broken_inside_an_event_is_resumed():
+    """Another target sends the events that are missing."""
+    for is_reset in (False, True):
+        behaviour = unframed(
+            b''.join(EVENTS[:2]) + EVENTS[2][:5],
+            EVENT_STREAM,
+            pauses_s=(0, 0.02),
+            is_reset=is_reset,
+        )
+        async with hostile_fleet(behaviour, 'llm', keeps_sound_target=True) as (
+            fleet,
+            target,
+        ):
+            for _ in range(8):
+                assert await outcome(fleet, '/draft/x') == (
+                    200,
+                    COMPLETE_STREAM,
+                )
+            assert target.requests
+            resumed = {run.headers.get('Last-Event-ID') for run in fleet.runs()}
+            assert '2' in resumed
+
+
+@run_on_both_loops
+async def test_a_response_whose_head_is_cut_is_not_served():
+    """A close inside the head is no response."""
+
+    async def cut_head(exchange):
+        await exchange.write(exchange.head()[:-6])
+        exchange.end()
+
+    async with hostile_fleet(cut_head) as (fleet, _):
+        assert (await outcome(fleet, '/book/x'))[0] == 502
