Take a refusal from its head, not from the end of its body

Cause: a response that states that the request was not executed was read to the end of its body first. Without a length, a reset then turned it into an unknown outcome, so that the request was not sent elsewhere and its caller got 502; a target that did not close held the request until its deadline. A refused request also counted as a first event in the estimate of the target's speed.

Change: the head of a refusal decides. Its connection is reused if the body has arrived as well; for refused streams it was always aborted.

Failing before: test_an_unframed_refusal_is_known_from_its_head (502 in place of the other target's response) and test_a_complete_refusal_leaves_its_connection_usable (a refused stream's connection was not used again).

Ran: tests.test_unframed_responses and tests.test_gateway, 42 passed; by hand before the change, a refusal whose target closes after 2 s was answered after 2.00 s.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -136,7 +136,7 @@
         """Release the connection for reuse, or abort it if bytes are unread."""
         if self.connection is None:
             return
-        if self.is_fully_read:
+        if self.is_fully_read or self._is_complete_refusal:
             self.pool.release(self.grant.load.target, self.connection)
         else:
             self.connection.abort()
@@ -147,6 +147,15 @@
         self.state = AttemptState.UNKNOWN
         return self._error(reason, Outcome.UNKNOWN)
 
+    @property
+    def _is_complete_refusal(self) -> bool:
+        """Whether a refusal has arrived with its body, which nobody reads."""
+        return (
+            self.state is AttemptState.REFUSED_NOT_EXECUTED
+            and self.response is not None
+            and self.response.body.is_eof()
+        )
+
     async def _matching_response(
         self, connection: TargetConnection
     ) -> TargetResponse:
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -145,11 +145,11 @@
         """Make one attempt; return None if it is to be retried."""
         async with self._attempt(request, progress) as attempt:
             response = await attempt.open()
+            self._raise_if_not_executed(attempt)
             body = await attempt.read_body()
             record_first_event(request, attempt.grant)
             self.dispatcher.record_first_event(attempt.grant)
             is_success = response.status < FIRST_SERVER_ERROR_STATUS
-            self._raise_if_not_executed(attempt)
             self.dispatcher.record_outcome(attempt.grant, is_success=is_success)
             complete = self._complete_response(attempt, body)
             if is_success or not self._may_retry(
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from dandelionplank.delivery.dispatch import FULL_PAUSE_S
 from tests.fixtures import run_on_both_loops
 from tests.platformfleet import hostile_fleet
 
@@ -23,6 +24,8 @@
     {'version': 'HTTP/1.0', 'is_reused': True},
     {'version': 'HTTP/1.0', 'pauses_s': PAUSES_S},
 )
+NOT_EXECUTED = 'Dandelionplank-Not-Executed: 1'
+SERVICES_BY_PATH = {'/book/x': 'plain', '/chat/x': 'llm'}
 BODY = b'payload'
 LONG_BODY = b'x' * 2_000_000
 EVENTS = tuple(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
@@ -36,12 +39,14 @@
     pauses_s=(0, 0),
     is_reset=False,
     is_reused=False,
+    stays_open=False,
     **head,
 ):
     """Return a behaviour: responses that end with their connection.
 
     :param pauses_s: before the body and before the end
     :param is_reused: the first response on a connection has a length
+    :param stays_open: the target does not close the connection
     """
 
     async def respond(exchange):
@@ -55,7 +60,8 @@
             await exchange.write(block)
             await asyncio.sleep(pauses_s[0])
         await asyncio.sleep(pauses_s[1])
-        exchange.end(is_reset=is_reset)
+        if not stays_open:
+            exchange.end(is_reset=is_reset)
 
     return respond
 
@@ -94,7 +100,7 @@
 @contextlib.asynccontextmanager
 async def caller_of(path):
     """Run a gateway with one target and yield a caller."""
-    service = 'plain' if path.startswith('/book') else 'llm'
+    service = SERVICES_BY_PATH[path]
     async with hostile_fleet(unframed(b''), service) as (fleet, target):
         yield Caller(fleet, target, path)
 
@@ -115,7 +121,7 @@
 @run_on_both_loops
 async def test_an_unframed_error_is_served_at_its_end():
     """An error that is reset does not bear the target's status."""
-    for path in ('/book/x', '/chat/x'):
+    for path in SERVICES_BY_PATH:
         async with caller_of(path) as caller:
             found = await caller.outcome_of(BODY, status='500 Oops')
             assert found == (500, BODY)
@@ -209,3 +215,37 @@
 
     async with hostile_fleet(cut_head) as (fleet, _):
         assert (await outcome(fleet, '/book/x'))[0] == 502
+
+
+@run_on_both_loops
+async def test_an_unframed_refusal_is_known_from_its_head():
+    """The request goes to another target although the body is incomplete."""
+    for path, served in (('/book/x', b'd'), ('/chat/x', COMPLETE_STREAM)):
+        for end in ({'is_reset': True}, {'stays_open': True}):
+            service = SERVICES_BY_PATH[path]
+            behaviour = unframed(BODY, NOT_EXECUTED, status='503 Full', **end)
+            async with hostile_fleet(
+                behaviour, service, keeps_sound_target=True
+            ) as (fleet, target):
+                for _ in range(8):
+                    assert await outcome(fleet, path) == (200, served), end
+                assert target.requests
+
+
+@run_on_both_loops
+async def test_a_complete_refusal_leaves_its_connection_usable():
+    """The next request is sent on the connection of a complete refusal."""
+
+    async def refuse(exchange):
+        head = exchange.head(NOT_EXECUTED, 'Content-Length: 4', status='503 F')
+        await exchange.write(b''.join((head, b'full')))
+
+    for path in SERVICES_BY_PATH:
+        async with hostile_fleet(refuse, SERVICES_BY_PATH[path]) as (
+            fleet,
+            target,
+        ):
+            assert (await outcome(fleet, path))[0] == 503
+            await asyncio.sleep(2 * FULL_PAUSE_S)
+            assert (await outcome(fleet, path))[0] == 503
+            assert [request.number for request in target.requests] == [1, 2]
