Treat an unframed stream without an event as truncated

Cause: a stream without a length or chunks that was closed before its first event was passed on as a complete, empty response; a resumed stream that was closed so ended as complete although its later events were missing.

Change: an attempt at an unframed stream that ends without an event is a broken one: 502, another attempt, or a truncated stream. Framed empty streams stay complete, since their end is stated. A stream that resumes after its last event has nothing to send; if its target answers so without framing, the stream now counts as broken, as the first target left it.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -61,6 +61,7 @@
         self.codec = codec
         self.held = held
         self.framer = EventFramer()
+        self.has_events = False
         self.state = AttemptState.NOT_SENT
         self.connection: TargetConnection | None = None
         self.response: TargetResponse | None = None
@@ -126,9 +127,9 @@
             except ValueError as error:
                 raise self.stream_error(str(error)) from error
             if events:
+                self.has_events = True
                 return events
-        if self.framer.remainder:
-            raise self.stream_error('stream ends inside an event')
+        self._check_end_of_stream()
         self.is_fully_read = True
         return []
 
@@ -147,6 +148,20 @@
         self.state = AttemptState.UNKNOWN
         return self._error(reason, Outcome.UNKNOWN)
 
+    def _check_end_of_stream(self) -> None:
+        """Check that a stream that has ended is complete.
+
+        A close is the only end of an unframed stream; before the first event
+        it cannot be told from the end of a connection that broke.
+
+        :raises TargetError: the stream has been truncated
+        """
+        assert self.response is not None
+        if self.framer.remainder:
+            raise self.stream_error('stream ends inside an event')
+        if self.response.is_unframed and not self.has_events:
+            raise self.stream_error('connection ends before the first event')
+
     @property
     def _is_complete_refusal(self) -> bool:
         """Whether a refusal has arrived with its body, which nobody reads."""
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -9,7 +9,7 @@
 from aiohttp.client_exceptions import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
-from aiohttp.streams import StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from dandelionplank.delivery.bounds import (
     MAX_INTERIM_RESPONSES,
@@ -89,12 +89,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetResponse:
-    """The head of a response and a reader of its body."""
+    """The head of a response and a reader of its body.
+
+    :param is_unframed: the body has neither a length nor chunks and ends with
+        its connection
+    """
 
     status: int
     reason: str
     headers: Mapping[str, str]
     body: StreamReader
+    is_unframed: bool
 
 
 class TargetConnection:
@@ -175,6 +180,11 @@
             message.reason or '',
             message.headers,
             body,
+            is_unframed=not (
+                body is EMPTY_PAYLOAD
+                or message.chunked
+                or 'Content-Length' in message.headers
+            ),
         )
 
 
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -9,9 +9,9 @@
 
 import aiohttp
 
-from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from bench.platform import COMPLETE_STREAM, MODEL_HEADERS, target_entry
 from dandelionplank.delivery.dispatch import FULL_PAUSE_S
-from tests.fixtures import run_on_both_loops
+from tests.fixtures import only, run_on_both_loops, wait_until
 from tests.platformfleet import hostile_fleet
 
 EVENT_STREAM = 'Content-Type: text/event-stream'
@@ -249,3 +249,35 @@
             await asyncio.sleep(2 * FULL_PAUSE_S)
             assert (await outcome(fleet, path))[0] == 503
             assert [request.number for request in target.requests] == [1, 2]
+
+
+@run_on_both_loops
+async def test_an_unframed_stream_without_events_is_truncated():
+    """A close before the first event is not taken for a complete stream."""
+    async with caller_of('/chat/x') as caller:
+        for options in VARIANTS:
+            broken = await caller.outcome_of(b'', EVENT_STREAM, **options)
+            assert broken[0] == 502, options
+        framed = await caller.outcome_of(b'', 'Content-Length: 0')
+        assert framed == (200, b'')
+
+
+@run_on_both_loops
+async def test_an_unframed_stream_that_resumes_without_events_is_truncated():
+    """A stream that was resumed does not end at a close without an event."""
+
+    async def break_off(exchange):
+        await exchange.write(exchange.head(EVENT_STREAM))
+        if len(target.requests) == 1:
+            await exchange.write(EVENTS[0])
+            await exchange.write(EVENTS[1][:-1])
+        exchange.end()
+
+    async with hostile_fleet(break_off, 'llm') as (fleet, target):
+        view = fleet.gateways[0].view
+        port = only(view.targets_of('llm')).address.port
+        entry = target_entry('second', 'llm', f'127.0.0.1:{port}')
+        fleet.store.put('servers/second', entry)
+        await wait_until(lambda: len(view.targets_of('llm')) == 2)
+        assert await outcome(fleet, '/draft/x') == BROKEN
+        assert len(target.requests) == 2
