Give up on an unframed response to another request

Cause: a response with another request's id is skipped. Without a length it ends only with its connection, so that no other response can follow; if the target did not close, the request was held until its deadline.

Change: such a response ends the attempt when its head has arrived.

Failing before: test_an_unframed_response_to_another_request_ends_the_attempt (504 after 3 s in place of 502).

Ran: this test and tests.test_hostile_targets, 12 passed.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -273,8 +273,11 @@
 async def _skip_body(response: TargetResponse) -> None:
     """Read the body of a response to another request.
 
-    :raises aiohttp.ClientError: the body is truncated or too long
+    :raises aiohttp.ClientError: the body is truncated or too long, or ends
+        with its connection, so that no other response follows
     """
+    if response.is_unframed:
+        raise aiohttp.ClientPayloadError('unframed body of another response')
     skipped = 0
     while chunk := await response.body.readany():
         skipped += len(chunk)
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -281,3 +281,11 @@
         await wait_until(lambda: len(view.targets_of('llm')) == 2)
         assert await outcome(fleet, '/draft/x') == BROKEN
         assert len(target.requests) == 2
+
+
+@run_on_both_loops
+async def test_an_unframed_response_to_another_request_ends_the_attempt():
+    """No response can follow it, even if the target stays connected."""
+    foreign = unframed(BODY, request_id='other', stays_open=True)
+    async with hostile_fleet(foreign) as (fleet, _):
+        assert (await outcome(fleet, '/book/x'))[0] == 502
