End a body at bytes that cannot be parsed

Cause: after a malformed chunk the parser's error reached only the queue of heads. The reader of the body waited for more until the deadline, although the connection had been closed.

Change: an error of the parser is set on an incomplete body as well.

Failing before: test_a_malformed_chunk_ends_the_attempt (504 after 3 s in place of 502; streams as well).

Ran: tests.test_unframed_responses and tests.test_hostile_targets, 24 passed.

--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -55,33 +55,35 @@
         Bytes that belong to no request close the connection, so that they
         cannot be taken for a response to the next one.
         """
-        if not data:
-            super().data_received(data)
-            return
-        if self.is_idle:
+        if data and self.is_idle:
             self._end('bytes without a request')
             return
-        for start in range(0, len(data), PARSED_SLICE_BYTES):
+        # Without data, the parser continues with the bytes that it holds.
+        for start in range(0, max(1, len(data)), PARSED_SLICE_BYTES):
             super().data_received(data[start : start + PARSED_SLICE_BYTES])
             if len(self._buffer) > MAX_PARSED_HEADS:
                 self._end('too many responses to one request')
             if self.transport is None or self.transport.is_closing():
+                self._fail_body(self.exception())
                 return
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on a body that a reset truncated."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(repr(exc)))
+        if exc is not None:
+            self._fail_body(ClientPayloadError(repr(exc)))
         super().connection_lost(exc)
 
+    def _fail_body(self, error: BaseException | None) -> None:
+        """Set an error, if there is one, on a body that is incomplete."""
+        payload = self._payload
+        if error is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+
     def _end(self, reason: str) -> None:
         """Close the connection; a reader gets an error."""
         METRICS.add('target_bytes_refused_total', reason=reason)
         error = ClientPayloadError(reason)
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(error)
+        self._fail_body(error)
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -289,3 +289,19 @@
     foreign = unframed(BODY, request_id='other', stays_open=True)
     async with hostile_fleet(foreign) as (fleet, _):
         assert (await outcome(fleet, '/book/x'))[0] == 502
+
+
+@run_on_both_loops
+async def test_a_malformed_chunk_ends_the_attempt():
+    """A body that cannot be parsed is truncated, not silent."""
+
+    async def malformed_chunk(exchange):
+        await exchange.write(exchange.head('Transfer-Encoding: chunked'))
+        await exchange.write(b'5\r\nid: 1\r\n')
+        await asyncio.sleep(PAUSES_S[0])
+        await exchange.write(b'zz\r\n')
+
+    for path in SERVICES_BY_PATH:
+        service = SERVICES_BY_PATH[path]
+        async with hostile_fleet(malformed_chunk, service) as (fleet, _):
+            assert (await outcome(fleet, path))[0] == 502
