--- a/bench/links.py
+++ b/bench/links.py
@@ -1,10 +1,11 @@
 """Relays on network links that delay, hold back or reset traffic."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from dandelionplank_standins.resets import reset_on_close
+
 if TYPE_CHECKING:
     from bench.fleet import Fleet, RouterProcess
 
@@ -62,7 +63,7 @@
     def reset(self) -> None:
         """Abort all open connections, on both sides."""
         for writer in tuple(self.writers):
-            writer.transport.abort()
+            _reset(writer)
 
     def forward(self, payload: bytes) -> None:
         """Forward one datagram unless the relay is paused."""
@@ -97,18 +98,31 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Copy bytes until either side closes its connection."""
+        """Copy bytes until either side closes or resets its connection.
+
+        A reset is passed on as a reset: a close would end a response that has
+        no length as if it were complete.
+        """
         self.writers.add(writer)
-        with contextlib.suppress(ConnectionError):
+        try:
             while block := await reader.read(READ_BYTES):
                 await asyncio.sleep(self.delay_s)
                 await self.forwarding.wait()
                 writer.write(block)
                 await writer.drain()
+        except ConnectionError:
+            _reset(writer)
         self.writers.discard(writer)
         writer.close()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection unless it is closed."""
+    if not writer.transport.is_closing():
+        reset_on_close(writer.transport)
+        writer.transport.abort()
+
+
 class DatagramRelay(asyncio.DatagramProtocol):
     """Passes received datagrams to a callback."""
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -1,8 +1,11 @@
 """A short soak of gateway processes, and tests of the checks it makes."""
 
+import asyncio
+import contextlib
 import tempfile
 from pathlib import Path
 
+from bench.fleet import reserve_ports
 from bench.guarantees import (
     Call,
     duplicate_runs,
@@ -12,7 +15,9 @@
     unrequested_runs,
     unstructured_log_lines,
 )
+from bench.links import LinkRelay
 from bench.platformsoak import soak
+from dandelionplank_standins.hostiletarget import HostileTarget
 from dandelionplank_standins.platformtarget import ExecutedRequest
 from tests.fixtures import run_async
 
@@ -83,3 +88,37 @@
         log = Path(directory) / 'log'
         log.write_text('{"time":1}\nTraceback\n', encoding='utf-8')
         assert len(unstructured_log_lines([log])) == 1
+
+
+async def read_through_relay(port, *, is_reset):
+    """Return what a target sends through a relay before its connection ends."""
+
+    async def respond(exchange):
+        await exchange.write(b'half')
+        await asyncio.sleep(0.02)
+        exchange.end(is_reset=is_reset)
+
+    server = await asyncio.start_server(
+        HostileTarget(respond).serve, '127.0.0.1', port
+    )
+    relay = LinkRelay(reserve_ports(1)[0], port, 0)
+    await relay.start()
+    try:
+        reader, writer = await asyncio.open_connection('127.0.0.1', relay.port)
+        writer.write(b'GET / HTTP/1.1\r\n\r\n')
+        received = await reader.read()
+        writer.close()
+    finally:
+        await relay.stop()
+        server.close()
+    return received
+
+
+@run_async
+async def test_a_relay_passes_resets_on():
+    """A relayed reset does not become a close, which may be a proper end."""
+    port = reserve_ports(1)[0]
+    assert await read_through_relay(port, is_reset=False) == b'half'
+    with contextlib.suppress(ConnectionResetError):
+        await read_through_relay(port, is_reset=True)
+        raise AssertionError('the connection was closed, not reset')
