Let targets of the soak give responses without a length or chunks

Change: the stand-in of a target has the faults unframed_responses (bodies, streams, errors and refusals that end with their connection) and resets_unframed; each failing target of the soak draws them in addition to its other fault.

--- a/bench/disturbances.py
+++ b/bench/disturbances.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import signal
 import time
@@ -20,6 +21,9 @@
 # confirmed.
 STORE_OUTAGE_S = (0.5, REVOKED_AFTER_S + 3)
 
+# Responses without a length or chunks that a failing target gives.
+UNFRAMED_RESPONSES = (0, 5, 1000)
+
 
 class Disturbances:
     """Applies random faults of processes, store, targets and keys to a fleet.
@@ -188,8 +192,9 @@
     async def fail_target(self) -> None:
         """Inject a random fault into a target's handling of requests."""
         target = self.fleet.targets[self.random_target()]
-        target.faults = self.random.choice(
+        faults = self.random.choice(
             (
+                TargetFaults(),
                 TargetFaults(rejected_requests=5),
                 TargetFaults(lost_responses=3),
                 TargetFaults(truncate_after=2),
@@ -198,6 +203,11 @@
                 TargetFaults(delay_s=0.5),
             ),
         )
+        target.faults = dataclasses.replace(
+            faults,
+            unframed_responses=self.random.choice(UNFRAMED_RESPONSES),
+            resets_unframed=self.random.choice((False, False, True)),
+        )
         await self.sleep_for_duration()
         target.faults = TargetFaults()
 
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+
+from dandelionplank_standins.resets import reset_on_close
 
 EVENT_INTERVAL_S = 0.01
 
@@ -36,6 +39,9 @@
     :param mismatched_responses: responses that are preceded by a
         mismatched response
     :param server_errors: requests that get a response with status 500
+    :param unframed_responses: responses, of any status, that have neither a
+        length nor chunks and end with their connection
+    :param resets_unframed: such a response is reset in the middle
     :param delay_s: delay between the execution and the response
     """
 
@@ -44,10 +50,26 @@
     truncate_after: int = 0
     mismatched_responses: int = 0
     server_errors: int = 0
+    unframed_responses: int = 0
+    resets_unframed: bool = False
     runs_left: int = -1
     delay_s: float = 0
 
 
+class UnframedResponse(web.StreamResponse):
+    """A response that ends with its connection."""
+
+    # Keeps the server from choosing chunks.
+    _length_check = False
+
+    async def prepare(
+        self, request: web.BaseRequest
+    ) -> AbstractStreamWriter | None:
+        """Send the head; the connection closes after the response."""
+        self.force_close()
+        return await super().prepare(request)
+
+
 class TargetStandin:
     """Executes requests: an engine streams events, a plain service echoes."""
 
@@ -96,13 +118,11 @@
             self.faults.rejected_requests = max(
                 0, self.faults.rejected_requests - 1
             )
-            return web.Response(
-                status=503,
-                headers={
-                    **_echoed_id(request),
-                    'Dandelionplank-Not-Executed': '1',
-                },
-            )
+            headers = {
+                **_echoed_id(request),
+                'Dandelionplank-Not-Executed': '1',
+            }
+            return await self._respond(request, 503, headers, b'full')
         self.faults.runs_left -= 1
         body = await request.read()
         self.runs.append(
@@ -121,9 +141,11 @@
         await asyncio.sleep(self.faults.delay_s)
         if self.streams:
             return await self._stream(request)
-        return self._echo(request, body)
+        return await self._echo(request, body)
 
-    def _echo(self, request: web.Request, body: bytes) -> web.Response:
+    async def _echo(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
         """Respond with the request body."""
         if self.faults.mismatched_responses:
             self.faults.mismatched_responses -= 1
@@ -132,17 +154,51 @@
         if self.faults.server_errors:
             self.faults.server_errors -= 1
             status = 500
-        return web.Response(
-            status=status,
-            body=body or b'done',
-            headers=self._response_headers(request),
-        )
+        headers = self._response_headers(request)
+        return await self._respond(request, status, headers, body or b'done')
+
+    async def _respond(
+        self,
+        request: web.Request,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> web.StreamResponse:
+        """Send a body with its length, or as an unframed response."""
+        if not self._takes_unframed():
+            return web.Response(status=status, headers=headers, body=body)
+        response = UnframedResponse(status=status, headers=headers)
+        await response.prepare(request)
+        half = len(body) // 2
+        await response.write(body[:half])
+        await self._interrupt_unframed(request)
+        await response.write(body[half:])
+        return response
+
+    def _takes_unframed(self) -> bool:
+        """Return whether the next response is unframed, and count it."""
+        if not self.faults.unframed_responses:
+            return False
+        self.faults.unframed_responses -= 1
+        return True
+
+    async def _interrupt_unframed(self, request: web.Request) -> None:
+        """Pause in the middle of an unframed response, or reset it there."""
+        if self.faults.resets_unframed and request.transport is not None:
+            reset_on_close(request.transport)
+            _reset_connection(request)
+        await asyncio.sleep(EVENT_INTERVAL_S)
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
         """Stream the events that follow ``Last-Event-Id``."""
-        response = web.StreamResponse(headers=self._response_headers(request))
-        response.content_type = 'text/event-stream'
-        response.enable_chunked_encoding()
+        headers = self._response_headers(request)
+        headers['Content-Type'] = 'text/event-stream'
+        is_unframed = self._takes_unframed()
+        response: web.StreamResponse
+        if is_unframed:
+            response = UnframedResponse(headers=headers)
+        else:
+            response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         first_event = int(request.headers.get('Last-Event-Id') or 0) + 1
         for number in range(first_event, self.events + 1):
@@ -153,6 +209,8 @@
                 self.faults.truncate_after = 0
                 await response.write(b'id: 99\ndata: cut')
                 _reset_connection(request)
+            if is_unframed and number > 2:
+                await self._interrupt_unframed(request)
             await response.write(f'id: {number}\ndata: x\n\n'.encode())
             await asyncio.sleep(EVENT_INTERVAL_S)
         return response
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -12,7 +12,7 @@
 from bench.platform import COMPLETE_STREAM, MODEL_HEADERS, target_entry
 from dandelionplank.delivery.dispatch import FULL_PAUSE_S
 from tests.fixtures import only, run_on_both_loops, wait_until
-from tests.platformfleet import hostile_fleet
+from tests.platformfleet import hostile_fleet, platform_fleet
 
 EVENT_STREAM = 'Content-Type: text/event-stream'
 # Pauses of the target before the body and before the end.
@@ -305,3 +305,25 @@
         service = SERVICES_BY_PATH[path]
         async with hostile_fleet(malformed_chunk, service) as (fleet, _):
             assert (await outcome(fleet, path))[0] == 502
+
+
+@run_on_both_loops
+async def test_the_standin_gives_unframed_responses_of_every_kind():
+    """A gateway serves the whole ones and detects those that are reset."""
+    async with platform_fleet(engines=1) as fleet:
+        faults = [target.faults for target in fleet.targets.values()]
+        for each in faults:
+            each.unframed_responses = 100
+        assert await outcome(fleet, '/book/x') == (200, b'd')
+        assert await outcome(fleet, '/chat/x') == (200, COMPLETE_STREAM)
+        for each in faults:
+            each.server_errors = 1
+        assert await outcome(fleet, '/book/x') == (500, b'd')
+        for each in faults:
+            each.resets_unframed = True
+        assert (await outcome(fleet, '/book/x'))[0] == 502
+        assert await outcome(fleet, '/chat/x') == BROKEN
+        for each in faults:
+            each.rejected_requests = 1
+        assert (await outcome(fleet, '/book/x'))[0] == 503
+        assert {each.unframed_responses for each in faults} == {96, 98}
