Serve streams to callers that speak HTTP/1.0

Cause: chunks are forbidden in HTTP/1.0. A stream for such a caller ran at its target and ended in an unhandled error: status 500 without a stamp, and a traceback in the log.

Change: such a stream has neither a length nor chunks and ends with its connection; a truncated one is reset, since a close would complete it. HTTP/1.1 callers get chunks as before.

Failing before: test_a_stream_reaches_a_caller_without_chunks (500).

--- a/src/dandelionplank/ingress/sinks.py
+++ b/src/dandelionplank/ingress/sinks.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Iterator, Mapping
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
+
+# A socket that lingers for no time is reset when it is closed.
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class StreamSink:
@@ -21,6 +26,11 @@
         self.closes_connection = closes_connection
         self.response: web.StreamResponse | None = None
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the caller understands chunks, which HTTP/1.0 lacks."""
+        return self.request.version >= HttpVersion11
+
     async def start(
         self,
         status: int,
@@ -33,7 +43,8 @@
             reason=reason,
             headers=headers,
         )
-        self.response.enable_chunked_encoding()
+        if self.is_chunked:
+            self.response.enable_chunked_encoding()
         if self.closes_connection:
             self.response.force_close()
         with _reset_as_cancellation():
@@ -46,9 +57,19 @@
             await self.response.write(block)
 
     def abort(self) -> None:
-        """Close the connection, so that the response is seen as truncated."""
-        if self.request.transport:
-            self.request.transport.close()
+        """End the connection, so that the response is seen as truncated.
+
+        Without chunks, a close would be the proper end of the response.
+        """
+        transport = self.request.transport
+        if transport is None:
+            return
+        if self.is_chunked:
+            transport.close()
+            return
+        raw_socket = transport.get_extra_info('socket')
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        transport.abort()
 
 
 @contextlib.contextmanager
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -9,7 +9,12 @@
 
 import aiohttp
 
-from bench.platform import COMPLETE_STREAM, MODEL_HEADERS, target_entry
+from bench.platform import (
+    COMPLETE_STREAM,
+    MODEL_HEADERS,
+    request_headers,
+    target_entry,
+)
 from dandelionplank.delivery.dispatch import FULL_PAUSE_S
 from tests.fixtures import only, run_on_both_loops, wait_until
 from tests.platformfleet import hostile_fleet, platform_fleet
@@ -327,3 +332,34 @@
             each.rejected_requests = 1
         assert (await outcome(fleet, '/book/x'))[0] == 503
         assert {each.unframed_responses for each in faults} == {96, 98}
+
+
+async def read_as_http10(fleet, path):
+    """Send a request in HTTP/1.0 and return the bytes up to the end."""
+    ip, _, port = fleet.urls[0].removeprefix('http://').partition(':')
+    headers = {**request_headers('q-1.0', 'key-a'), **MODEL_HEADERS}
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    head = '\r\n'.join((f'GET {path} HTTP/1.0', *lines, '', ''))
+    writer.write(head.encode())
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+@run_on_both_loops
+async def test_a_stream_reaches_a_caller_without_chunks():
+    """In HTTP/1.0 a close ends a stream, and a reset truncates it."""
+    for body in (COMPLETE_STREAM, COMPLETE_STREAM[:-1]):
+        behaviour = unframed(body, EVENT_STREAM, pauses_s=PAUSES_S)
+        async with hostile_fleet(behaviour, 'llm') as (fleet, _):
+            received = BROKEN
+            with contextlib.suppress(ConnectionResetError):
+                received = await read_as_http10(fleet, '/chat/x')
+        if body == COMPLETE_STREAM:
+            head, _, received_body = received.partition(b'\r\n\r\n')
+            assert b' 200 ' in head
+            assert received_body == COMPLETE_STREAM
+        else:
+            assert received == BROKEN
