--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -61,6 +61,7 @@
         self.codec = codec
         self.held = held
         self.framer = EventFramer()
+        self.has_events = False
         self.state = AttemptState.NOT_SENT
         self.connection: TargetConnection | None = None
         self.response: TargetResponse | None = None
@@ -126,9 +127,9 @@
             except ValueError as error:
                 raise self.stream_error(str(error)) from error
             if events:
+                self.has_events = True
                 return events
-        if self.framer.remainder:
-            raise self.stream_error('stream ends inside an event')
+        self._check_end_of_stream()
         self.is_fully_read = True
         return []
 
@@ -136,7 +137,7 @@
         """Release the connection for reuse, or abort it if bytes are unread."""
         if self.connection is None:
             return
-        if self.is_fully_read:
+        if self.is_fully_read or self._is_complete_refusal:
             self.pool.release(self.grant.load.target, self.connection)
         else:
             self.connection.abort()
@@ -147,6 +148,29 @@
         self.state = AttemptState.UNKNOWN
         return self._error(reason, Outcome.UNKNOWN)
 
+    def _check_end_of_stream(self) -> None:
+        """Check that a stream that has ended is complete.
+
+        A close is the only end of an unframed stream; before the first event
+        it cannot be told from the end of a connection that broke.
+
+        :raises TargetError: the stream has been truncated
+        """
+        assert self.response is not None
+        if self.framer.remainder:
+            raise self.stream_error('stream ends inside an event')
+        if self.response.is_unframed and not self.has_events:
+            raise self.stream_error('connection ends before the first event')
+
+    @property
+    def _is_complete_refusal(self) -> bool:
+        """Whether a refusal has arrived with its body, which nobody reads."""
+        return (
+            self.state is AttemptState.REFUSED_NOT_EXECUTED
+            and self.response is not None
+            and self.response.body.is_eof()
+        )
+
     async def _matching_response(
         self, connection: TargetConnection
     ) -> TargetResponse:
@@ -249,8 +273,11 @@
 async def _skip_body(response: TargetResponse) -> None:
     """Read the body of a response to another request.
 
-    :raises aiohttp.ClientError: the body is truncated or too long
+    :raises aiohttp.ClientError: the body is truncated or too long, or ends
+        with its connection, so that no other response follows
     """
+    if response.is_unframed:
+        raise aiohttp.ClientPayloadError('unframed body of another response')
     skipped = 0
     while chunk := await response.body.readany():
         skipped += len(chunk)
