Give up a silent stream only for a target that is reserved

Cause: a resumable stream without progress for five times its gap target was given up first, and a target to resume it was sought afterwards. If that was refused, for want of capacity, the caller's response was cut, though its target might only have paused (a preempted request does).

Change: the other target is reserved while the first attempt is still open, within 0.1 s; without one the stream goes on, and is looked at again after the next silence. A reservation that is not used is released.

Test first: test_a_slow_stream_is_not_cut_if_no_other_target_has_capacity failed (the caller's body ended early, ClientPayloadError).

Not covered: the target that was reserved may still refuse the resumed request; after the last try the stream is cut as before.

Ran: tests.test_hostile_targets (12 passed), tests.test_gateway and tests.test_pool_owners (49 passed), lint clean.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -48,6 +48,8 @@
 # look idle are unreachable.
 MAX_UNREACHABLE_TRIES = 8
 TIMED_OUT_RETRY_S = 0.5
+# Time within which another target is found for a stream without progress.
+RESERVE_TIMEOUT_S = 0.1
 
 
 class Delivery:
@@ -95,6 +97,20 @@
             have been passed on
         """
         progress = Progress()
+        try:
+            return await self._relay_until_done(request, sink, progress)
+        finally:
+            unused = progress.take_reserved()
+            if unused:
+                self.dispatcher.release(unused)
+
+    async def _relay_until_done(
+        self,
+        request: CallerRequest,
+        sink: CallerSink,
+        progress: Progress,
+    ) -> CompleteResponse | None:
+        """Make attempts until the stream ends or none is left."""
         while True:
             try:
                 return await self._relay_once(request, sink, progress)
@@ -183,7 +199,7 @@
                 sink,
                 self.codec,
                 self.dispatcher.record_first_event,
-                functools.partial(self._may_resume, request, progress),
+                functools.partial(self._reserve_target, request, progress),
             )
             await relay.run(attempt)
             self.dispatcher.record_outcome(attempt.grant, is_success=True)
@@ -196,7 +212,7 @@
         progress: Progress,
     ) -> AsyncIterator[Attempt]:
         """Acquire a target for an attempt and always release it afterwards."""
-        grant = await self.dispatcher.acquire(
+        grant = progress.take_reserved() or await self.dispatcher.acquire(
             request.to_waiting_request(progress.avoided),
         )
         attempt = Attempt(request, grant, self.pool, self.codec, self.held)
@@ -316,6 +332,29 @@
             and self.budgets.has_retry(request.service, time.monotonic())
         )
 
+    async def _reserve_target(
+        self, request: CallerRequest, progress: Progress
+    ) -> bool:
+        """Reserve another target for a stream without progress.
+
+        The stream would be cut if it were given up before there is one.
+        """
+        if not self._may_resume(request, progress):
+            return False
+        try:
+            async with asyncio.timeout(RESERVE_TIMEOUT_S):
+                grant = await self.dispatcher.acquire(
+                    request.to_waiting_request(progress.avoided),
+                )
+        except (RefusalError, TimeoutError):
+            return False
+        is_other = grant.load.target.name not in progress.avoided
+        if not is_other or not self._may_resume(request, progress):
+            self.dispatcher.release(grant)
+            return False
+        progress.reserved = grant
+        return True
+
     def _complete_response(
         self, attempt: Attempt, body: bytes
     ) -> CompleteResponse:
--- a/src/dandelionplank/delivery/progress.py
+++ b/src/dandelionplank/delivery/progress.py
@@ -18,6 +18,8 @@
     :param last_event_id: last event passed to the caller, None before the
         first one
     :param error_response: a target's complete response with a server error
+    :param reserved: target that is to resume the stream, None if the next
+        attempt still has to acquire one
     """
 
     possible_executions: int = 0
@@ -26,6 +28,13 @@
     last_event_id: int | None = None
     error_response: CompleteResponse | None = None
     avoided: tuple[str, ...] = ()
+    reserved: Grant | None = None
+
+    def take_reserved(self) -> Grant | None:
+        """Return the reserved target for the next attempt, if there is one."""
+        grant = self.reserved
+        self.reserved = None
+        return grant
 
     def final_response(self, error: DandelionplankError) -> CompleteResponse:
         """Return a target's error response, or raise the last error.
--- a/src/dandelionplank/delivery/streams.py
+++ b/src/dandelionplank/delivery/streams.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 from dandelionplank.delivery.attempt import Attempt
@@ -45,7 +45,8 @@
     """Passes the events of one attempt to the caller.
 
     :param on_events: called for each block of events received
-    :param may_resume: returns whether another target may resume the stream
+    :param reserve_target: reserves another target to resume the stream, and
+        returns whether there is one
     """
 
     request: CallerRequest
@@ -53,7 +54,7 @@
     sink: CallerSink
     codec: RequestCodec
     on_events: Callable[[Grant], None]
-    may_resume: Callable[[], bool]
+    reserve_target: Callable[[], Awaitable[bool]]
 
     @property
     def silence_limit_s(self) -> float | None:
@@ -106,7 +107,7 @@
     ) -> list[StreamEvent]:
         """Return the next events, none at the end of the stream.
 
-        A slow stream that no other target may resume is not given up.
+        A slow stream is given up only for a target that is to resume it.
 
         :param progress_s: monotonic time of the last new event
         """
@@ -119,7 +120,7 @@
                 async with asyncio.timeout(max(0.0, left_s)):
                     return await attempt.read_events()
             except TimeoutError as error:
-                if self.may_resume():
+                if await self.reserve_target():
                     raise attempt.stream_error(
                         f'no progress for {silence_limit_s} s'
                     ) from error
--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -8,6 +8,7 @@
 import contextlib
 import time
 from pathlib import Path
+from unittest import mock
 
 import aiohttp
 
@@ -20,6 +21,7 @@
 )
 from dandelionplank.delivery import bounds
 from dandelionplank.delivery.events import EventFramer
+from dandelionplank.routing.scheduler import Rejection
 from dandelionplank_standins.hostiletarget import HostileTarget
 from tests.fixtures import run_async, wait_until
 from tests.platformfleet import platform_fleet
@@ -365,3 +367,36 @@
         await wait_until(lambda: view.table.version == 2)
         status, body, _ = await fleet.call('/draft/x', headers=MODEL_HEADERS)
         assert (status, body) == (200, COMPLETE_STREAM)
+
+
+@run_async
+async def test_a_slow_stream_is_not_cut_if_no_other_target_has_capacity():
+    """A pause beyond the limit is no reason to end the response."""
+
+    async def slow_stream(exchange):
+        await exchange.write(exchange.head(EVENT_STREAM, CHUNKED))
+        for number in range(1, 6):
+            event = b'id: %d\ndata: x\n\n' % number
+            await exchange.write(b'%x\r\n%s\r\n' % (len(event), event))
+            await asyncio.sleep(0.25)
+        await exchange.write(b'0\r\n\r\n')
+
+    async with hostile_fleet(slow_stream, 'llm') as (fleet, _):
+        gateway = fleet.gateways[0]
+        changes = {'GapTargetMs': 20, 'CanResume': True, 'Attempts': 2}
+        fleet.store.put('op/config', configuration(2, resume=changes))
+        await wait_until(lambda: gateway.view.table.version == 2)
+        stream = asyncio.ensure_future(
+            fleet.call('/draft/x', headers=MODEL_HEADERS)
+        )
+        await wait_until(
+            lambda: any(
+                load.running for load in gateway.scheduler.loads.values()
+            )
+        )
+        refused = Rejection(mock.Mock(service='llm'), 'no capacity', 1)
+        with mock.patch.object(
+            gateway.scheduler, 'submit', return_value=refused
+        ):
+            status, body, _ = await stream
+        assert (status, body) == (200, COMPLETE_STREAM)
