--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -20,7 +20,7 @@
 from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet
 
-SOAK_SEED = 1
+SOAK_SEED = 9
 SOAK_SECONDS = 10
 LONG_DEADLINE = {'Dandelionplank-Deadline-Ms': '20000'}
 
