Withdraw a request whose first scheduling pass raises

Cause: the pass that follows the arrival of a request ran outside the block that withdraws it. If the pass raised, the caller got a 500 response and the request stayed in its queue; a later pass granted it a target that nobody released.

Change: the pass runs inside that block.

Test first: test_a_failed_scheduling_pass_leaves_no_request_waiting failed (a future was left). Such an error has not been seen outside the test.

Ran: tests.test_planned_stops, test_gateway, test_pool_owners and test_platform_decisions, 106 passed; lint clean.

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -67,8 +67,8 @@
             asyncio.get_running_loop().create_future()
         )
         self.futures[id(waiting)] = future
-        self._run_pass(waiting.service, now_s)
         try:
+            self._run_pass(waiting.service, now_s)
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -183,3 +183,19 @@
     with tempfile.TemporaryDirectory() as directory:
         fleet = await play(SOAK_SEED, SOAK_SECONDS, Path(directory))
     assert not fleet.violations, '\n'.join(fleet.trace)
+
+
+@run_async
+async def test_a_failed_scheduling_pass_leaves_no_request_waiting():
+    """A target granted to it later would count as busy for ever."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        with mock.patch.object(
+            gateway.scheduler, 'run_pass', side_effect=RuntimeError('pass')
+        ):
+            assert (await fleet.call('/book/x'))[0] == 500
+        assert not gateway.dispatcher.futures
+        await asyncio.sleep(0.1)
+        assert (await fleet.call('/book/x'))[0] == 200
+        loads = gateway.scheduler.loads.values()
+        assert not any(load.running for load in loads)
