Test that a router ends though callers keep their connections

A leaving router answers on kept connections without announcing their close, so callers stay, calls overlap, and the drain lasts until its limit of 600 s or the platform's SIGKILL.

Fails on the present code (one run): TimeoutError, not ended 15 s after SIGTERM with four callers.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import signal
+from http import HTTPStatus
 
-from bench.callers import chat
+import aiohttp
+
+from bench.callers import chat, chat_document
 from tests.fixtures import (
     ACCOUNTS,
     count_deposit_runs,
@@ -229,6 +232,43 @@
     await eventually(all_charged)
 
 
+@with_fleet()
+async def test_a_router_ends_though_callers_keep_their_connections(fleet):
+    """Open connections would otherwise carry calls until the time limit."""
+    leaving, other = fleet.routers[:2]
+    callers = [
+        asyncio.create_task(
+            chat_until_told_to_close(leaving.url, other.url, tokens)
+        )
+        for tokens in (40, 50, 60, 70)
+    ]
+    await asyncio.sleep(0.5)
+    leaving.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(15):
+        assert await leaving.process.wait() == 0
+    for status in await asyncio.gather(*callers):
+        assert status == HTTPStatus.OK
+
+
+async def chat_until_told_to_close(url, other_url, tokens):
+    """Chat over one connection; at its end, once with another router.
+
+    :return: the status of the last chat
+    """
+    document = chat_document(f'{tokens} tokens', tokens)
+    headers = {'Authorization': 'Bearer key-of-large'}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        is_open = True
+        while is_open:
+            chats = f'{url}/v1/chat/completions'
+            async with session.post(chats, json=document) as response:
+                assert '[DONE]' in await response.text()
+                is_open = response.headers.get('Connection') != 'close'
+        chats = f'{other_url}/v1/chat/completions'
+        async with session.post(chats, json=document) as response:
+            return response.status
+
+
 @with_fleet()
 async def test_streams_complete_when_the_dispatcher_is_killed(fleet):
     """Callers at the other routers are served while it is replaced."""
