Close kept connections while a router leaves

Cause: a leaving router went on serving its kept connections and did not tell callers to reconnect, so the drain found no moment without open calls.

Change: responses that start while it is leaving announce and perform the close of their connection. The listener stays open until the drain has ended, so new connections are still served.

The rest of tests.test_fleet was not run.

Not changed: the drain looks at open calls only once, and calls that arrive while usage is flushed are cut a second after the tasks have stopped.

--- a/src/dandelionplank/router/daemon.py
+++ b/src/dandelionplank/router/daemon.py
@@ -230,6 +230,7 @@
                 self.usage.repository,
             ).routes(),
         )
+        application.on_response_prepare.append(self._announce_close)
         self.runner = web.AppRunner(
             application,
             handler_cancellation=True,
@@ -253,6 +254,14 @@
         await site.start()
         self.idle.server = self.runner.server
 
+    async def _announce_close(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Close connections after their responses while the router leaves."""
+        if self.entry.is_leaving:
+            response.headers['Connection'] = 'close'
+            response.force_close()
+
     async def _drain(self) -> None:
         """Wait until all open calls have ended, up to a time limit."""
         deadline_s = time.monotonic() + DRAIN_TIMEOUT_S
