Test a planned stop whose grace is shorter than the balancer's removal

The shutdown waits 2.9 s for the balancer whatever the grace is, so the process is killed with its requests open if the grace is 2.9 s or shorter.

Fails on the present code (one run): TimeoutError, not ended within a grace of 2 s; a trial without a connection took 2.92 s.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -845,3 +845,18 @@
                 caller.setblocking(False)
                 if fleet.runs():
                     assert caller.recv(12) == b'HTTP/1.1 200'
+
+
+@run_async
+async def test_a_planned_stop_ends_within_a_short_grace():
+    """The process would be killed before its open requests have ended."""
+    grace_s = 2.0
+    async with platform_fleet(grace_s=grace_s) as fleet:
+        for target in fleet.targets.values():
+            target.faults.delay_s = 1.0
+        call = asyncio.ensure_future(fleet.call('/look/x'))
+        await wait_until(fleet.runs)
+        async with asyncio.timeout(grace_s):
+            await fleet.gateways[0].shut_down()
+        status, _, _ = await call
+        assert status == 200
