Wait for the balancer at most half of the grace

Cause: the wait of 2.9 s did not depend on the grace.

Change: it is bounded by half of the grace. With a grace of 8 s it is 2.9 s as before.

Test: test_a_planned_stop_ends_within_a_short_grace failed before, passes in 3 of 3 runs.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -48,6 +48,8 @@
 # The balancer removes an instance after two failed readiness checks, a second
 # apart; until then new connections still arrive.
 BALANCER_REMOVAL_S = 2.9
+# Longest share of the grace that this wait may take.
+BALANCER_GRACE_SHARE = 0.5
 # Part of the grace that is reserved for closing.
 CLOSE_RESERVE_S = 0.5
 DRAIN_POLL_S = 0.05
@@ -224,8 +226,11 @@
         self.gateway.is_leaving = True
         self.exchange.is_leaving = True
         log_event(Event.LEAVING, open_requests=self.gateway.open_requests)
-        deadline_s = start_s + self.settings.bounds.grace_s - CLOSE_RESERVE_S
-        await asyncio.sleep(BALANCER_REMOVAL_S)
+        grace_s = self.settings.bounds.grace_s
+        deadline_s = start_s + grace_s - CLOSE_RESERVE_S
+        await asyncio.sleep(
+            min(BALANCER_REMOVAL_S, grace_s * BALANCER_GRACE_SHARE)
+        )
         self.server.stop_accepting()
         # An accepted connection is counted some turns later.
         await self.server.close_idle()
