Probe a slow target only while it has a free slot

Change: a slow target is probed only while it has a free slot. Otherwise its own calls measure it.

Ruled out: counting the probe as a call in flight; it is short, charged to nobody, and entries do not report its end.

Runs: the new test fails before (9 passed, 1 failed in tests.test_fairness) and passes after (tests.test_fairness and tests.test_docs: 13 passed, 0 failed).

--- a/src/dandelionplank/routing/limits.py
+++ b/src/dandelionplank/routing/limits.py
@@ -89,9 +89,14 @@
         return self.in_flight < self.effective_limit + overdraft
 
     def needs_probe(self, now_s: float) -> bool:
-        """Return whether a slow target should be probed again."""
-        waited_s = now_s - self.probed_at_s
-        return self.is_slow and waited_s > PROBE_PERIOD_S
+        """Return whether a slow target should be probed again.
+
+        A probe takes capacity as a call does. A target without a free slot is
+        measured by its own calls.
+        """
+        if not self.is_slow or self.in_flight >= self.effective_limit:
+            return False
+        return now_s - self.probed_at_s > PROBE_PERIOD_S
 
     def record_late_stream(self, now_s: float) -> bool:
         """Record that a stream is moved away because the target lags.
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -21,6 +21,7 @@
     AccountCounter,
     Done,
     Grant,
+    Probe,
     Progress,
     Refuse,
     RunningAttempt,
@@ -140,6 +141,43 @@
     assert next_grant.ticket_id == 'large-0'
 
 
+def probed_targets(outgoing):
+    """Return the targets of the probes among outgoing messages."""
+    return [
+        each.message.target
+        for each in outgoing
+        if isinstance(each.message, Probe)
+    ]
+
+
+def mark_slow(scheduler, target):
+    """Report two streams that are to be moved away from a target."""
+    for number in range(2):
+        ticket = Ticket(f'moved-{number}', 'small', 10, avoid=target)
+        scheduler.enqueue('r', ticket, number / 10)
+
+
+def fill_slots(scheduler):
+    """Fill the slots of all targets with retryable tickets."""
+    for number in range(SLOTS_PER_TARGET * len(scheduler.slots)):
+        ticket = Ticket(f'small-{number}', 'small', 10, is_retryable=True)
+        scheduler.enqueue('r', ticket, 0)
+    return grants_in(scheduler.schedule(0))
+
+
+def test_slow_target_is_probed_only_within_its_slots():
+    """A probe is one more stream, so a target that is full gets none."""
+    scheduler = make_scheduler()
+    running = [each for each in fill_slots(scheduler) if each.target == 't0']
+    mark_slow(scheduler, 't0')
+    assert scheduler.slots['t0'].is_slow
+    assert len(running) == SLOTS_PER_TARGET
+    for grant in running:
+        assert not probed_targets(scheduler.schedule(1))
+        finish(scheduler, grant, 10)
+    assert probed_targets(scheduler.schedule(2)) == ['t0']
+
+
 def test_idle_time_earns_no_credit():
     """An account that was idle starts at the counter of the others."""
     scheduler = make_scheduler()
