Do not mark the only target of a pool slow

The target was marked slow, which cut its slots to a quarter, and nothing ended this: recovery compares at least two targets, so the only target of a pool stayed slow until the router stopped.

Change: such a request does not count against the only target of a pool, and a target that is left alone in its pool while it is marked recovers with its next measurement.

--- a/src/dandelionplank/fairness/scheduler.py
+++ b/src/dandelionplank/fairness/scheduler.py
@@ -257,7 +257,7 @@
     ) -> OutgoingMessage:
         """Move a stream to another target, or refuse it."""
         avoided = self.slots.get(ticket.avoid)
-        if avoided:
+        if avoided and len(self.slots) > 1:
             avoided.record_late_stream(now_s)
         free = [
             each
--- a/src/dandelionplank/routing/limits.py
+++ b/src/dandelionplank/routing/limits.py
@@ -180,11 +180,13 @@
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
     """Mark and unmark slow targets by their pace against the pool's median.
 
+    A pool's only target is the median itself, so it is never slow.
+
     :param slots: targets of one pool
     :return: names that became slow, names that recovered
     """
     paces = [each.pace_s for each in slots.values() if each.pace_s > 0]
-    if len(paces) < 2:
+    if not paces or len(paces) < min(2, len(slots)):
         return (), ()
     median_s = median(paces)
     slowed = tuple(_newly_slow(slots.values(), median_s))
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -26,6 +26,7 @@
     Refuse,
     RunningAttempt,
     Sync,
+    TargetReport,
     Ticket,
 )
 from dandelionplank.settings import Address
@@ -178,6 +179,28 @@
     assert probed_targets(scheduler.schedule(2)) == ['t0']
 
 
+def test_only_target_of_a_pool_is_not_marked_slow():
+    """No other target can take its work, so it keeps all of its slots."""
+    scheduler = make_scheduler(targets=1)
+    mark_slow(scheduler, 't0')
+    assert len(fill_slots(scheduler)) == SLOTS_PER_TARGET
+
+
+def test_slow_target_recovers_when_it_is_left_alone_in_its_pool():
+    """Without other targets there is no median that it could fall behind."""
+    scheduler = make_scheduler()
+    mark_slow(scheduler, 't0')
+    assert scheduler.slots['t0'].is_slow
+    scheduler.configure(
+        scheduler.contract,
+        scheduler.accounts,
+        [scheduler.slots['t0'].target],
+    )
+    scheduler.record_report(TargetReport(POOL, 't0', 1, 50, 0.25, 0, 0, 0, 0))
+    assert scheduler.adapt(1).recovered == ('t0',)
+    assert len(fill_slots(scheduler)) == SLOTS_PER_TARGET
+
+
 def test_idle_time_earns_no_credit():
     """An account that was idle starts at the counter of the others."""
     scheduler = make_scheduler()
