--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -21,10 +21,12 @@
     AccountCounter,
     Done,
     Grant,
+    Probe,
     Progress,
     Refuse,
     RunningAttempt,
     Sync,
+    TargetReport,
     Ticket,
 )
 from dandelionplank.settings import Address
@@ -140,6 +142,65 @@
     assert next_grant.ticket_id == 'large-0'
 
 
+def probed_targets(outgoing):
+    """Return the targets of the probes among outgoing messages."""
+    return [
+        each.message.target
+        for each in outgoing
+        if isinstance(each.message, Probe)
+    ]
+
+
+def mark_slow(scheduler, target):
+    """Report two streams that are to be moved away from a target."""
+    for number in range(2):
+        ticket = Ticket(f'moved-{number}', 'small', 10, avoid=target)
+        scheduler.enqueue('r', ticket, number / 10)
+
+
+def fill_slots(scheduler):
+    """Fill the slots of all targets with retryable tickets."""
+    for number in range(SLOTS_PER_TARGET * len(scheduler.slots)):
+        ticket = Ticket(f'small-{number}', 'small', 10, is_retryable=True)
+        scheduler.enqueue('r', ticket, 0)
+    return grants_in(scheduler.schedule(0))
+
+
+def test_slow_target_is_probed_only_within_its_slots():
+    """A probe is one more stream, so a target that is full gets none."""
+    scheduler = make_scheduler()
+    running = [each for each in fill_slots(scheduler) if each.target == 't0']
+    mark_slow(scheduler, 't0')
+    assert scheduler.slots['t0'].is_slow
+    assert len(running) == SLOTS_PER_TARGET
+    for grant in running:
+        assert not probed_targets(scheduler.schedule(1))
+        finish(scheduler, grant, 10)
+    assert probed_targets(scheduler.schedule(2)) == ['t0']
+
+
+def test_only_target_of_a_pool_is_not_marked_slow():
+    """No other target can take its work, so it keeps all of its slots."""
+    scheduler = make_scheduler(targets=1)
+    mark_slow(scheduler, 't0')
+    assert len(fill_slots(scheduler)) == SLOTS_PER_TARGET
+
+
+def test_slow_target_recovers_when_it_is_left_alone_in_its_pool():
+    """Without other targets there is no median that it could fall behind."""
+    scheduler = make_scheduler()
+    mark_slow(scheduler, 't0')
+    assert scheduler.slots['t0'].is_slow
+    scheduler.configure(
+        scheduler.contract,
+        scheduler.accounts,
+        [scheduler.slots['t0'].target],
+    )
+    scheduler.record_report(TargetReport(POOL, 't0', 1, 50, 0.25, 0, 0, 0, 0))
+    assert scheduler.adapt(1).recovered == ('t0',)
+    assert len(fill_slots(scheduler)) == SLOTS_PER_TARGET
+
+
 def test_idle_time_earns_no_credit():
     """An account that was idle starts at the counter of the others."""
     scheduler = make_scheduler()
