Let the two sides of the pools name the messages they receive

Change: PoolOwner and PoolClient each return their receivers; the retry budgets are reached through the delivery that holds them. Behaviour is the same.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -26,14 +26,6 @@
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
 from dandelionplank.fleet.supervision import TaskFactory, supervise
-from dandelionplank.fleet.tickets import (
-    OpenGrants,
-    Ticket,
-    TicketEvents,
-    TicketGrant,
-    TicketQueued,
-    TicketRejection,
-)
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CachedPartsReader, CacheWarmup
 from dandelionplank.ingress.gateway import Gateway
@@ -112,25 +104,17 @@
             OwnerDirectory(settings.instance.id, self.view, self.peer_loads),
             self.exchange.send,
         )
-        self.exchange.receivers.update(
-            {
-                Ticket: self.pool_owner.receive_ticket,
-                TicketEvents: self.pool_owner.receive_events,
-                OpenGrants: self.pool_owner.receive_open_grants,
-                TicketGrant: self.pool_client.receive_reply,
-                TicketQueued: self.pool_client.receive_reply,
-                TicketRejection: self.pool_client.receive_reply,
-            }
-        )
+        self.exchange.receivers.update(self.pool_owner.receivers)
+        self.exchange.receivers.update(self.pool_client.receivers)
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
-        self.budgets = ServiceRetryBudgets(
+        budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
         )
         self.gateway = Gateway(
             self.view,
-            Delivery(self.pool_client, self.pool, parts.codec, self.budgets),
+            Delivery(self.pool_client, self.pool, parts.codec, budgets),
             parts.codec,
         )
         self.follower = StoreFollower(
@@ -319,7 +303,7 @@
         """Apply changed bounds."""
         bounds = settings.bounds
         self.view.revoked_after_s = bounds.revoked_after_s
-        self.budgets.update_limits(_retry_limits(bounds))
+        self.gateway.delivery.budgets.update_limits(_retry_limits(bounds))
 
 
 def _retry_limits(bounds: GatewayBounds) -> RetryLimits:
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -11,6 +11,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
+from typing import Any
 
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import ErrorCode, RefusalError
@@ -103,6 +104,15 @@
             defaultdict(list)
         )
 
+    @property
+    def receivers(self) -> dict[type, Callable[[Any], None]]:
+        """Return the handlers of the messages for an entry."""
+        return {
+            TicketGrant: self.receive_reply,
+            TicketQueued: self.receive_reply,
+            TicketRejection: self.receive_reply,
+        }
+
     async def acquire(self, waiting: WaitingRequest) -> Grant:
         """Wait for a target.
 
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 from collections.abc import Callable
+from typing import Any
 
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import RefusalError
@@ -90,6 +91,15 @@
         """Return the scheduler, which also serves this instance's callers."""
         return self.dispatcher.scheduler
 
+    @property
+    def receivers(self) -> dict[type, Callable[[Any], None]]:
+        """Return the handlers of the messages for an owner."""
+        return {
+            Ticket: self.receive_ticket,
+            TicketEvents: self.receive_events,
+            OpenGrants: self.receive_open_grants,
+        }
+
     def receive_ticket(self, ticket: Ticket) -> None:
         """Queue a new ticket, or repeat the reply to a known one."""
         now_s = time.monotonic()
