Log a crash of a target with the prompts that it had begun to answer

Cause: a target whose process ended left nothing in the log but one failed attempt for each request; which prompts were open at it was not known.

Change: a response that breaks off before its body, or within 0.25 s of the body's start, makes the instance open one connection to that target at once. If it is refused, the target has crashed: event 315 lists the parts of the prompts that broke off in the last second (16 at most), and target_crashes_total counts it. If it is accepted, it is kept as an idle connection and nothing is logged. A connection that times out proves nothing: the link may be cut. Nothing is decided from it yet.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: sends a request to one target and reads the response."""
 
 import asyncio
+import time
 from http import HTTPStatus
 
 import aiohttp
@@ -41,6 +42,8 @@
     """Sends a request to a target and reads the response.
 
     :param state: what is known of the request's execution there
+    :param first_bytes_s: monotonic time at which the body of the response
+        began, None before that
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self.response: TargetResponse | None = None
         self.marks: ResponseMetadata | None = None
         self.is_fully_read = False
+        self.first_bytes_s: float | None = None
 
     @property
     def target_name(self) -> str:
@@ -201,9 +205,12 @@
         """
         assert self.response is not None
         try:
-            return await self.response.body.readany()
+            chunk = await self.response.body.readany()
         except RESPONSE_ERRORS as error:
             raise self.stream_error(repr(error)) from error
+        if chunk and self.first_bytes_s is None:
+            self.first_bytes_s = time.monotonic()
+        return chunk
 
     def _has_valid_marks(self, marks: ResponseMetadata) -> bool:
         """Return whether a success carries the marks of this request."""
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -198,8 +198,13 @@
         :raises TargetError: no connection was established; nothing was sent
         """
         found = self._reuse(target.name, is_retryable=is_retryable)
-        if found:
-            return found
+        return found or await self.open(target)
+
+    async def open(self, target: Target) -> TargetConnection:
+        """Open a new connection.
+
+        :raises TargetError: no connection was established; nothing was sent
+        """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -14,6 +14,7 @@
 from dandelionplank.delivery.bounds import HeldBytes
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.crashwatch import CrashWatch
 from dandelionplank.delivery.dispatch import TargetAssigner
 from dandelionplank.delivery.progress import (
     Progress,
@@ -34,7 +35,6 @@
 from dandelionplank.routing.budget import ServiceRetryBudgets
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.routes import RequestKind
-from dandelionplank.routing.scheduler import Grant
 
 STEP = 'delivery'
 # Share of its objective after which a safe request without a response is
@@ -59,12 +59,14 @@
         pool: ConnectionPool,
         codec: RequestCodec,
         budgets: ServiceRetryBudgets,
+        crashes: CrashWatch,
     ) -> None:
         """Hold the state shared by all requests."""
         self.dispatcher = dispatcher
         self.pool = pool
         self.codec = codec
         self.budgets = budgets
+        self.crashes = crashes
         self.held = HeldBytes()
 
     async def fetch(self, request: CallerRequest) -> CompleteResponse:
@@ -210,7 +212,7 @@
         except TimeoutError as error:
             raise self._timeout_error(attempt) from error
         except TargetError as error:
-            self._record_failure(grant, error)
+            self._record_failure(attempt, error)
             raise
         finally:
             if attempt.state.is_not_executed:
@@ -236,8 +238,10 @@
             retry_after_s=TIMED_OUT_RETRY_S,
         )
 
-    def _record_failure(self, grant: Grant, error: TargetError) -> None:
+    def _record_failure(self, attempt: Attempt, error: TargetError) -> None:
         """Record a failed attempt in the target's health."""
+        grant = attempt.grant
+        self.crashes.record_failure(attempt, error)
         if error.code is ErrorCode.TARGET_UNREACHABLE:
             self.dispatcher.record_unreachable(grant)
             log_event(
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -77,6 +77,11 @@
         Level.WARNING,
         'an engine did not report its prefix cache',
     )
+    TARGET_CRASHED = (
+        315,
+        Level.WARNING,
+        'a target broke off its responses and refuses connections',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -13,6 +13,7 @@
 
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.crashwatch import CrashWatch
 from dandelionplank.delivery.delivery import Delivery
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import StoreError
@@ -109,12 +110,19 @@
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
+        self.crashes = CrashWatch(self.pool)
         budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
         )
         self.gateway = Gateway(
             self.view,
-            Delivery(self.pool_client, self.pool, parts.codec, budgets),
+            Delivery(
+                self.pool_client,
+                self.pool,
+                parts.codec,
+                budgets,
+                self.crashes,
+            ),
             parts.codec,
         )
         self.follower = StoreFollower(
@@ -139,6 +147,11 @@
         """Return the settings in force."""
         return self.settings_follower.settings
 
+    @property
+    def budgets(self) -> ServiceRetryBudgets:
+        """Return the retry budgets of the services."""
+        return self.gateway.delivery.budgets
+
     @classmethod
     def from_settings(
         cls,
@@ -303,7 +316,7 @@
         """Apply changed bounds."""
         bounds = settings.bounds
         self.view.revoked_after_s = bounds.revoked_after_s
-        self.gateway.delivery.budgets.update_limits(_retry_limits(bounds))
+        self.budgets.update_limits(_retry_limits(bounds))
 
 
 def _retry_limits(bounds: GatewayBounds) -> RetryLimits:
--- a/src/dandelionplank/routing/work.py
+++ b/src/dandelionplank/routing/work.py
@@ -35,6 +35,11 @@
         shared = self.parts[:-1] or self.parts
         return shared[-1].part_id if shared else ''
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def cost(self) -> float:
         """Cost as if no part were cached."""
