--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -37,6 +37,8 @@
         mismatched response
     :param server_errors: requests that get a response with status 500
     :param delay_s: delay between the execution and the response
+    :param crashing_part: part of a prompt that crashes the target before it
+        responds, unless it is the last one
     """
 
     rejected_requests: int = 0
@@ -46,6 +48,7 @@
     server_errors: int = 0
     runs_left: int = -1
     delay_s: float = 0
+    crashing_part: str = ''
 
 
 class TargetStandin:
@@ -70,6 +73,8 @@
         self.faults = TargetFaults()
         self.runs: list[ExecutedRequest] = []
         self.cached_parts: dict[str, int] | None = {}
+        self.runner: web.AppRunner | None = None
+        self.crashed_at_s: float | None = None
 
     @property
     def application(self) -> web.Application:
@@ -79,6 +84,17 @@
         application.router.add_route('*', '/{path:.*}', self._serve)
         return application
 
+    async def crash(self) -> None:
+        """End as a killed process does: all sockets close at once."""
+        assert self.runner is not None
+        self.crashed_at_s = asyncio.get_running_loop().time()
+        for site in tuple(self.runner.sites):
+            await site.stop()
+        assert self.runner.server is not None
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def _list_cached_parts(self, request: web.Request) -> web.Response:
         """Return the cached parts of prompts, or text that is no list."""
         if self.cached_parts is None:
@@ -119,6 +135,9 @@
             self.faults.lost_responses -= 1
             _reset_connection(request)
         await asyncio.sleep(self.faults.delay_s)
+        if _holds_part(request, self.faults.crashing_part):
+            await self.crash()
+            raise ConnectionResetError
         if self.streams:
             return await self._stream(request)
         return self._echo(request, body)
@@ -173,6 +192,12 @@
     return {'Dandelionplank-Request-Id': request_id}
 
 
+def _holds_part(request: web.Request, part_id: str) -> bool:
+    """Return whether a part, and not the last one, has the given id."""
+    parts = request.headers.get('Dandelionplank-Prefix-Hash', '').split(',')
+    return part_id in {part.partition(':')[0] for part in parts[:-1]}
+
+
 def _reset_connection(request: web.Request) -> None:
     """Reset the connection and end the handler.
 
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -35,6 +35,21 @@
     gateways: list
     urls: list
     session: aiohttp.ClientSession
+    resources: contextlib.AsyncExitStack
+
+    async def start_target(self, name, service, **changes):
+        """Start a target, list it in the store and return it.
+
+        :param changes: fields of its entry
+        """
+        target = TargetStandin(name, streams=service == 'llm')
+        address, runner = await start_server(target.application)
+        self.resources.push_async_callback(runner.cleanup)
+        target.runner = runner
+        self.targets[name] = target
+        entry = target_entry(name, service, address, **changes)
+        self.store.put(f'servers/{name}', entry)
+        return target
 
     async def call(self, path, *, gateway=0, method='POST', **options):
         """Send a request; return status, body and headers."""
@@ -67,21 +82,17 @@
         store_address, runner = await start_server(store.application)
         stack.push_async_callback(runner.cleanup)
         store.put('op/config', configuration(1))
-        targets = {}
-        services = [(f'llm-{number}', 'llm') for number in range(engines)]
-        services += [(f'plain-{number}', 'plain') for number in range(engines)]
-        for name, service in services:
-            targets[name] = TargetStandin(name, streams=service == 'llm')
-            address, runner = await start_server(targets[name].application)
-            stack.push_async_callback(runner.cleanup)
-            store.put(f'servers/{name}', target_entry(name, service, address))
         session = await stack.enter_async_context(
             aiohttp.ClientSession(auto_decompress=False),
         )
+        fleet = PlatformFleet(store, {}, [], [], session, stack)
+        services = [(f'llm-{number}', 'llm') for number in range(engines)]
+        services += [(f'plain-{number}', 'plain') for number in range(engines)]
+        for name, service in services:
+            await fleet.start_target(name, service)
         settings_directory = stack.enter_context(
             tempfile.TemporaryDirectory(),
         )
-        fleet = PlatformFleet(store, targets, [], [], session)
         for number in range(gateways):
             address = f'127.0.0.1:{reserve_ports(1)[0]}'
             daemon = build_daemon(
