Refuse prompts with a part that crashes engines

Cause: nothing connected the crashes of engines with what their prompts had in common, and each instance sent the next such prompt to another engine.

Instances exchange crashes, answers and quarantines. The decision is pure (routing/crashes.py).

Ruled out: statistics by request, account or pair of parts, see docs/PLATFORM.md; a connection that is not established in time as the sign of a crash, which a cut link shows as well; the completion of an answer as the time it counts from: a prompt that was running before the part began to crash engines would clear it.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -44,6 +44,7 @@
     :param state: what is known of the request's execution there
     :param first_bytes_s: monotonic time at which the body of the response
         began, None before that
+    :param is_recorded_sound: it is recorded that the prompt is sound
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.marks: ResponseMetadata | None = None
         self.is_fully_read = False
         self.first_bytes_s: float | None = None
+        self.is_recorded_sound = False
 
     @property
     def target_name(self) -> str:
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -96,6 +96,14 @@
     headers: Mapping[str, str]
     body: StreamReader
 
+    @property
+    def is_delimited(self) -> bool:
+        """Return whether the body has a length or comes in chunks."""
+        return (
+            'Content-Length' in self.headers
+            or 'Transfer-Encoding' in self.headers
+        )
+
 
 class TargetConnection:
     """One connection to a target, with the limit of its idle time."""
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -153,6 +153,7 @@
             is_success = response.status < FIRST_SERVER_ERROR_STATUS
             self._raise_if_not_executed(attempt)
             self.dispatcher.record_outcome(attempt.grant, is_success=is_success)
+            self.crashes.record_response(attempt)
             complete = self._complete_response(attempt, body)
             if is_success or not self._may_retry(
                 request,
@@ -184,11 +185,12 @@
                 progress,
                 sink,
                 self.codec,
-                self.dispatcher.record_first_event,
+                functools.partial(self._record_events, attempt),
                 functools.partial(self._may_resume, request, progress),
             )
             await relay.run(attempt)
             self.dispatcher.record_outcome(attempt.grant, is_success=True)
+            self.crashes.record_response(attempt)
             return None
 
     @contextlib.asynccontextmanager
@@ -198,6 +200,7 @@
         progress: Progress,
     ) -> AsyncIterator[Attempt]:
         """Acquire a target for an attempt and always release it afterwards."""
+        self.crashes.check_prompt(request)
         grant = await self.dispatcher.acquire(
             request.to_waiting_request(progress.avoided),
         )
@@ -207,6 +210,8 @@
         progress.avoided = (*progress.avoided, attempt.target_name)
         progress.possible_executions += 1
         try:
+            # The prompt may have been quarantined while the request waited.
+            self.crashes.check_prompt(request)
             async with asyncio.timeout(request.time_left_s):
                 yield attempt
         except TimeoutError as error:
@@ -220,6 +225,11 @@
             attempt.finish()
             self.dispatcher.release(grant)
 
+    def _record_events(self, attempt: Attempt) -> None:
+        """Record that events of a stream have arrived."""
+        self.dispatcher.record_first_event(attempt.grant)
+        self.crashes.record_events(attempt)
+
     def _timeout_error(self, attempt: Attempt) -> DandelionplankError:
         """Return the error for a request that timed out."""
         outcome = Outcome.UNKNOWN
--- a/src/dandelionplank/delivery/streams.py
+++ b/src/dandelionplank/delivery/streams.py
@@ -16,7 +16,6 @@
     record_pause,
 )
 from dandelionplank.delivery.requests import CallerRequest
-from dandelionplank.routing.scheduler import Grant
 
 # A resumable stream that is silent for this many times its gap target is
 # resumed at another target.
@@ -52,7 +51,7 @@
     progress: Progress
     sink: CallerSink
     codec: RequestCodec
-    on_events: Callable[[Grant], None]
+    on_events: Callable[[], None]
     may_resume: Callable[[], bool]
 
     @property
@@ -76,7 +75,7 @@
         progress_s = time.monotonic()
         while events := await self._next_events(attempt, progress_s):
             record_first_event(self.request, attempt.grant)
-            self.on_events(attempt.grant)
+            self.on_events()
             last_passed_s = record_pause(self.request, last_passed_s)
             block = new_events(events, self.progress)
             if DATA_FIELD in block:
--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -61,6 +61,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'the instance has no configuration yet',
     )
+    PROMPT_QUARANTINED = (
+        3006,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'a part of the prompt has crashed targets',
+    )
     TARGET_UNREACHABLE = (
         4001,
         HTTPStatus.BAD_GATEWAY,
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -82,6 +82,16 @@
         Level.WARNING,
         'a target broke off its responses and refuses connections',
     )
+    PART_QUARANTINED = (
+        316,
+        Level.WARNING,
+        'prompts with a part that crashes targets are refused',
+    )
+    PART_RELEASED = (
+        317,
+        Level.INFO,
+        'prompts with a quarantined part are accepted again',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- /dev/null
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -0,0 +1,200 @@
+"""Task that exchanges evidence of crashes with the other instances."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.crashwatch import CrashWatch
+from dandelionplank.events import Event
+from dandelionplank.fleet.crashmessages import (
+    CrashReport,
+    ReportedAnswer,
+    ReportedCrash,
+    ReportedQuarantine,
+)
+from dandelionplank.fleet.exchange import PeerExchange
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
+from dandelionplank.routing.crashes import (
+    AnsweredParts,
+    Crash,
+    CrashEvidence,
+    CrashKey,
+    CrashLog,
+    Quarantine,
+    QuarantineChange,
+)
+
+MIN_PERIOD_S = 0.5
+DECISION_PERIOD_S = 0.25
+# Limits on the bytes of part ids in one report.
+MAX_CRASH_BYTES = 4096
+MAX_ANSWER_BYTES = 2048
+# Bytes of a part besides its id.
+PART_OVERHEAD_BYTES = 10
+MAX_LOGGED_TARGETS = 8
+
+
+class CrashReporter:
+    """Sends the crashes and answers seen here, and applies those of peers."""
+
+    def __init__(self, exchange: PeerExchange, pool: ConnectionPool) -> None:
+        """Hold the evidence, and apart from it what was seen here.
+
+        :param pool: connections, by which crashes are told from single
+            broken responses
+        """
+        self.exchange = exchange
+        self.evidence = CrashEvidence()
+        self.own_crashes = CrashLog()
+        self.own_answered = AnsweredParts()
+        self.watch = CrashWatch(pool, self)
+        self.sent_s = 0.0
+
+    @property
+    def receivers(self) -> dict[type, Callable[[Any], None]]:
+        """Return the handler of the reports."""
+        return {CrashReport: self.receive}
+
+    @property
+    def period_s(self) -> float:
+        """Return the time between two reports."""
+        return max(MIN_PERIOD_S, self.exchange.period_s)
+
+    async def run(self) -> None:
+        """Decide and send reports until cancelled."""
+        while True:
+            await asyncio.sleep(DECISION_PERIOD_S)
+            now_s = time.monotonic()
+            self._decide(now_s)
+            if now_s - self.sent_s >= self.period_s:
+                self._send(now_s)
+
+    def quarantine_left_s(self, part_ids: Iterable[str]) -> float:
+        """Return how long a prompt may not be sent, zero if it may."""
+        return self.evidence.left_s(part_ids, time.monotonic())
+
+    def record_crash(self, key: CrashKey, part_ids: Iterable[str]) -> None:
+        """Record a crash and tell the other instances at once."""
+        now_s = time.monotonic()
+        suspects = tuple(part_ids)
+        for log in (self.own_crashes, self.evidence.crashes):
+            log.add(key, now_s, suspects)
+        self._decide(now_s)
+        self._send(now_s)
+
+    def record_answer(self, part_ids: Iterable[str], at_s: float) -> None:
+        """Record an answer that a target went on with.
+
+        :param at_s: monotonic time at which it began
+        """
+        answered = tuple(part_ids)
+        for parts in (self.own_answered, self.evidence.answered):
+            parts.add(answered, at_s)
+
+    def receive(self, report: CrashReport) -> None:
+        """Apply another instance's report."""
+        if report.sender == self.exchange.name:
+            return
+        now_s = time.monotonic()
+        for crash in report.crashes:
+            self.evidence.crashes.add(
+                (crash.target, crash.started_ms),
+                now_s - crash.age_s,
+                crash.part_ids,
+            )
+        for answer in report.answers:
+            self.evidence.answered.add((answer.part_id,), now_s - answer.age_s)
+        for reported in report.quarantines:
+            self._adopt(reported, now_s)
+        self._decide(now_s)
+
+    def report(self, now_s: float) -> CrashReport:
+        """Return what this instance has to tell the others."""
+        return CrashReport(
+            self.exchange.name,
+            tuple(self._reported_crashes(now_s)),
+            tuple(self._reported_answers(now_s)),
+            tuple(
+                ReportedQuarantine(
+                    part_id, now_s - known.since_s, known.until_s - now_s
+                )
+                for part_id, known in self.evidence.quarantines.items()
+            ),
+        )
+
+    def _adopt(self, reported: ReportedQuarantine, now_s: float) -> None:
+        """Take over a quarantine of another instance."""
+        quarantine = Quarantine(now_s - reported.age_s, now_s + reported.left_s)
+        if self.evidence.adopt(reported.part_id, quarantine, now_s):
+            _log_change(QuarantineChange(reported.part_id, (), reported.left_s))
+
+    def _reported_crashes(self, now_s: float) -> Iterable[ReportedCrash]:
+        """Yield the crashes seen here that are unexplained, newest first."""
+        bytes_left = MAX_CRASH_BYTES
+        crashes = self.own_crashes.unexplained(self.evidence.quarantines)
+        for (target, started_ms), crash in reversed(crashes.items()):
+            bytes_left -= _size_of(crash.part_ids)
+            if bytes_left < 0:
+                return
+            yield ReportedCrash(
+                target, started_ms, now_s - crash.at_s, tuple(crash.part_ids)
+            )
+
+    def _reported_answers(self, now_s: float) -> Iterable[ReportedAnswer]:
+        """Yield the last answers seen here to prompts with suspect parts."""
+        bytes_left = MAX_ANSWER_BYTES
+        for part_id in self._suspects():
+            at_s = self.own_answered.times.get(part_id)
+            if at_s is None:
+                continue
+            bytes_left -= _size_of((part_id,))
+            if bytes_left < 0:
+                return
+            yield ReportedAnswer(part_id, now_s - at_s)
+
+    def _suspects(self) -> Iterable[str]:
+        """Return the parts in quarantine, then the most suspect ones."""
+        suspects = self.evidence.suspects()
+        ranked: list[tuple[str, list[Crash]]] = sorted(
+            suspects.items(), key=lambda suspect: -len(suspect[1])
+        )
+        return (
+            *self.evidence.quarantines,
+            *(part_id for part_id, _ in ranked),
+        )
+
+    def _decide(self, now_s: float) -> None:
+        """Quarantine and release parts, and log the changes."""
+        self.own_crashes.expire(now_s)
+        changes = self.evidence.decide(now_s)
+        for change in changes:
+            _log_change(change)
+        METRICS.set_gauge('quarantined_parts', len(self.evidence.quarantines))
+        if changes:
+            self._send(now_s)
+
+    def _send(self, now_s: float) -> None:
+        """Send a report to all peers if there is anything to say."""
+        report = self.report(now_s)
+        if not report.is_empty:
+            self.sent_s = now_s
+            self.exchange.broadcast(report)
+
+
+def _size_of(part_ids: Iterable[str]) -> int:
+    """Return about how many bytes parts take in a report."""
+    return sum(len(part_id) + PART_OVERHEAD_BYTES for part_id in part_ids)
+
+
+def _log_change(change: QuarantineChange) -> None:
+    """Log that a part was quarantined or released."""
+    log_event(
+        Event.PART_QUARANTINED if change.left_s else Event.PART_RELEASED,
+        part=change.part_id,
+        crashes=len(change.targets),
+        targets=change.targets[:MAX_LOGGED_TARGETS],
+        left_s=round(change.left_s),
+    )
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -13,11 +13,11 @@
 
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
-from dandelionplank.delivery.crashwatch import CrashWatch
 from dandelionplank.delivery.delivery import Delivery
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
+from dandelionplank.fleet.crashreports import CrashReporter
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
 from dandelionplank.fleet.owners import OwnerDirectory
@@ -110,7 +110,8 @@
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
-        self.crashes = CrashWatch(self.pool)
+        self.crashes = CrashReporter(self.exchange, self.pool)
+        self.exchange.receivers.update(self.crashes.receivers)
         budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
         )
@@ -121,7 +122,7 @@
                 self.pool,
                 parts.codec,
                 budgets,
-                self.crashes,
+                self.crashes.watch,
             ),
             parts.codec,
         )
@@ -199,6 +200,7 @@
         )
         await self.exchange.listen(Address.from_text(listen.peers))
         self._spawn(self.exchange.run)
+        self._spawn(self.crashes.run)
         self._spawn(
             functools.partial(
                 keep_presence,
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -18,6 +18,7 @@
     ViewResponse,
     WatcherRole,
 )
+from dandelionplank.fleet.crashmessages import CrashReport
 from dandelionplank.fleet.peers import PeerLoadTable, PeerReport, PrefillReport
 from dandelionplank.fleet.tickets import TicketMessage
 from dandelionplank.fleet.view import FleetView
@@ -42,7 +43,9 @@
 RENEWAL_SPREAD = (0.8, 1.2)
 
 _ENCODER = msgspec.msgpack.Encoder()
-PeerMessage = PeerReport | ViewQuery | ViewResponse | TicketMessage
+PeerMessage = (
+    PeerReport | ViewQuery | ViewResponse | TicketMessage | CrashReport
+)
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 
 
@@ -173,10 +176,14 @@
         """Send this instance's load to all peers."""
         if self.transport is None:
             return
-        report = _ENCODER.encode(self._report())
+        self.broadcast(self._report())
+
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send a message to all peers."""
+        block = _ENCODER.encode(message)
         for name in tuple(self.view.peers):
             if name != self.name:
-                self._send_block(name, report)
+                self._send_block(name, block)
 
     def send(self, name: str, message: PeerMessage) -> None:
         """Send a message to one instance."""
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -36,6 +36,8 @@
     urls: list
     session: aiohttp.ClientSession
     resources: contextlib.AsyncExitStack
+    store_address: str
+    settings_directory: Path
 
     async def start_target(self, name, service, **changes):
         """Start a target, list it in the store and return it.
@@ -51,6 +53,23 @@
         self.store.put(f'servers/{name}', entry)
         return target
 
+    async def start_gateway(self, **bounds):
+        """Start a gateway.
+
+        :param bounds: limits in its settings
+        """
+        number = len(self.gateways)
+        address = f'127.0.0.1:{reserve_ports(1)[0]}'
+        daemon = build_daemon(
+            gateway_settings(number, address, self.store_address, **bounds),
+            self.settings_directory / f'gateway-{number}.yaml',
+        )
+        await daemon.start()
+        self.resources.push_async_callback(stop, daemon)
+        self.gateways.append(daemon)
+        self.urls.append(f'http://{address}')
+        return daemon
+
     async def call(self, path, *, gateway=0, method='POST', **options):
         """Send a request; return status, body and headers."""
         extra = options.pop('headers', {})
@@ -85,24 +104,16 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(auto_decompress=False),
         )
-        fleet = PlatformFleet(store, {}, [], [], session, stack)
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        fleet = PlatformFleet(
+            store, {}, [], [], session, stack, store_address, Path(directory)
+        )
         services = [(f'llm-{number}', 'llm') for number in range(engines)]
         services += [(f'plain-{number}', 'plain') for number in range(engines)]
         for name, service in services:
             await fleet.start_target(name, service)
-        settings_directory = stack.enter_context(
-            tempfile.TemporaryDirectory(),
-        )
-        for number in range(gateways):
-            address = f'127.0.0.1:{reserve_ports(1)[0]}'
-            daemon = build_daemon(
-                gateway_settings(number, address, store_address, **bounds),
-                Path(settings_directory) / f'gateway-{number}.yaml',
-            )
-            await daemon.start()
-            stack.push_async_callback(stop, daemon)
-            fleet.gateways.append(daemon)
-            fleet.urls.append(f'http://{address}')
+        for _ in range(gateways):
+            await fleet.start_gateway(**bounds)
         async with asyncio.timeout(START_LIMIT_S):
             for daemon in fleet.gateways:
                 while not daemon.view.is_loaded:
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 import itertools
+import time
 
 import aiohttp
 
-from bench.platform import COMPLETE_STREAM
-from tests.fixtures import run_async
+from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from dandelionplank.metrics import METRICS
+from dandelionplank.routing.crashes import Quarantine
+from tests.fixtures import run_async, wait_until
 from tests.platformfleet import platform_fleet
 
 GATEWAYS = 3
@@ -124,6 +127,24 @@
             if CRASHING_PART in run.headers['Dandelionplank-Prefix-Hash']
         ]
 
+    def late_runs(self):
+        """Return when crashing prompts reached engines beyond the bound."""
+        limit_s = self.counted_crash_s + CONTAINED_AFTER_S
+        return [run_s for run_s in self.crashing_runs() if run_s > limit_s]
+
+    def quarantined_parts(self):
+        """Return the parts that any gateway has in quarantine."""
+        return {
+            part
+            for daemon in self.fleet.gateways
+            for part in daemon.crashes.evidence.quarantines
+        }
+
+    def start_crashing(self):
+        """Let all engines crash on the crashing part from now on."""
+        for engine in self.engines:
+            engine.faults.crashing_part = CRASHING_PART
+
     def served_share(self, since_s, until_s):
         """Return the share of sound calls of a time that were served."""
         served = [ok for sent_s, ok in self.sound if since_s < sent_s < until_s]
@@ -140,7 +161,8 @@
         await asyncio.sleep(RESTART_S)
         self.fleet.store.delete(f'servers/{name}')
         engine = await self.fleet.start_target(f'{name}-again', 'llm')
-        engine.faults.crashing_part = CRASHING_PART
+        faults = self.fleet.targets[name].faults
+        engine.faults.crashing_part = faults.crashing_part
 
 
 @contextlib.asynccontextmanager
@@ -171,12 +193,102 @@
         before = scene.served_share(start_s, scene.now_s())
         await scene.crash_for(CRASHING_S)
         end_s = scene.now_s()
-    counted_s = scene.counted_crash_s
-    late = [
-        run_s - counted_s
-        for run_s in scene.crashing_runs()
-        if run_s > counted_s + CONTAINED_AFTER_S
-    ]
+    late = scene.late_runs()
     assert len(late) <= MAX_LATE_REQUESTS, (len(late), len(scene.crashes))
-    after = scene.served_share(counted_s + SERVED_AFTER_S, end_s)
+    after = scene.served_share(scene.counted_crash_s + SERVED_AFTER_S, end_s)
     assert after >= before / 2, (before, after)
+
+
+@run_async
+async def test_a_part_that_was_sound_before_is_contained():
+    """Answers from before the first crash do not delay it beyond the bound."""
+    async with crash_scene('') as scene:
+        assert await scene.call(scene.parts('ab', CRASHING_PART), 0)
+        scene.start_crashing()
+        await scene.crash_for(CRASHING_S)
+    assert len(scene.late_runs()) <= MAX_LATE_REQUESTS
+
+
+@run_async
+async def test_the_crash_of_many_engines_quarantines_nothing():
+    """Engines that crash for another reason cost no prompt its service."""
+    async with crash_scene('') as scene:
+        for engine in scene.engines:
+            engine.faults.delay_s = 0.3
+        await asyncio.sleep(1)
+        before = METRICS.counters['target_crashes_total', ()]
+        for engine in scene.engines[: ENGINES // 2 + 1]:
+            await engine.crash()
+        await asyncio.sleep(4)
+        assert METRICS.counters['target_crashes_total', ()] > before
+        assert not scene.quarantined_parts()
+        start_s = scene.now_s()
+        await asyncio.sleep(MEASURED_S)
+        assert scene.served_share(start_s, scene.now_s() - 1) > 9 / 10
+
+
+@run_async
+async def test_an_engine_that_breaks_off_answers_quarantines_nothing():
+    """Responses that a live engine breaks off are no crash."""
+    async with crash_scene('') as scene:
+        before = METRICS.counters['target_crashes_total', ()]
+        for engine in scene.engines:
+            engine.faults.lost_responses = 5
+        await asyncio.sleep(4)
+        assert any(not ok for _, ok in scene.sound)
+        assert METRICS.counters['target_crashes_total', ()] == before
+        assert not scene.quarantined_parts()
+
+
+@run_async
+async def test_an_instance_that_starts_later_learns_of_a_quarantine():
+    """A new instance sends no engine the part that its peers know."""
+    async with crash_scene() as scene:
+        await scene.crash_for(5)
+        assert scene.quarantined_parts() == {CRASHING_PART}
+        daemon = await scene.fleet.start_gateway()
+        await wait_until(lambda: daemon.view.is_loaded)
+        await wait_until(lambda: daemon.crashes.evidence.quarantines)
+        ran = len(scene.crashing_runs())
+        late = len(scene.fleet.gateways) - 1
+        assert not await scene.call(scene.parts(CRASHING_PART), late)
+        assert len(scene.crashing_runs()) == ran
+
+
+@run_async
+async def test_a_prompt_quarantined_while_it_waits_is_not_sent():
+    """A prompt is checked again after its target was granted."""
+    async with platform_fleet() as fleet:
+        daemon = fleet.gateways[0]
+        dispatcher = daemon.gateway.delivery.dispatcher
+        acquire = dispatcher.acquire
+
+        async def acquire_late(waiting):
+            grant = await acquire(waiting)
+            now_s = time.monotonic()
+            daemon.crashes.evidence.quarantines['ab'] = Quarantine(
+                now_s, now_s + 100
+            )
+            return grant
+
+        dispatcher.acquire = acquire_late
+        status, body, headers = await fleet.call(
+            '/chat/x', headers=MODEL_HEADERS
+        )
+        assert status == 503
+        assert 'DP-3006' in body.decode()
+        assert 90 < float(headers['Retry-After']) <= 100
+        assert not fleet.runs()
+        assert not any(daemon.scheduler.shares().values())
+
+
+@run_async
+async def test_only_parts_that_may_be_shared_are_quarantined():
+    """The last part of a prompt is its own and is never held against it."""
+    async with platform_fleet() as fleet:
+        now_s = time.monotonic()
+        quarantines = fleet.gateways[0].crashes.evidence.quarantines
+        quarantines['cd'] = Quarantine(now_s, now_s + 100)
+        status, body, _ = await fleet.call('/chat/x', headers=MODEL_HEADERS)
+        assert status == 200
+        assert body == COMPLETE_STREAM
