Test crashes that hit many engines, or only one instance's prompts

Cause: trials with parts of the mechanism taken out showed what the tests missed. With no time between the first crash and a decision, the test of many crashes still passed, because most of the crashed engines had no open prompt; with no exchange between instances, the test of containment still passed.

Change: the test of many crashes loses five engines that all hold open prompts; one test sends crashing prompts to a single instance and asks the others; one has engines that send a head without length or chunks and then crash, which looks like a complete response. A decision waits 2 s after the first crash instead of 1.5 s: prompts must be answered for 0.5 s elsewhere in that time.

--- a/src/dandelionplank/routing/crashes.py
+++ b/src/dandelionplank/routing/crashes.py
@@ -18,7 +18,7 @@
 ANSWERED_BEFORE_S = 30.0
 # Time between the first crash and a decision, in which prompts that lost their
 # targets for another reason are answered elsewhere.
-SETTLE_S = 1.5
+SETTLE_S = 2.0
 # Difference between the clocks of two instances, which is the delay of their
 # messages.
 CLOCK_MARGIN_S = 0.5
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -39,6 +39,8 @@
     :param delay_s: delay between the execution and the response
     :param crashing_part: part of a prompt that crashes the target before it
         responds, unless it is the last one
+    :param sends_head_before_crash: the crash follows a head that states neither
+        length nor chunks, so that it looks like the end of the response
     """
 
     rejected_requests: int = 0
@@ -49,6 +51,7 @@
     runs_left: int = -1
     delay_s: float = 0
     crashing_part: str = ''
+    sends_head_before_crash: bool = False
 
 
 class TargetStandin:
@@ -136,6 +139,9 @@
             _reset_connection(request)
         await asyncio.sleep(self.faults.delay_s)
         if _holds_part(request, self.faults.crashing_part):
+            if self.faults.sends_head_before_crash:
+                _write_undelimited_head(request, self.name)
+                await asyncio.sleep(EVENT_INTERVAL_S)
             await self.crash()
             raise ConnectionResetError
         if self.streams:
@@ -209,6 +215,18 @@
     raise ConnectionResetError
 
 
+def _write_undelimited_head(request: web.Request, name: str) -> None:
+    """Write the head of a response that ends with its connection."""
+    request_id = request.headers.get('Dandelionplank-Request-Id', '')
+    head = (
+        f'HTTP/1.1 200 OK\r\nDandelionplank-Request-Id: {request_id}\r\n'
+        f'Dandelionplank-Server-Stamp: {name}.{request_id}\r\n'
+        'Content-Type: text/event-stream\r\nConnection: close\r\n\r\n'
+    )
+    transport: Any = request.transport
+    transport.write(head.encode())
+
+
 def _write_mismatched_response(request: web.Request) -> None:
     """Write a response that belongs to another request."""
     transport: Any = request.transport
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 import time
 
@@ -9,18 +10,24 @@
 
 from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
 from dandelionplank.metrics import METRICS
-from dandelionplank.routing.crashes import Quarantine
+from dandelionplank.routing.crashes import (
+    PROVEN_CRASHES_IF_ANSWERED,
+    Quarantine,
+)
 from tests.fixtures import run_async, wait_until
 from tests.platformfleet import platform_fleet
 
 GATEWAYS = 3
+ALL_GATEWAYS = tuple(range(GATEWAYS))
 ENGINES = 8
+TOPICS = 13
 CRASHING_PART = 'dead'
 # Bounds that the platform states, counted from the fifth crash.
 CONTAINED_AFTER_S = 3.0
 SERVED_AFTER_S = 2 * CONTAINED_AFTER_S
 MAX_LATE_REQUESTS = 3
 COUNTED_CRASHES = 5
+LOST_ENGINES = PROVEN_CRASHES_IF_ANSWERED
 MEASURED_S = 3.0
 CRASHING_S = 13.0
 RESTART_S = 2.0
@@ -38,6 +45,7 @@
         self.sound = []
         self.crashes = []
         self.restarts = set()
+        self.sound_period_s = SOUND_PERIOD_S
 
     @property
     def engines(self):
@@ -75,22 +83,23 @@
         """Send sound prompts to all gateways until cancelled."""
         async with asyncio.TaskGroup() as calls:
             for gateway in itertools.cycle(range(GATEWAYS)):
-                parts = self.parts('ab', f'c{gateway}')
+                topic = f'c{next(self.numbers) % TOPICS}'
+                parts = self.parts('ab', topic)
                 calls.create_task(self._record(parts, gateway))
-                await asyncio.sleep(SOUND_PERIOD_S)
+                await asyncio.sleep(self.sound_period_s)
 
-    async def call_crashing(self):
-        """Send crashing prompts to all gateways in turn until cancelled."""
+    async def call_crashing(self, gateways):
+        """Send crashing prompts to gateways in turn until cancelled."""
         async with asyncio.TaskGroup() as calls:
-            for gateway in itertools.cycle(range(GATEWAYS)):
-                other = f'c{next(self.numbers) % GATEWAYS}'
-                parts = self.parts('ab', other, CRASHING_PART)
+            for gateway in itertools.cycle(gateways):
+                topic = f'c{next(self.numbers) % TOPICS}'
+                parts = self.parts('ab', topic, CRASHING_PART)
                 calls.create_task(self.call(parts, gateway))
                 await asyncio.sleep(CRASHING_PERIOD_S)
 
-    async def crash_for(self, seconds):
+    async def crash_for(self, seconds, gateways=ALL_GATEWAYS):
         """Send crashing prompts for some seconds."""
-        caller = asyncio.ensure_future(self.call_crashing())
+        caller = asyncio.ensure_future(self.call_crashing(gateways))
         await asyncio.sleep(seconds)
         caller.cancel()
         await asyncio.gather(caller, return_exceptions=True)
@@ -132,6 +141,15 @@
         limit_s = self.counted_crash_s + CONTAINED_AFTER_S
         return [run_s for run_s in self.crashing_runs() if run_s > limit_s]
 
+    def busy_engines(self, seconds):
+        """Return the engines that got a prompt in the last seconds."""
+        since_s = self.now_s() - seconds
+        return [
+            engine
+            for engine in self.engines
+            if engine.runs and engine.runs[-1].started_at_s > since_s
+        ]
+
     def quarantined_parts(self):
         """Return the parts that any gateway has in quarantine."""
         return {
@@ -162,7 +180,7 @@
         self.fleet.store.delete(f'servers/{name}')
         engine = await self.fleet.start_target(f'{name}-again', 'llm')
         faults = self.fleet.targets[name].faults
-        engine.faults.crashing_part = faults.crashing_part
+        engine.faults = dataclasses.replace(faults, delay_s=0)
 
 
 @contextlib.asynccontextmanager
@@ -209,18 +227,41 @@
     assert len(scene.late_runs()) <= MAX_LATE_REQUESTS
 
 
+@run_async
+async def test_crashes_that_look_like_the_end_of_a_response_are_contained():
+    """A response without length or chunks is no proof of a sound prompt."""
+    async with crash_scene() as scene:
+        for engine in scene.engines:
+            engine.faults.sends_head_before_crash = True
+        await scene.crash_for(6)
+        assert scene.quarantined_parts() == {CRASHING_PART}
+
+
+@run_async
+async def test_an_instance_without_a_crash_of_its_own_refuses_as_well():
+    """What one instance has seen protects the engines from all others."""
+    async with crash_scene() as scene:
+        await scene.crash_for(5, gateways=(0,))
+        ran = len(scene.crashing_runs())
+        for gateway in range(GATEWAYS):
+            assert not await scene.call(scene.parts(CRASHING_PART), gateway)
+        assert len(scene.crashing_runs()) == ran
+
+
 @run_async
 async def test_the_crash_of_many_engines_quarantines_nothing():
     """Engines that crash for another reason cost no prompt its service."""
     async with crash_scene('') as scene:
+        scene.sound_period_s = SOUND_PERIOD_S / 2
         for engine in scene.engines:
-            engine.faults.delay_s = 0.3
-        await asyncio.sleep(1)
-        before = METRICS.counters['target_crashes_total', ()]
-        for engine in scene.engines[: ENGINES // 2 + 1]:
+            engine.faults.delay_s = 0.9
+        await asyncio.sleep(2)
+        await wait_until(lambda: len(scene.busy_engines(0.8)) >= LOST_ENGINES)
+        for engine in scene.busy_engines(0.8)[:LOST_ENGINES]:
             await engine.crash()
         await asyncio.sleep(4)
-        assert METRICS.counters['target_crashes_total', ()] > before
+        evidence = scene.fleet.gateways[0].crashes.evidence
+        assert len(evidence.crashes.crashes) == LOST_ENGINES
         assert not scene.quarantined_parts()
         start_s = scene.now_s()
         await asyncio.sleep(MEASURED_S)
