Keep quarantined parts in the store

Cause: instances learn of a quarantine from each other, so that a restart of all of them would let the same prompts crash engines again.

Change: an instance that saw one of the crashes writes quarantine/PART, unless it exists, under a lease of the time left; all others read it by the watch and at their start. The entry states its end in wall-clock time, and the removal of the key ends nothing, because leases may end early while the store is down. A part that is released by an answer loses the entry that the instance wrote. Failed writes are logged and tried again.

--- a/src/dandelionplank/commands/gateway.py
+++ b/src/dandelionplank/commands/gateway.py
@@ -14,7 +14,11 @@
 from dandelionplank.logs import NonBlockingStream, start_logging
 from dandelionplank.platform import headers, names
 from dandelionplank.platform.engines import fetch_cached_parts
-from dandelionplank.platform.follow import StoreChangeSource, StorePresence
+from dandelionplank.platform.follow import (
+    StoreChangeSource,
+    StorePresence,
+    StoreQuarantines,
+)
 from dandelionplank.platform.store import PlatformStore
 from dandelionplank.settings import load_yaml
 
@@ -66,6 +70,7 @@
         headers,
         names.READY_PATH,
         fetch_cached_parts,
+        StoreQuarantines(store),
         store.close,
     )
     return GatewayDaemon.from_settings(settings, adapter, path)
--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -3,10 +3,11 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.crashwatch import CrashWatch
+from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
 from dandelionplank.fleet.crashmessages import (
     CrashReport,
@@ -18,6 +19,7 @@
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.crashes import (
+    QUARANTINE_S,
     AnsweredParts,
     Crash,
     CrashEvidence,
@@ -35,18 +37,37 @@
 # Bytes of a part besides its id.
 PART_OVERHEAD_BYTES = 10
 MAX_LOGGED_TARGETS = 8
+STORE_RETRY_S = 1.0
+
+
+class QuarantineStore(Protocol):
+    """Entries of the quarantined parts in the store."""
+
+    async def put(self, part_id: str, age_s: float, left_s: float) -> None:
+        """Write an entry unless there is one."""
+
+    async def remove(self, part_id: str) -> None:
+        """Remove an entry that was written here."""
 
 
 class CrashReporter:
     """Sends the crashes and answers seen here, and applies those of peers."""
 
-    def __init__(self, exchange: PeerExchange, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        exchange: PeerExchange,
+        pool: ConnectionPool,
+        store: QuarantineStore,
+    ) -> None:
         """Hold the evidence, and apart from it what was seen here.
 
         :param pool: connections, by which crashes are told from single
             broken responses
+        :param store: keeps quarantines when all instances restart
         """
         self.exchange = exchange
+        self.store = store
+        self.unstored: asyncio.Queue[str] = asyncio.Queue()
         self.evidence = CrashEvidence()
         self.own_crashes = CrashLog()
         self.own_answered = AnsweredParts()
@@ -72,6 +93,28 @@
             if now_s - self.sent_s >= self.period_s:
                 self._send(now_s)
 
+    async def run_storing(self) -> None:
+        """Store the quarantines that this instance has evidence of."""
+        while True:
+            part_id = await self.unstored.get()
+            try:
+                await self._store(part_id)
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, why=error.reason, part=part_id)
+                self.unstored.put_nowait(part_id)
+                await asyncio.sleep(STORE_RETRY_S)
+
+    def learn(self, part_id: str, age_s: float, left_s: float) -> None:
+        """Take over a quarantine from the store.
+
+        :param age_s: time since the first crash that it explains
+        :param left_s: time until it ends
+        """
+        self._adopt(
+            ReportedQuarantine(part_id, age_s, min(left_s, QUARANTINE_S)),
+            time.monotonic(),
+        )
+
     def quarantine_left_s(self, part_ids: Iterable[str]) -> float:
         """Return how long a prompt may not be sent, zero if it may."""
         return self.evidence.left_s(part_ids, time.monotonic())
@@ -125,6 +168,16 @@
             ),
         )
 
+    async def _store(self, part_id: str) -> None:
+        """Write the entry of a part in quarantine, or remove it."""
+        quarantine = self.evidence.quarantines.get(part_id)
+        if quarantine is None:
+            await self.store.remove(part_id)
+            return
+        now_s = time.monotonic()
+        left_s = quarantine.until_s - now_s
+        await self.store.put(part_id, now_s - quarantine.since_s, left_s)
+
     def _adopt(self, reported: ReportedQuarantine, now_s: float) -> None:
         """Take over a quarantine of another instance."""
         quarantine = Quarantine(now_s - reported.age_s, now_s + reported.left_s)
@@ -172,10 +225,19 @@
         changes = self.evidence.decide(now_s)
         for change in changes:
             _log_change(change)
+            if self._has_seen(change.part_id):
+                self.unstored.put_nowait(change.part_id)
         METRICS.set_gauge('quarantined_parts', len(self.evidence.quarantines))
         if changes:
             self._send(now_s)
 
+    def _has_seen(self, part_id: str) -> bool:
+        """Return whether a part was in a crash that this instance saw."""
+        return any(
+            part_id in crash.part_ids
+            for crash in self.own_crashes.crashes.values()
+        )
+
     def _send(self, now_s: float) -> None:
         """Send a report to all peers if there is anything to say."""
         report = self.report(now_s)
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -17,7 +17,7 @@
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
-from dandelionplank.fleet.crashreports import CrashReporter
+from dandelionplank.fleet.crashreports import CrashReporter, QuarantineStore
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
 from dandelionplank.fleet.owners import OwnerDirectory
@@ -60,6 +60,7 @@
     codec: RequestCodec
     ready_path: str
     fetch_cached_parts: CachedPartsReader
+    quarantines: QuarantineStore
     close: Any
 
 
@@ -110,7 +111,10 @@
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
-        self.crashes = CrashReporter(self.exchange, self.pool)
+        self.crashes = CrashReporter(
+            self.exchange, self.pool, parts.quarantines
+        )
+        self.view.quarantine_listeners.append(self.crashes.learn)
         self.exchange.receivers.update(self.crashes.receivers)
         budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
@@ -186,6 +190,7 @@
             self.pool_owner.run_expiry,
             self.pool_client.run_listing,
             self.warmup.run,
+            self.crashes.run_storing,
             self.settings_follower.run,
             self._sweep,
         ):
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -60,6 +60,15 @@
     def peer_removed(self, name: str) -> None:
         """Record that another instance's entry was removed."""
 
+    def part_quarantined(
+        self, part_id: str, age_s: float, left_s: float
+    ) -> None:
+        """Record a quarantined part of prompts.
+
+        :param age_s: time since the first crash that it explains
+        :param left_s: time until the quarantine ends
+        """
+
     def malformed(self, key: str, reason: str) -> None:
         """Record that a document cannot be decoded."""
 
@@ -175,6 +184,13 @@
         """Record that another instance's entry was removed."""
         self.view.peers.pop(name, None)
 
+    def part_quarantined(
+        self, part_id: str, age_s: float, left_s: float
+    ) -> None:
+        """Pass a quarantine on to the listeners."""
+        for listener in self.view.quarantine_listeners:
+            listener(part_id, age_s, left_s)
+
     def malformed(self, key: str, reason: str) -> None:
         """Log a document that cannot be decoded, once per key."""
         if key in self.known_malformed:
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -23,6 +23,8 @@
 UNCONFIRMED_AGE_S = 1_000_000.0
 
 TableListener = Callable[[RouteTable], None]
+# Takes a part, the age of its first crash and the time left, in seconds.
+QuarantineListener = Callable[[str, float, float], None]
 
 
 class FleetView:
@@ -42,6 +44,7 @@
         self.confirmed_s = -math.inf
         self.has_targets = False
         self.listeners: list[TableListener] = []
+        self.quarantine_listeners: list[QuarantineListener] = []
 
     @property
     def age_s(self) -> float:
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -1,7 +1,10 @@
 """Source of typed store changes, and this instance's entry in the store."""
 
+import time
+
 import msgspec
 
+from dandelionplank.errors import StoreConflictError
 from dandelionplank.fleet.changes import StoredChange
 from dandelionplank.fleet.follower import ChangeSink
 from dandelionplank.platform import names
@@ -65,6 +68,8 @@
                 _apply_target(change, sink)
             elif change.key.startswith(names.PEER_PREFIX):
                 _apply_peer(change, sink)
+            elif change.key.startswith(names.QUARANTINE_PREFIX):
+                _apply_quarantine(change, sink)
         except MalformedDocumentError as error:
             sink.malformed(change.key, error.reason)
 
@@ -90,6 +95,79 @@
         sink.malformed(change.key, repr(error))
 
 
+class QuarantineDocument(msgspec.Struct, frozen=True):
+    """Entry of a quarantined part of prompts.
+
+    :param first_ms: Unix time of the first crash that it explains
+    :param until_ms: Unix time at which it ends
+    """
+
+    first_ms: int
+    until_ms: int
+
+
+def _apply_quarantine(change: StoredChange, sink: ChangeSink) -> None:
+    """Pass on a new quarantine; it ends by its time, not with its entry.
+
+    An outage of the store may end the lease of the entry early.
+    """
+    if change.document is None:
+        return
+    try:
+        document = msgspec.json.decode(change.document, type=QuarantineDocument)
+    except msgspec.DecodeError as error:
+        sink.malformed(change.key, repr(error))
+        return
+    now_ms = time.time() * names.MS_PER_SECOND
+    sink.part_quarantined(
+        change.key.removeprefix(names.QUARANTINE_PREFIX),
+        max(0.0, now_ms - document.first_ms) / names.MS_PER_SECOND,
+        (document.until_ms - now_ms) / names.MS_PER_SECOND,
+    )
+
+
+class StoreQuarantines:
+    """Entries of the quarantined parts in the store, each under a lease."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        """Hold the leases of the entries that were written here."""
+        self.store = store
+        self.leases: dict[str, int] = {}
+
+    async def put(self, part_id: str, age_s: float, left_s: float) -> None:
+        """Write an entry unless there is one.
+
+        :param age_s: time since the first crash that it explains
+        :raises StoreError: it may not have been written
+        """
+        now_s = time.time()
+        document = QuarantineDocument(
+            int((now_s - age_s) * names.MS_PER_SECOND),
+            int((now_s + left_s) * names.MS_PER_SECOND),
+        )
+        lease = await self.store.grant_lease(left_s)
+        try:
+            await self.store.put(
+                names.QUARANTINE_PREFIX + part_id,
+                msgspec.json.encode(document),
+                lease,
+                must_be_new=True,
+            )
+        except StoreConflictError:
+            await self.store.revoke_lease(lease)
+        else:
+            self.leases[part_id] = lease
+
+    async def remove(self, part_id: str) -> None:
+        """Remove an entry that was written here.
+
+        :raises StoreError: it stays until its lease ends
+        """
+        lease = self.leases.pop(part_id, 0)
+        if lease:
+            await self.store.revoke_lease(lease)
+
+
 class StorePresence:
     """Entry of this instance in the store, under a lease."""
 
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -40,6 +40,7 @@
 CONFIGURATION_KEY = 'op/config'
 TARGET_PREFIX = 'servers/'
 PEER_PREFIX = 'fleet/'
+QUARANTINE_PREFIX = 'quarantine/'
 
 # Per second; durations on the wire are in milliseconds, internal ones in
 # seconds.
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -144,10 +144,19 @@
         """
         await self._call('DELETE', f'/v1/kv-lease-end/{lease}')
 
-    async def put(self, key: str, document: bytes, lease: int = 0) -> None:
+    async def put(
+        self,
+        key: str,
+        document: bytes,
+        lease: int = 0,
+        *,
+        must_be_new: bool = False,
+    ) -> None:
         """Write one key.
 
         :param lease: lease that removes the key when it ends, zero for none
+        :param must_be_new: write it only if it does not exist
+        :raises StoreConflictError: it exists
         :raises LeaseEndedError: there is no such lease
         :raises StoreUnknownError: the write may have taken effect
         :raises StoreError: it did not take effect
@@ -156,7 +165,7 @@
             'POST',
             '/v1/kv-txn',
             body={
-                'Expected': [],
+                'Expected': [{'Key': key, 'Rev': 0}] if must_be_new else [],
                 'Writes': [
                     {
                         'Key': key,
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -15,7 +15,7 @@
     Quarantine,
 )
 from tests.fixtures import run_async, wait_until
-from tests.platformfleet import platform_fleet
+from tests.platformfleet import platform_fleet, stop
 
 GATEWAYS = 3
 ALL_GATEWAYS = tuple(range(GATEWAYS))
@@ -333,3 +333,62 @@
         status, body, _ = await fleet.call('/chat/x', headers=MODEL_HEADERS)
         assert status == 200
         assert body == COMPLETE_STREAM
+
+
+@run_async
+async def test_a_quarantine_outlives_a_restart_of_all_instances():
+    """An instance without any peer learns of a quarantine from the store."""
+    async with crash_scene() as scene:
+        await scene.crash_for(5)
+        ran = len(scene.crashing_runs())
+        for daemon in scene.fleet.gateways:
+            await stop(daemon)
+        daemon = await scene.fleet.start_gateway()
+        await wait_until(lambda: daemon.view.is_loaded)
+        last = len(scene.fleet.gateways) - 1
+        assert not await scene.call(scene.parts(CRASHING_PART), last)
+        assert len(scene.crashing_runs()) == ran
+        assert await scene.call(scene.parts('ab'), last)
+
+
+@run_async
+async def test_a_quarantine_is_stored_after_an_outage_of_the_store():
+    """The entry is written, once, as soon as the store responds again."""
+    async with crash_scene() as scene:
+        scene.fleet.store.faults.status = 503
+        await scene.crash_for(4)
+        assert scene.quarantined_parts() == {CRASHING_PART}
+        scene.fleet.store.faults.status = 0
+        key = f'quarantine/{CRASHING_PART}'
+        await wait_until(lambda: key in scene.fleet.store.entries)
+        revision = scene.fleet.store.entries[key]['Rev']
+        await asyncio.sleep(2)
+        assert scene.fleet.store.entries[key]['Rev'] == revision
+
+
+@run_async
+async def test_a_part_that_is_released_leaves_the_store():
+    """An answer after the first crash removes the entry that was written."""
+    async with crash_scene() as scene:
+        await scene.crash_for(5)
+        key = f'quarantine/{CRASHING_PART}'
+        entries = scene.fleet.store.entries
+        await wait_until(lambda: key in entries)
+        daemon = scene.fleet.gateways[0]
+        daemon.crashes.record_answer((CRASHING_PART,), time.monotonic())
+        await wait_until(lambda: not scene.quarantined_parts())
+        await wait_until(lambda: key not in entries)
+
+
+@run_async
+async def test_an_entry_of_another_writer_quarantines_nothing():
+    """Bytes that cannot be read, and an entry that has ended, are ignored."""
+    async with platform_fleet() as fleet:
+        now_ms = int(time.time() * 1000)
+        ended = {'first_ms': now_ms - 9000, 'until_ms': now_ms - 1000}
+        fleet.store.put('quarantine/ab', {'first_ms': 'x'})
+        fleet.store.put('quarantine/cd', ended)
+        fleet.store.put('quarantine/ef', {**ended, 'until_ms': now_ms + 9000})
+        daemon = fleet.gateways[0]
+        await wait_until(lambda: daemon.crashes.evidence.quarantines)
+        assert set(daemon.crashes.evidence.quarantines) == {'ef'}
