--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: sends a request to one target and reads the response."""
 
 import asyncio
+import time
 from http import HTTPStatus
 
 import aiohttp
@@ -41,6 +42,9 @@
     """Sends a request to a target and reads the response.
 
     :param state: what is known of the request's execution there
+    :param first_bytes_s: monotonic time at which the body of the response
+        began, None before that
+    :param is_recorded_sound: it is recorded that the prompt is sound
     """
 
     def __init__(
@@ -67,6 +71,8 @@
         self.response: TargetResponse | None = None
         self.marks: ResponseMetadata | None = None
         self.is_fully_read = False
+        self.first_bytes_s: float | None = None
+        self.is_recorded_sound = False
 
     @property
     def target_name(self) -> str:
@@ -225,9 +231,12 @@
         """
         assert self.response is not None
         try:
-            return await self.response.body.readany()
+            chunk = await self.response.body.readany()
         except RESPONSE_ERRORS as error:
             raise self.stream_error(repr(error)) from error
+        if chunk and self.first_bytes_s is None:
+            self.first_bytes_s = time.monotonic()
+        return chunk
 
     def _has_valid_marks(self, marks: ResponseMetadata) -> bool:
         """Return whether a success carries the marks of this request."""
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -14,6 +14,7 @@
 from dandelionplank.delivery.bounds import HeldBytes
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.crashwatch import CrashWatch
 from dandelionplank.delivery.dispatch import TargetAssigner
 from dandelionplank.delivery.progress import (
     Progress,
@@ -34,7 +35,6 @@
 from dandelionplank.routing.budget import ServiceRetryBudgets
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.routes import RequestKind
-from dandelionplank.routing.scheduler import Grant
 
 STEP = 'delivery'
 # Share of its objective after which a safe request without a response is
@@ -61,12 +61,14 @@
         pool: ConnectionPool,
         codec: RequestCodec,
         budgets: ServiceRetryBudgets,
+        crashes: CrashWatch,
     ) -> None:
         """Hold the state shared by all requests."""
         self.dispatcher = dispatcher
         self.pool = pool
         self.codec = codec
         self.budgets = budgets
+        self.crashes = crashes
         self.held = HeldBytes()
 
     async def fetch(self, request: CallerRequest) -> CompleteResponse:
@@ -167,6 +169,7 @@
             self.dispatcher.record_first_event(attempt.grant)
             is_success = response.status < FIRST_SERVER_ERROR_STATUS
             self.dispatcher.record_outcome(attempt.grant, is_success=is_success)
+            self.crashes.record_response(attempt)
             complete = self._complete_response(attempt, body)
             if is_success or not self._may_retry(
                 request,
@@ -198,11 +201,12 @@
                 progress,
                 sink,
                 self.codec,
-                self.dispatcher.record_first_event,
+                functools.partial(self._record_events, attempt),
                 functools.partial(self._reserve_target, request, progress),
             )
             await relay.run(attempt)
             self.dispatcher.record_outcome(attempt.grant, is_success=True)
+            self.crashes.record_response(attempt)
             return None
 
     @contextlib.asynccontextmanager
@@ -212,6 +216,7 @@
         progress: Progress,
     ) -> AsyncIterator[Attempt]:
         """Acquire a target for an attempt and always release it afterwards."""
+        self.crashes.check_prompt(request)
         grant = progress.take_reserved() or await self.dispatcher.acquire(
             request.to_waiting_request(progress.avoided),
         )
@@ -221,12 +226,14 @@
         progress.avoided = (*progress.avoided, attempt.target_name)
         progress.possible_executions += 1
         try:
+            # The prompt may have been quarantined while the request waited.
+            self.crashes.check_prompt(request)
             async with asyncio.timeout(request.time_left_s):
                 yield attempt
         except TimeoutError as error:
             raise self._timeout_error(attempt) from error
         except TargetError as error:
-            self._record_failure(grant, error)
+            self._record_failure(attempt, error)
             raise
         finally:
             if attempt.state.is_not_executed:
@@ -234,6 +241,11 @@
             attempt.finish()
             self.dispatcher.release(grant)
 
+    def _record_events(self, attempt: Attempt) -> None:
+        """Record that events of a stream have arrived."""
+        self.dispatcher.record_first_event(attempt.grant)
+        self.crashes.record_events(attempt)
+
     def _timeout_error(self, attempt: Attempt) -> DandelionplankError:
         """Return the error for a request that timed out."""
         outcome = Outcome.UNKNOWN
@@ -252,8 +264,10 @@
             retry_after_s=TIMED_OUT_RETRY_S,
         )
 
-    def _record_failure(self, grant: Grant, error: TargetError) -> None:
+    def _record_failure(self, attempt: Attempt, error: TargetError) -> None:
         """Record a failed attempt in the target's health."""
+        grant = attempt.grant
+        self.crashes.record_failure(attempt, error)
         if error.code is ErrorCode.TARGET_UNREACHABLE:
             self.dispatcher.record_unreachable(grant)
             log_event(
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -17,6 +17,7 @@
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
+from dandelionplank.fleet.crashreports import CrashReporter, QuarantineStore
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
 from dandelionplank.fleet.owners import OwnerDirectory
@@ -26,14 +27,6 @@
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
 from dandelionplank.fleet.supervision import TaskFactory, supervise
-from dandelionplank.fleet.tickets import (
-    OpenGrants,
-    Ticket,
-    TicketEvents,
-    TicketGrant,
-    TicketQueued,
-    TicketRejection,
-)
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CachedPartsReader, CacheWarmup
 from dandelionplank.ingress.gateway import Gateway
@@ -71,6 +64,7 @@
     codec: RequestCodec
     ready_path: str
     fetch_cached_parts: CachedPartsReader
+    quarantines: QuarantineStore
     close: Any
 
 
@@ -116,25 +110,28 @@
             OwnerDirectory(settings.instance.id, self.view, self.peer_loads),
             self.exchange.send,
         )
-        self.exchange.receivers.update(
-            {
-                Ticket: self.pool_owner.receive_ticket,
-                TicketEvents: self.pool_owner.receive_events,
-                OpenGrants: self.pool_owner.receive_open_grants,
-                TicketGrant: self.pool_client.receive_reply,
-                TicketQueued: self.pool_client.receive_reply,
-                TicketRejection: self.pool_client.receive_reply,
-            }
-        )
+        self.exchange.receivers.update(self.pool_owner.receivers)
+        self.exchange.receivers.update(self.pool_client.receivers)
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
-        self.budgets = ServiceRetryBudgets(
+        self.crashes = CrashReporter(
+            self.exchange, self.pool, parts.quarantines
+        )
+        self.view.quarantine_listeners.append(self.crashes.learn)
+        self.exchange.receivers.update(self.crashes.receivers)
+        budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
         )
         self.gateway = Gateway(
             self.view,
-            Delivery(self.pool_client, self.pool, parts.codec, self.budgets),
+            Delivery(
+                self.pool_client,
+                self.pool,
+                parts.codec,
+                budgets,
+                self.crashes.watch,
+            ),
             parts.codec,
         )
         self.follower = StoreFollower(
@@ -159,6 +156,11 @@
         """Return the settings in force."""
         return self.settings_follower.settings
 
+    @property
+    def budgets(self) -> ServiceRetryBudgets:
+        """Return the retry budgets of the services."""
+        return self.gateway.delivery.budgets
+
     @classmethod
     def from_settings(
         cls,
@@ -195,6 +197,7 @@
             self.pool_owner.run_expiry,
             self.pool_client.run_listing,
             self.warmup.run,
+            self.crashes.run_storing,
             self.settings_follower.run,
             self._sweep,
         ):
@@ -209,6 +212,7 @@
         )
         await self.exchange.listen(Address.from_text(listen.peers))
         self._spawn(self.exchange.run)
+        self._spawn(self.crashes.run)
         self._spawn(
             functools.partial(
                 keep_presence,
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -43,6 +43,10 @@
         length nor chunks and end with their connection
     :param resets_unframed: such a response is reset in the middle
     :param delay_s: delay between the execution and the response
+    :param crashing_part: part of a prompt that crashes the target before it
+        responds, unless it is the last one
+    :param sends_head_before_crash: the crash follows a head that states neither
+        length nor chunks, so that it looks like the end of the response
     """
 
     rejected_requests: int = 0
@@ -54,6 +58,8 @@
     resets_unframed: bool = False
     runs_left: int = -1
     delay_s: float = 0
+    crashing_part: str = ''
+    sends_head_before_crash: bool = False
 
 
 class UnframedResponse(web.StreamResponse):
@@ -92,6 +98,8 @@
         self.faults = TargetFaults()
         self.runs: list[ExecutedRequest] = []
         self.cached_parts: dict[str, int] | None = {}
+        self.runner: web.AppRunner | None = None
+        self.crashed_at_s: float | None = None
 
     @property
     def application(self) -> web.Application:
@@ -101,6 +109,17 @@
         application.router.add_route('*', '/{path:.*}', self._serve)
         return application
 
+    async def crash(self) -> None:
+        """End as a killed process does: all sockets close at once."""
+        assert self.runner is not None
+        self.crashed_at_s = asyncio.get_running_loop().time()
+        for site in tuple(self.runner.sites):
+            await site.stop()
+        assert self.runner.server is not None
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def _list_cached_parts(self, request: web.Request) -> web.Response:
         """Return the cached parts of prompts, or text that is no list."""
         if self.cached_parts is None:
@@ -139,6 +158,12 @@
             self.faults.lost_responses -= 1
             _reset_connection(request)
         await asyncio.sleep(self.faults.delay_s)
+        if _holds_part(request, self.faults.crashing_part):
+            if self.faults.sends_head_before_crash:
+                _write_undelimited_head(request, self.name)
+                await asyncio.sleep(EVENT_INTERVAL_S)
+            await self.crash()
+            raise ConnectionResetError
         if self.streams:
             return await self._stream(request)
         return await self._echo(request, body)
@@ -231,6 +256,12 @@
     return {'Dandelionplank-Request-Id': request_id}
 
 
+def _holds_part(request: web.Request, part_id: str) -> bool:
+    """Return whether a part, and not the last one, has the given id."""
+    parts = request.headers.get('Dandelionplank-Prefix-Hash', '').split(',')
+    return part_id in {part.partition(':')[0] for part in parts[:-1]}
+
+
 def _reset_connection(request: web.Request) -> None:
     """Reset the connection and end the handler.
 
@@ -242,6 +273,18 @@
     raise ConnectionResetError
 
 
+def _write_undelimited_head(request: web.Request, name: str) -> None:
+    """Write the head of a response that ends with its connection."""
+    request_id = request.headers.get('Dandelionplank-Request-Id', '')
+    head = (
+        f'HTTP/1.1 200 OK\r\nDandelionplank-Request-Id: {request_id}\r\n'
+        f'Dandelionplank-Server-Stamp: {name}.{request_id}\r\n'
+        'Content-Type: text/event-stream\r\nConnection: close\r\n\r\n'
+    )
+    transport: Any = request.transport
+    transport.write(head.encode())
+
+
 def _write_mismatched_response(request: web.Request) -> None:
     """Write a response that belongs to another request."""
     transport: Any = request.transport
