--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -40,11 +40,7 @@
 
     @functools.wraps(test)
     def run():
-        async def limited():
-            async with asyncio.timeout(TIME_LIMIT_S):
-                await test()
-
-        asyncio.run(limited())
+        asyncio.run(_limit(test))
 
     return run
 
@@ -54,16 +50,18 @@
 
     @functools.wraps(test)
     def run():
-        async def limited():
-            async with asyncio.timeout(TIME_LIMIT_S):
-                await test()
-
-        asyncio.run(limited())
-        uvloop.run(limited())
+        asyncio.run(_limit(test))
+        uvloop.run(_limit(test))
 
     return run
 
 
+async def _limit(test):
+    """Run a test within the time limit."""
+    async with asyncio.timeout(TIME_LIMIT_S):
+        await test()
+
+
 def with_fleet(plan=PLAN):
     """Run a test function with a running fleet of processes."""
 
