--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -321,18 +321,19 @@
         await check_stalled_stream(block)
 
 
+async def slow_stream(exchange):
+    """Send a complete stream with pauses beyond its gap target."""
+    await exchange.write(exchange.head(EVENT_STREAM, CHUNKED))
+    for number in range(1, 6):
+        event = b'id: %d\ndata: x\n\n' % number
+        await exchange.write(b'%x\r\n%s\r\n' % (len(event), event))
+        await asyncio.sleep(0.25)
+    await exchange.write(b'0\r\n\r\n')
+
+
 @run_async
 async def test_a_slow_stream_is_not_cut_if_no_other_target_may_resume_it():
     """Pauses beyond the limit do not end a sound stream."""
-
-    async def slow_stream(exchange):
-        await exchange.write(exchange.head(EVENT_STREAM, CHUNKED))
-        for number in range(1, 6):
-            event = b'id: %d\ndata: x\n\n' % number
-            await exchange.write(b'%x\r\n%s\r\n' % (len(event), event))
-            await asyncio.sleep(0.25)
-        await exchange.write(b'0\r\n\r\n')
-
     async with hostile_fleet(slow_stream, 'llm', repeat_extra=0) as (fleet, _):
         view = fleet.gateways[0].view
         changes = {'GapTargetMs': 20, 'CanResume': True, 'Attempts': 2}
@@ -345,15 +346,6 @@
 @run_async
 async def test_a_slow_stream_is_not_cut_if_no_other_target_has_capacity():
     """A pause beyond the limit is no reason to end the response."""
-
-    async def slow_stream(exchange):
-        await exchange.write(exchange.head(EVENT_STREAM, CHUNKED))
-        for number in range(1, 6):
-            event = b'id: %d\ndata: x\n\n' % number
-            await exchange.write(b'%x\r\n%s\r\n' % (len(event), event))
-            await asyncio.sleep(0.25)
-        await exchange.write(b'0\r\n\r\n')
-
     async with hostile_fleet(slow_stream, 'llm') as (fleet, _):
         gateway = fleet.gateways[0]
         changes = {'GapTargetMs': 20, 'CanResume': True, 'Attempts': 2}
