--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -47,6 +47,7 @@
         responds, unless it is the last one
     :param sends_head_before_crash: the crash follows a head that states neither
         length nor chunks, so that it looks like the end of the response
+    :param stated_limit: request rate that every response states, empty for none
     """
 
     rejected_requests: int = 0
@@ -60,6 +61,7 @@
     delay_s: float = 0
     crashing_part: str = ''
     sends_head_before_crash: bool = False
+    stated_limit: str = ''
 
 
 class UnframedResponse(web.StreamResponse):
@@ -243,11 +245,14 @@
     def _response_headers(self, request: web.Request) -> dict[str, str]:
         """Return the headers that identify a response and report the load."""
         request_id = request.headers.get('Dandelionplank-Request-Id', '')
-        return {
+        headers = {
             **_echoed_id(request),
             'Dandelionplank-Server-Stamp': f'{self.name}.{request_id}',
             'Dandelionplank-Engine-Load': '1,0,8,100',
         }
+        if self.faults.stated_limit:
+            headers['Server-Limit'] = self.faults.stated_limit
+        return headers
 
 
 def _echoed_id(request: web.Request) -> dict[str, str]:
