Log the request rates that targets state

The log lines could not show whether a target's limit was known, to whom and from when. Each instance now decodes the header once, records the statement with the target's load and logs its beginning, its end and changes of more than a fifth (event 318). Malformed, negative and multiple numbers are ignored. Only a success without the header ends a limit, dated to the sending of its request, because such a response may have been overtaken. No request is held back yet.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -19,15 +19,18 @@
     TargetResponse,
 )
 from dandelionplank.delivery.events import EventFramer, StreamEvent
+from dandelionplank.delivery.ratestatements import record_request_rate
 from dandelionplank.delivery.requests import CallerRequest
 from dandelionplank.delivery.responses import ResponseMetadata
 from dandelionplank.errors import ErrorCode, Outcome, TargetError
+from dandelionplank.routing.ratelimit import UNLIMITED, RateStatement
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.scheduler import Grant
 
 STEP = 'attempt'
 NO_BODY_METHOD = 'HEAD'
 FIRST_SERVER_ERROR_STATUS = 500
+MISDIRECTED = 421
 SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # A broken connection, a malformed response, or a body that ends early.
 RESPONSE_ERRORS = (
@@ -208,8 +211,24 @@
                 'success response has no stamp, a wrong id or an encoding',
                 Outcome.UNKNOWN,
             )
+        self._record_request_rate(marks.request_rate, response.status)
         return response
 
+    def _record_request_rate(self, rate: float | None, status: int) -> None:
+        """Record the request rate that the target states.
+
+        :param rate: requests per second, None if it cannot be decoded
+        """
+        # Only a success without a limit shows that the limit has ended. A
+        # misdirected request was answered by another target.
+        is_statement = rate != UNLIMITED or status in SUCCESS_STATUSES
+        if rate is None or status == MISDIRECTED or not is_statement:
+            return
+        sent_s = self.grant.sent.sent_s
+        now_s = time.monotonic()
+        statement = RateStatement.from_response(rate, sent_s, now_s)
+        record_request_rate(self.grant.load, statement, now_s, is_own=True)
+
     def _is_ours(
         self, marks: ResponseMetadata, connection: TargetConnection
     ) -> bool:
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -8,6 +8,7 @@
 
 from dandelionplank.delivery.attempt import (
     FIRST_SERVER_ERROR_STATUS,
+    MISDIRECTED,
     SUCCESS_STATUSES,
     Attempt,
 )
@@ -40,7 +41,6 @@
 # Share of its objective after which a safe request without a response is
 # sent to a second target as well.
 HEDGE_DELAY_SHARE = 0.6
-MISDIRECTED = 421
 # Attempts per request, including those that a target did not execute.
 MAX_TRIES = 4
 # The limit after an attempt whose target accepted no connection: these cost a
--- a/src/dandelionplank/delivery/responses.py
+++ b/src/dandelionplank/delivery/responses.py
@@ -26,6 +26,9 @@
     :param is_not_executed: the target reports that it did not execute the
         request
     :param is_encoded: the body is encoded although no encoding was requested
+    :param request_rate: requests per second that the target takes from all
+        instances together, infinite if it states no limit, None if that
+        cannot be decoded
     """
 
     request_id: str
@@ -33,3 +36,4 @@
     is_not_executed: bool
     is_encoded: bool
     report: TargetReport | None
+    request_rate: float | None
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -92,6 +92,11 @@
         Level.INFO,
         'prompts with a quarantined part are accepted again',
     )
+    TARGET_LIMITED = (
+        318,
+        Level.INFO,
+        'a target states another request rate for the whole fleet',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -7,6 +7,7 @@
 
 from dandelionplank.delivery.responses import ResponseMetadata, TargetReport
 from dandelionplank.platform import names
+from dandelionplank.routing.ratelimit import UNLIMITED
 from dandelionplank.routing.work import PromptPart, RequestMetadata, TokenWork
 
 HOP_BY_HOP = frozenset(
@@ -165,9 +166,20 @@
         ),
         is_encoded='Content-Encoding' in headers,
         report=_target_report(headers.get(names.LOAD, '')),
+        request_rate=_request_rate(headers.get(names.REQUEST_RATE)),
     )
 
 
+def _request_rate(text: str | None) -> float | None:
+    """Decode the requests per second that a target takes."""
+    if text is None:
+        return UNLIMITED
+    numbers = _parse_numbers(text)
+    if len(numbers) != 1 or numbers[0] < 0:
+        return None
+    return numbers[0]
+
+
 def _target_report(text: str) -> TargetReport | None:
     """Decode a target's load: running, waiting, slots, slowness in percent."""
     numbers = _parse_numbers(text)
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -11,6 +11,8 @@
 STAMP = 'Dandelionplank-Server-Stamp'
 NOT_EXECUTED = 'Dandelionplank-Not-Executed'
 LOAD = 'Dandelionplank-Engine-Load'
+# Requests per second that a target takes from all instances together.
+REQUEST_RATE = 'Server-Limit'
 LAST_EVENT = 'Last-Event-Id'
 
 # Not forwarded from a caller's request: headers that the fleet or targets
@@ -25,6 +27,7 @@
         STAMP,
         NOT_EXECUTED,
         LOAD,
+        REQUEST_RATE,
         'Dandelionplank-Instance-Id',
         'Dandelionplank-Expect-Version',
         'Dandelionplank-Hold',
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -11,6 +11,7 @@
 from dandelionplank.fleet.peers import TargetShare
 from dandelionplank.routing.health import TargetHealth
 from dandelionplank.routing.prefix_cache import PrefixCache
+from dandelionplank.routing.ratelimit import RequestRateLimit
 from dandelionplank.routing.routes import ModelMemory
 from dandelionplank.routing.work import TokenWork
 from dandelionplank.targets import Target
@@ -97,6 +98,7 @@
         self.slowness = 1.0
         self.reported_running = 0
         self.reported_s = float('-inf')
+        self.limit = RequestRateLimit()
 
     @property
     def tokens_per_s(self) -> float:
