Keep the request limit that a target states, across the fleet

Cause: nothing read the limit, and a limit for all instances together had no place where it is used up; placement goes by load alone. The class of fault is a shared limit without a shared counter.

Change: every target has a token bucket. One instance uses it: services with a limited target are assigned by the owner of a pool in fleets of any size, plain services included. Reports between instances carry the statement with its age and what the sender has granted, so that an instance that starts knows a limit before its first request, and two owners at the same time charge each other. First tries, repeats, hedges and resumed streams all take a grant, so all of them count. A limit belongs to one start of a target. Waiting for the limit is part of placement and of the estimate that refuses requests at once.

Ruled out: a fixed share per instance, which would leave 35 instances with less than one request in ten seconds each.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -20,6 +20,10 @@
 )
 from dandelionplank.fleet.crashmessages import CrashReport
 from dandelionplank.fleet.peers import PeerLoadTable, PeerReport, PrefillReport
+from dandelionplank.fleet.ratereports import (
+    apply_limit_reports,
+    limit_reports,
+)
 from dandelionplank.fleet.tickets import TicketMessage
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.logs import log_event
@@ -218,16 +222,24 @@
         """Record another instance's report."""
         if report.sender == self.name:
             return
-        is_new = report.sender not in self.peer_loads.reports
-        if not self.peer_loads.receive(report, time.monotonic()):
+        now_s = time.monotonic()
+        known = self.peer_loads.reports.get(report.sender)
+        if not self.peer_loads.receive(report, now_s):
             return
-        if is_new:
+        if known is None:
             log_event(
                 Event.MEMBER_ALIVE,
                 instance=report.sender,
                 version=report.version,
             )
         self.scheduler.record_prefill_reports(report.prefills)
+        apply_limit_reports(
+            self.scheduler,
+            self.view.registry.targets,
+            report,
+            known.report if known else None,
+            now_s,
+        )
 
     def _send_block(self, name: str, block: bytes) -> None:
         """Send an encoded message to an instance, if its address is known."""
@@ -241,7 +253,8 @@
     def _report(self) -> PeerReport:
         """Build the next report of this instance's load."""
         self.sequence += 1
-        levels = self.scheduler.local_service_levels.decay_to(time.monotonic())
+        now_s = time.monotonic()
+        levels = self.scheduler.local_service_levels.decay_to(now_s)
         table = self.view.table
         return PeerReport(
             self.name,
@@ -254,6 +267,7 @@
             self.scheduler.shares(),
             {account: round(level) for account, level in levels.items()},
             self._collect_prefills(),
+            limit_reports(self.scheduler.loads, now_s),
         )
 
     def _collect_prefills(self) -> tuple[PrefillReport, ...]:
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -24,11 +24,13 @@
         prefill pending
     :param running: requests in progress there
     :param queued_tokens: queued at the instance for this target
+    :param waiting: requests queued at the instance for this target
     """
 
     pending_prefill_tokens: float = 0
     running: int = 0
     queued_tokens: float = 0
+    waiting: int = 0
 
 
 NO_SHARE = TargetShare()
@@ -44,6 +46,22 @@
     parts: tuple[tuple[str, int], ...]
 
 
+class ReportedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """Request rate of a target, and what the sender has used of it.
+
+    :param started_ms: Unix time of the target's start, zero if not known
+    :param granted: requests that the sender has assigned to the target
+    :param rate: requests per second, infinite if the target states no limit
+    :param age_s: time since the sender got that statement from the target,
+        None if it knows of it from other instances
+    """
+
+    started_ms: int
+    granted: int
+    rate: float
+    age_s: float | None
+
+
 class PeerReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """One instance's load, sent to the other instances.
 
@@ -54,6 +72,7 @@
     :param service: cost served to each account, decayed over time
     :param prefills: prompts recently sent to targets, some of them
         repeated from earlier reports in case one was lost
+    :param limits: request rates that targets state
     """
 
     sender: str
@@ -66,6 +85,7 @@
     targets: dict[str, TargetShare]
     service: dict[str, float]
     prefills: tuple[PrefillReport, ...] = ()
+    limits: dict[str, ReportedLimit] = {}
 
     def is_as_new_as(self, other: 'PeerReport') -> bool:
         """Return whether another report of the same process is no newer."""
@@ -159,6 +179,7 @@
                 + sign * share.pending_prefill_tokens,
                 total.running + sign * share.running,
                 total.queued_tokens + sign * share.queued_tokens,
+                total.waiting + sign * share.waiting,
             )
             if changed != NO_SHARE:
                 self.shares[target] = changed
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -45,6 +45,8 @@
 # Period at which open grants are listed to their owners.
 LISTING_PERIOD_S = 0.5
 RANDOM_NUMBER_BITS = 48
+# In the ticket of a request that has no prompt.
+NO_WORK = TokenWork('', 0, 0, ())
 
 MessageSender = Callable[[str, TicketMessage], None]
 
@@ -118,18 +120,15 @@
 
         :raises RefusalError: the request was rejected and not executed
         """
-        work = waiting.work
-        if work is None or not self.owners.is_pooled:
-            return await self.dispatcher.acquire(waiting)
-        queues = self.pools.rank(waiting.service, work)
+        queues = self._queues_of(waiting)
         if not queues:
             return await self.dispatcher.acquire(waiting)
         try:
-            return await self._acquire_in(queues[0], waiting, work)
+            return await self._acquire_in(queues[0], waiting)
         except RefusalError:
             grant = None
             for queue in queues[1:2]:
-                grant = await self._overflow_to(queue, waiting, work)
+                grant = await self._overflow_to(queue, waiting)
             if grant is None:
                 raise
             return grant
@@ -204,14 +203,26 @@
         for owner, grants in by_owner.items():
             self.send(owner, OpenGrants(self.name, tuple(grants)))
 
+    def _queues_of(self, waiting: WaitingRequest) -> list[str]:
+        """Return the queues whose owners assign a target to a request.
+
+        A request rate that all instances share needs one instance that uses
+        it, whatever the size of the fleet.
+
+        :return: in order of preference, none if this instance decides
+        """
+        if waiting.work is not None and self.owners.is_pooled:
+            return self.pools.rank(waiting.service, waiting.work)
+        if self.dispatcher.scheduler.has_limits(waiting.service):
+            return [waiting.service]
+        return []
+
     async def _overflow_to(
-        self, queue: str, waiting: WaitingRequest, work: TokenWork
+        self, queue: str, waiting: WaitingRequest
     ) -> Grant | None:
         """Return a target of a pool that is not the preferred one."""
         try:
-            return await self._acquire_in(
-                queue, waiting, work, is_overflow=True
-            )
+            return await self._acquire_in(queue, waiting, is_overflow=True)
         except RefusalError:
             return None
 
@@ -219,7 +230,6 @@
         self,
         queue: str,
         waiting: WaitingRequest,
-        work: TokenWork,
         *,
         is_overflow: bool = False,
     ) -> Grant:
@@ -233,7 +243,7 @@
                     queue, waiting, is_overflow=is_overflow
                 )
             grant = await self._ask(
-                owner, queue, waiting, work, is_overflow=is_overflow
+                owner, queue, waiting, is_overflow=is_overflow
             )
             if grant:
                 return grant
@@ -257,7 +267,6 @@
         owner: str,
         queue: str,
         waiting: WaitingRequest,
-        work: TokenWork,
         *,
         is_overflow: bool,
     ) -> Grant | None:
@@ -274,7 +283,7 @@
             while True:
                 reply = await self._next_reply(
                     owner,
-                    self._ticket(number, queue, waiting, work, is_overflow),
+                    self._ticket(number, queue, waiting, is_overflow),
                     replies,
                 )
                 if reply is None:
@@ -351,11 +360,11 @@
         number: int,
         queue: str,
         waiting: WaitingRequest,
-        work: TokenWork,
         is_overflow: bool,  # noqa: FBT001
     ) -> Ticket:
         """Return a ticket with the times that are left now."""
         now_s = time.monotonic()
+        work = waiting.work or NO_WORK
         return Ticket(
             self.name,
             number,
@@ -371,6 +380,7 @@
             tuple((part.part_id, part.tokens) for part in work.parts),
             waiting.avoided,
             is_overflow,
+            waiting.work is None,
         )
 
     def _report(self, grant: Grant, event: TicketEvent) -> None:
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -246,12 +246,7 @@
 
 def _to_waiting_request(ticket: Ticket, now_s: float) -> WaitingRequest:
     """Return a ticket as the scheduler queues it."""
-    work = TokenWork(
-        ticket.model,
-        ticket.prompt_tokens,
-        ticket.output_tokens,
-        tuple(PromptPart(part_id, tokens) for part_id, tokens in ticket.parts),
-    )
+    work = None if ticket.is_plain else _to_work(ticket)
     return WaitingRequest(
         ticket.request_id,
         ticket.account,
@@ -263,3 +258,13 @@
         cost=ticket.cost,
         avoided=ticket.avoided,
     )
+
+
+def _to_work(ticket: Ticket) -> TokenWork:
+    """Return the prompt of a ticket."""
+    return TokenWork(
+        ticket.model,
+        ticket.prompt_tokens,
+        ticket.output_tokens,
+        tuple(PromptPart(part_id, tokens) for part_id, tokens in ticket.parts),
+    )
--- a/src/dandelionplank/fleet/tickets.py
+++ b/src/dandelionplank/fleet/tickets.py
@@ -18,6 +18,7 @@
     :param parts: ids and tokens of the parts of the prompt
     :param avoided: targets at which an earlier attempt failed
     :param is_overflow: another pool is preferred; only an idle target counts
+    :param is_plain: the request has no prompt
     """
 
     sender: str
@@ -34,6 +35,7 @@
     parts: tuple[tuple[str, int], ...]
     avoided: tuple[str, ...]
     is_overflow: bool
+    is_plain: bool = False
 
 
 class TicketGrant(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -94,6 +94,7 @@
         self.pending_prefill_tokens = 0.0
         self.running = 0
         self.queued_tokens = 0.0
+        self.waiting = 0
         self.speed = PrefillSpeed()
         self.slowness = 1.0
         self.reported_running = 0
@@ -112,12 +113,13 @@
             round(self.pending_prefill_tokens),
             self.running,
             round(self.queued_tokens),
+            self.waiting,
         )
 
     @property
     def is_idle(self) -> bool:
         """Return whether there is no load to report to the peers."""
-        return not (self.running or self.queued_tokens)
+        return not (self.running or self.queued_tokens or self.waiting)
 
     def uncached_tokens(self, work: TokenWork | None) -> float:
         """Return the tokens of a prompt that the target has not cached."""
@@ -140,6 +142,8 @@
         :param others: load that the other instances put on the target
         :param queue_limit_s: work that may be queued inside the target
         """
+        if not self.limit.has_request:
+            return False
         if self.running + others.running >= self.slots * RUNNING_SHARE:
             return False
         pending = self.pending_prefill_tokens + others.pending_prefill_tokens
@@ -168,6 +172,7 @@
             self.prefix_cache.record_prefill(work.parts)
         self.pending_prefill_tokens += uncached_tokens
         self.running += 1
+        self.limit.grant()
         return sent
 
     def adopt(self, sent: DispatchedRequest) -> None:
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -35,6 +35,9 @@
 # Number of the least loaded targets that are candidates for a prompt, besides
 # those that cache its prefix.
 IDLEST_CANDIDATES = 16
+# A target whose request rate is used up for longer than this is a candidate
+# only if all others are, too.
+MAX_LIMIT_WAIT_S = 0.25
 # Cached prompt parts of a target without a prefix cache.
 NO_CACHED_PARTS: Mapping[str, int] = MappingProxyType({})
 
@@ -98,6 +101,7 @@
         :param others: load that the other instances put on the target
         :param data_center: data centre that the request is sent from
         """
+        load.limit.refill(now_s)
         self.load = load
         self.others = others
         self.others_tokens = (
@@ -120,11 +124,37 @@
             + self.others_tokens
         )
 
+    @property
+    def limit_wait_s(self) -> float:
+        """Time until the request rate of the target allows a new request."""
+        load = self.load
+        return load.limit.wait_s(load.waiting + self.others.waiting)
+
+    @property
+    def own_limit_wait_s(self) -> float:
+        """The same time if only this instance's requests waited."""
+        return self.load.limit.wait_s(self.load.waiting)
+
+    @property
+    def own_wait_s(self) -> float:
+        """Expected wait for the requests of this instance and the target."""
+        tokens = self.ahead_tokens - self.others.queued_tokens
+        return max(self.load.prefill_s(tokens), self.own_limit_wait_s)
+
+    @property
+    def others_wait_s(self) -> float:
+        """Expected wait for the requests queued at the other instances."""
+        return max(
+            self.load.prefill_s(self.others.queued_tokens),
+            self.limit_wait_s - self.own_limit_wait_s,
+        )
+
     def cost_s(self, tokens: float) -> float:
         """Return the expected prefill time, with failures and advantages."""
-        prefill_s = self.load.prefill_s(self.ahead_tokens + tokens)
+        start_s = max(self.load.prefill_s(self.ahead_tokens), self.limit_wait_s)
+        prefill_s = self.load.prefill_s(tokens)
         failure_s = self.failure_odds * FAILURE_COST_S
-        return prefill_s + failure_s - self.advantage_s
+        return start_s + prefill_s + failure_s - self.advantage_s
 
     def idle_cost_s(self) -> float:
         """Return the expected time until a new request's prefill starts."""
@@ -166,11 +196,12 @@
         self.peers = peers
         self.preferred_targets: dict[str, str] = {}
         self.ranked_names: Set[str] = frozenset()
+        self.has_limits = False
 
     def snapshot(self, names: Iterable[str], now_s: float) -> TargetSnapshots:
         """Return load snapshots of the named targets."""
         share_of = self.peers.share_of
-        return {
+        snapshots = {
             name: TargetSnapshot(
                 self.loads[name],
                 share_of(name),
@@ -179,6 +210,10 @@
             )
             for name in names
         }
+        self.has_limits = any(
+            snapshot.load.limit.is_limited for snapshot in snapshots.values()
+        )
+        return snapshots
 
     def choose(
         self,
@@ -204,6 +239,8 @@
             }
         if not usable:
             return None
+        if self.has_limits:
+            usable = _within_limits(usable)
         is_model = next(iter(usable.values())).load.prefix_cache is not None
         if work is None or not is_model:
             return _least_loaded(usable, now_s)
@@ -238,12 +275,11 @@
             )
         best = min(costs, key=costs.__getitem__)
         chosen = snapshots[best]
-        others_tokens = chosen.others.queued_tokens
         return Placement(
             chosen,
             uncached[best],
-            chosen.load.prefill_s(chosen.ahead_tokens - others_tokens),
-            chosen.load.prefill_s(others_tokens),
+            chosen.own_wait_s,
+            chosen.others_wait_s,
             chosen.has_capacity(uncached[best], queue_limit_s),
         )
 
@@ -282,12 +318,31 @@
 
 
 def _least_loaded(snapshots: TargetSnapshots, now_s: float) -> Placement:
-    """Return the plain target with the least work ahead."""
+    """Return the plain target that is free first, with the least work ahead."""
     best = min(
         snapshots.values(),
-        key=lambda snapshot: snapshot.plain_cost(now_s),
+        key=lambda snapshot: (
+            snapshot.limit_wait_s,
+            snapshot.plain_cost(now_s),
+        ),
+    )
+    return Placement(
+        best,
+        0,
+        best.own_limit_wait_s,
+        best.limit_wait_s - best.own_limit_wait_s,
+        best.has_capacity(0, TARGET_QUEUE_S),
     )
-    return Placement(best, 0, 0, 0, best.has_capacity(0, TARGET_QUEUE_S))
+
+
+def _within_limits(snapshots: TargetSnapshots) -> TargetSnapshots:
+    """Return the targets that may soon be sent a request, all if none may."""
+    soon = {
+        name: snapshot
+        for name, snapshot in snapshots.items()
+        if snapshot.limit_wait_s <= MAX_LIMIT_WAIT_S
+    }
+    return soon or snapshots
 
 
 def _weighted_tokens(tokens: float, fewest: float) -> float:
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -224,6 +224,13 @@
             self.loads[target.name] = load
         return load
 
+    def has_limits(self, service: str) -> bool:
+        """Return whether a target of a service states a request rate."""
+        loads = (
+            self.loads.get(target.name) for target in self.targets_of(service)
+        )
+        return any(load is not None and load.limit.is_limited for load in loads)
+
     def shares(self) -> dict[str, TargetShare]:
         """Return this instance's load on each target that has any."""
         return {
@@ -391,6 +398,7 @@
         waiting.assigned_target = placement.load.target.name
         waiting.uncached_tokens = placement.uncached_tokens
         placement.load.queued_tokens += placement.uncached_tokens
+        placement.load.waiting += 1
 
     def _stop_waiting(self, waiting: WaitingRequest) -> None:
         """Remove a request from the load of the target it waited for."""
@@ -399,6 +407,7 @@
         if load:
             left = load.queued_tokens - waiting.uncached_tokens
             load.queued_tokens = max(0.0, left)
+            load.waiting = max(0, load.waiting - 1)
 
 
 def _keeps_waiting(
