Test statements of request limits that are malformed, late or out of date

Covers malformed and zero limits, responses that were overtaken, restarted targets, statements and grants in reports, two spenders, and refusals at once.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -3,10 +3,29 @@
 import asyncio
 import contextlib
 import itertools
+import time
 from unittest import mock
 
+import msgspec
+from nose2.tools import params
+
 from bench.platform import MODEL_HEADERS
+from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet import owners
+from dandelionplank.fleet.peers import PeerLoadTable, PeerReport, ReportedLimit
+from dandelionplank.fleet.ratereports import apply_limit_reports
+from dandelionplank.platform.headers import response_metadata
+from dandelionplank.routing.load import TargetLoad
+from dandelionplank.routing.ratelimit import (
+    UNLIMITED,
+    RateStatement,
+    RequestRateLimit,
+)
+from dandelionplank.routing.routes import ModelMemory
+from dandelionplank.routing.scheduler import Scheduler
+from dandelionplank.routing.work import PromptPart, TokenWork
+from dandelionplank.settings import Address
+from dandelionplank.targets import Target
 from tests.fixtures import run_async
 from tests.platformfleet import platform_fleet
 
@@ -101,3 +120,140 @@
             target.faults.stated_limit = '3.5'
             await call_all_gateways(fleet, '/look/x')
             check_limit(target, 3.5)
+
+
+def learn(limit, rate, at_s, now_s=None):
+    """Record a statement of the target, as its response arrives."""
+    return limit.learn(
+        RateStatement(rate, at_s),
+        at_s if now_s is None else now_s,
+        is_own=True,
+    )
+
+
+def grant_all(limit, now_s):
+    """Grant all requests that may be sent now; return how many."""
+    limit.refill(now_s)
+    granted = 0
+    while limit.has_request:
+        limit.grant()
+        granted += 1
+    return granted
+
+
+@params(
+    (None, UNLIMITED),
+    ('2.5', 2.5),
+    ('0', 0),
+    ('1e9', 1e9),
+    ('-1', None),
+    ('nan', None),
+    ('inf', None),
+    ('3,4', None),
+    ('few', None),
+    ('', None),
+)
+def test_only_one_finite_number_states_a_limit(text, rate):
+    """Other texts neither begin nor end a limit."""
+    headers = {} if text is None else {'Server-Limit': text}
+    assert response_metadata(200, headers).request_rate == rate
+
+
+def test_an_overtaken_response_does_not_end_a_limit():
+    """A response without a limit counts from the sending of its request."""
+    limit = RequestRateLimit()
+    assert learn(limit, 3.0, 10.0)
+    overtaken = RateStatement.from_response(UNLIMITED, 9.9, 10.1)
+    assert not limit.learn(overtaken, 10.1, is_own=True)
+    assert limit.is_limited
+    later = RateStatement.from_response(UNLIMITED, 10.05, 10.2)
+    assert limit.learn(later, 10.2, is_own=True)
+    assert limit.has_request
+    assert not limit.wait_s(9)
+
+
+def test_a_target_that_takes_no_requests_is_still_tried():
+    """Only a response can state the end of a limit."""
+    limit = RequestRateLimit()
+    learn(limit, 0.0, 0.0)
+    tried = sum(grant_all(limit, now_s) for now_s in range(41))
+    assert 1 <= tried <= EXCESS_REQUESTS * 40 / WINDOW_S
+
+
+def test_two_spenders_keep_a_limit_by_what_they_report():
+    """Each charges what the other has granted since its last report."""
+    limits = [RequestRateLimit(), RequestRateLimit()]
+    for limit in limits:
+        learn(limit, 5.0, 0.0)
+    granted = 0
+    for step in range(1, 81):
+        counts = [grant_all(limit, step * 0.05) for limit in limits]
+        limits[0].charge(counts[1])
+        limits[1].charge(counts[0])
+        granted += sum(counts)
+    assert 5 * WINDOW_S * USED_SHARE <= granted <= 5 * WINDOW_S + 2
+
+
+def make_load(**changes):
+    """Return the load of an engine."""
+    target = Target('e', 'llm', Address('127.0.0.1', 9), 'a', **changes)
+    return TargetLoad(target, ModelMemory(16, 400_000))
+
+
+def test_a_restarted_target_is_not_limited_before_it_states_so():
+    """A limit belongs to one start of a target."""
+    load = make_load(limit=8, started_ms=1)
+    learn(load.limit, 1.0, time.monotonic())
+    scheduler = Scheduler('a', lambda service: [], PeerLoadTable())
+    scheduler.loads['e'] = load
+    assert scheduler.load_of(load.target) is load
+    restarted = make_load(limit=8, started_ms=2).target
+    assert not scheduler.load_of(restarted).limit.is_limited
+
+
+@params(('a', 1, True), ('a', 2, False), ('b', 1, False))
+def test_an_instance_learns_a_limit_from_the_reports_of_others(
+    name, started_ms, is_learned
+):
+    """A report about another target, or another start of it, is ignored."""
+    load = make_load(limit=8, started_ms=1)
+    scheduler = Scheduler('a', lambda service: [], PeerLoadTable())
+    reported = ReportedLimit(started_ms, 4, 2.0, 0.1)
+    report = PeerReport('p', 1, 1, 1, 1, 0, False, {}, {}, (), {name: reported})
+    apply_limit_reports(scheduler, {'a': load.target}, report, None, 5.0)
+    limit = scheduler.load_of(load.target).limit
+    assert limit.is_limited is is_learned
+    assert not limit.is_own
+    limit.refill(6.0)
+    level = limit.level
+    later = ReportedLimit(started_ms, 6, 2.0, 0.1)
+    apply_limit_reports(
+        scheduler,
+        {'a': load.target},
+        msgspec.structs.replace(report, sequence=2, limits={name: later}),
+        report,
+        6.0,
+    )
+    assert limit.level == level - 2 * is_learned
+
+
+def test_requests_that_a_limit_delays_past_their_objective_are_refused():
+    """A request that cannot be served in time does not wait for it."""
+    now_s = time.monotonic()
+    load = make_load(limit=8)
+    scheduler = Scheduler('a', lambda service: [load.target], PeerLoadTable())
+    scheduler.loads['e'] = load
+    learn(load.limit, 1.0, now_s)
+    work = TokenWork('m', 300, 10, (PromptPart('p', 300),))
+
+    def submit():
+        waiting = WaitingRequest(
+            'r', 'x', 0.9, 'llm', work, now_s, now_s + 9, 1
+        )
+        return scheduler.submit(waiting, now_s)
+
+    rejection = submit()
+    assert rejection.retry_after_s > 0
+    scheduler.loads['e'] = make_load(limit=8)
+    scheduler.snapshots.clear()
+    assert submit() is None
