Weigh the wait for a request limit against the wait at other targets

While four of five engines were limited, prompts were refused with an expected wait of about a second although a limited engine could have taken them sooner.

Cause: a target whose limit delayed a request by over 0.25 s was no candidate while any other target existed, however long the wait there.

Change: the wait for the limit counts like the wait for pending prefill.

--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -35,9 +35,6 @@
 # Number of the least loaded targets that are candidates for a prompt, besides
 # those that cache its prefix.
 IDLEST_CANDIDATES = 16
-# A target whose request rate is used up for longer than this is a candidate
-# only if all others are, too.
-MAX_LIMIT_WAIT_S = 0.25
 # Cached prompt parts of a target without a prefix cache.
 NO_CACHED_PARTS: Mapping[str, int] = MappingProxyType({})
 
@@ -196,12 +193,11 @@
         self.peers = peers
         self.preferred_targets: dict[str, str] = {}
         self.ranked_names: Set[str] = frozenset()
-        self.has_limits = False
 
     def snapshot(self, names: Iterable[str], now_s: float) -> TargetSnapshots:
         """Return load snapshots of the named targets."""
         share_of = self.peers.share_of
-        snapshots = {
+        return {
             name: TargetSnapshot(
                 self.loads[name],
                 share_of(name),
@@ -210,10 +206,6 @@
             )
             for name in names
         }
-        self.has_limits = any(
-            snapshot.load.limit.is_limited for snapshot in snapshots.values()
-        )
-        return snapshots
 
     def choose(
         self,
@@ -239,8 +231,6 @@
             }
         if not usable:
             return None
-        if self.has_limits:
-            usable = _within_limits(usable)
         is_model = next(iter(usable.values())).load.prefix_cache is not None
         if work is None or not is_model:
             return _least_loaded(usable, now_s)
@@ -335,16 +325,6 @@
     )
 
 
-def _within_limits(snapshots: TargetSnapshots) -> TargetSnapshots:
-    """Return the targets that may soon be sent a request, all if none may."""
-    soon = {
-        name: snapshot
-        for name, snapshot in snapshots.items()
-        if snapshot.limit_wait_s <= MAX_LIMIT_WAIT_S
-    }
-    return soon or snapshots
-
-
 def _weighted_tokens(tokens: float, fewest: float) -> float:
     """Return uncached tokens, with extra weight beyond the best engine's."""
     return tokens + (tokens - fewest) * EXTRA_PREFILL_WEIGHT
