--- a/src/dandelionplank_standins/platformstore.py
+++ b/src/dandelionplank_standins/platformstore.py
@@ -3,8 +3,8 @@
 import asyncio
 import base64
 import contextlib
+import copy
 import dataclasses
-import itertools
 from typing import Any
 
 import msgspec
@@ -28,6 +28,18 @@
     loses_responses: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Copy of the store, from which it can be restored."""
+
+    entries: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    compacted_revision: int
+    revision: int
+    leases: dict[int, set[str]]
+    last_lease: int
+
+
 class StoreStandin:
     """Holds items, leases and a history of changes in memory."""
 
@@ -39,7 +51,8 @@
         self.compacted_revision = 0
         self.revision = 1
         self.leases: dict[int, set[str]] = {}
-        self.lease_ids = itertools.count(1)
+        self.last_lease = 0
+        self.era = 1
         self.changed = asyncio.Event()
         self.calls = 0
 
@@ -91,13 +104,42 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return copy.deepcopy(
+            StoreCopy(
+                self.entries,
+                self.history,
+                self.compacted_revision,
+                self.revision,
+                self.leases,
+                self.last_lease,
+            ),
+        )
+
+    def restore(self, stored: StoreCopy) -> None:
+        """Return to an earlier state; its revisions are given out again."""
+        older = copy.deepcopy(stored)
+        self.entries = older.entries
+        self.history = older.history
+        self.compacted_revision = older.compacted_revision
+        self.revision = older.revision
+        self.leases = older.leases
+        self.last_lease = older.last_lease
+        self.era += 1
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        """Let waiting watches look for changes."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _append_event(self, event: dict[str, Any]) -> None:
         """Add a change to the history and wake the watches."""
         self.history.append(event)
         if len(self.history) > MAX_HISTORY_EVENTS:
             self.compacted_revision = self.history.pop(0)['Rev']
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._wake_watches()
 
     @web.middleware
     async def _inject_faults(
@@ -112,6 +154,7 @@
         if self.faults.status:
             return web.Response(status=self.faults.status)
         response = await handler(request)
+        response.headers['Store-Era'] = str(self.era)
         if self.faults.is_silent or (
             self.faults.loses_responses and request.method == 'POST'
         ):
@@ -145,7 +188,7 @@
         wait_s = int(request.query['WaitMs']) / 1000
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return web.Response(status=410)
             events = [
                 event
@@ -180,7 +223,8 @@
 
     async def _grant_lease(self, request: web.Request) -> web.Response:
         """Grant a lease, which never expires and ends only by request."""
-        lease = next(self.lease_ids)
+        self.last_lease += 1
+        lease = self.last_lease
         self.leases[lease] = set()
         body = await request.json()
         return web.json_response({'Lease': lease, 'TtlMs': body['TtlMs']})
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,120 @@
+"""Tests of a store that is restored from an older copy.
+
+Its revisions are given out again, so that the same number stands for two
+states, and it lacks what was written after the copy.
+"""
+
+import asyncio
+import time
+
+from bench.platform import MODEL_HEADERS, configuration
+from dandelionplank.routing.crashes import Quarantine
+from tests.fixtures import only, run_async, wait_until
+from tests.platformfleet import platform_fleet
+from tests.test_gateway import shared_watch_fleet
+
+# Bound that the platform states for a configuration.
+IN_FORCE_S = 2.0
+NEW_ROUTE = {'stream': {'Prefix': '/added/'}}
+CHAT = {'headers': MODEL_HEADERS}
+
+
+def fill(store, revision):
+    """Write unrelated keys until the store has passed a revision."""
+    while store.revision <= revision:
+        store.put('other/key', b'x')
+
+
+async def restore(fleet, older, *writes):
+    """Restore the store unseen; it passes the revisions known before.
+
+    :param writes: keys and documents that are written again at once
+    """
+    store = fleet.store
+    known = store.revision
+    store.faults.status = 503
+    await asyncio.sleep(0.1)
+    store.restore(older)
+    for key, document in writes:
+        store.put(key, document)
+    fill(store, known)
+    store.faults.status = 0
+
+
+async def is_served_in_time(fleet, gateway, path):
+    """Return whether a gateway serves a path within the stated bound."""
+    deadline_s = time.monotonic() + IN_FORCE_S
+    while time.monotonic() < deadline_s:
+        if (await fleet.call(path, gateway=gateway, **CHAT))[0] == 200:
+            return True
+        await asyncio.sleep(0.05)
+    return False
+
+
+@run_async
+async def test_a_route_written_after_a_restoration_is_served_in_time():
+    """A revision that a watch goes on from may stand for another state."""
+    async with platform_fleet() as fleet:
+        older = fleet.store.copy()
+        fill(fleet.store, fleet.store.revision + 20)
+        await asyncio.sleep(1)
+        added = ('op/config', configuration(5, **NEW_ROUTE))
+        await restore(fleet, older, added)
+        assert await is_served_in_time(fleet, 0, '/added/x')
+
+
+@run_async
+async def test_all_instances_learn_of_a_restoration_with_shared_watches():
+    """A watcher of another history does not confirm a view."""
+    async with shared_watch_fleet() as fleet:
+        older = fleet.store.copy()
+        fill(fleet.store, fleet.store.revision + 20)
+        await asyncio.sleep(1)
+        added = ('op/config', configuration(5, **NEW_ROUTE))
+        await restore(fleet, older, added)
+        for number in range(len(fleet.gateways)):
+            assert await is_served_in_time(fleet, number, '/added/x')
+
+
+@run_async
+async def test_an_instance_that_starts_on_an_older_copy_serves_nothing():
+    """Keys that were revoked after the copy are not accepted."""
+    async with platform_fleet(gateways=2) as fleet:
+        older = fleet.store.copy()
+        fleet.store.put('op/config', configuration(4, keys=('key-b',)))
+        await wait_until(
+            lambda: all(
+                gateway.view.table.version == 4 for gateway in fleet.gateways
+            ),
+        )
+        await restore(fleet, older)
+        started = await fleet.start_gateway()
+        await wait_until(lambda: started.peer_loads.reports)
+        await wait_until(lambda: started.view.revision is not None)
+        status, _, _ = await fleet.call('/chat/x', gateway=2, **CHAT)
+        assert status == 503
+        assert not fleet.runs()
+        fleet.store.put('op/config', configuration(4, keys=('key-b',)))
+        chat = {'headers': {**MODEL_HEADERS, 'Dandelionplank-Key': 'key-b'}}
+
+        async def is_served():
+            return (await fleet.call('/chat/x', gateway=2, **chat))[0] == 200
+
+        async with asyncio.timeout(IN_FORCE_S):
+            while not await is_served():
+                await asyncio.sleep(0.05)
+
+
+@run_async
+async def test_a_quarantine_is_stored_again_after_a_restoration():
+    """The copy lacks the quarantine that this instance has written."""
+    async with platform_fleet() as fleet:
+        crashes = only(fleet.gateways).crashes
+        now_s = time.monotonic()
+        crashes.evidence.quarantines['part'] = Quarantine(now_s, now_s + 300)
+        older = fleet.store.copy()
+        crashes.unstored.put_nowait('part')
+        key = 'quarantine/part'
+        await wait_until(lambda: key in fleet.store.entries)
+        await restore(fleet, older)
+        await wait_until(lambda: key in fleet.store.entries)
