Order the store's revisions by the era that it was restored in

Cause: a bare revision stood for a state of the store. A restored store gives its revisions out again, so that a watch from the old number succeeds without 410 and misses all changes of the new history up to that number, while each response confirms the view as current. The class of fault is a position that is compared without the history that it belongs to.

Change: StoreRevision holds the era and the number, in one ordering. The follower reads all documents again if a response is of another era; a listing whose pages are of two eras is repeated; the log of changes, the queries to watchers and their confirmations use the same type. A response that states no era keeps the last one. Event 512 logs a restoration.

Tests of the log and of confirmations use the new type; they check the same.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -121,6 +121,11 @@
         'no watcher confirms the view; the instance checks the store itself',
     )
     VOUCHING_BACK = (511, Level.INFO, 'a watcher confirms the view again')
+    STORE_RESTORED = (
+        512,
+        Level.WARNING,
+        'the key-value service was restored from an older copy',
+    )
     CERTIFICATE_LOADED = (505, Level.INFO, 'a new certificate is in use')
     CERTIFICATE_REFUSED = (506, Level.WARNING, 'a certificate is not valid')
     INTENT_WRITTEN = (600, Level.INFO, 'an intent was recorded')
--- a/src/dandelionplank/fleet/changes.py
+++ b/src/dandelionplank/fleet/changes.py
@@ -17,9 +17,22 @@
 CHANGE_OVERHEAD_BYTES = 16
 
 
+class StoreRevision(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """State of the store, ordered by the time at which it was reached.
+
+    :param era: how often the store was restored from a copy; the numbers of
+        an earlier era are given out again
+    :param number: revision within the era
+    """
+
+    era: int
+    number: int
+
+
 class StoredChange(msgspec.Struct, frozen=True, array_like=True):
     """A key's state after a change.
 
+    :param revision: number of the change within the store's era
     :param document: ``None`` if the key was removed
     """
 
@@ -34,17 +47,20 @@
 
 
 class ChangeLog:
-    """All changes between two revisions of the store."""
+    """All changes between two revisions of one era of the store."""
 
     def __init__(self) -> None:
         """Hold the changes, at first none."""
         self.changes: deque[StoredChange] = deque()
         self.size_bytes = 0
-        self.start = 0
-        self.end = 0
+        self.start = StoreRevision(0, 0)
+        self.end = self.start
 
     def record(
-        self, before: int, after: int, changes: Iterable[StoredChange]
+        self,
+        before: StoreRevision,
+        after: StoreRevision,
+        changes: Iterable[StoredChange],
     ) -> None:
         """Add all changes between two revisions.
 
@@ -61,11 +77,11 @@
         while self.size_bytes > MAX_LOG_BYTES:
             oldest = self.changes.popleft()
             self.size_bytes -= oldest.size_bytes
-            self.start = oldest.revision
+            self.start = StoreRevision(after.era, oldest.revision)
 
     def since(
-        self, revision: int
-    ) -> tuple[int, tuple[StoredChange, ...]] | None:
+        self, revision: StoreRevision
+    ) -> tuple[StoreRevision, tuple[StoredChange, ...]] | None:
         """Return the changes after a revision that fit into a message.
 
         :return: the revision reached and the changes, None if some are not
@@ -76,18 +92,18 @@
         found: list[StoredChange] = []
         size_bytes = 0
         for change in self.changes:
-            if change.revision <= revision:
+            if change.revision <= revision.number:
                 continue
             size_bytes += change.size_bytes
             if size_bytes > MAX_MESSAGE_BYTES:
-                return _complete_part(found)
+                return _complete_part(found, revision.era)
             found.append(change)
         return self.end, tuple(found)
 
 
 def _complete_part(
-    found: list[StoredChange],
-) -> tuple[int, tuple[StoredChange, ...]] | None:
+    found: list[StoredChange], era: int
+) -> tuple[StoreRevision, tuple[StoredChange, ...]] | None:
     """Return the changes up to the last revision that is complete.
 
     The change that did not fit may be of the same revision as the last one
@@ -97,4 +113,4 @@
         return None
     last = found[-1].revision
     kept = tuple(change for change in found if change.revision < last)
-    return kept[-1].revision, kept
+    return StoreRevision(era, kept[-1].revision), kept
--- a/src/dandelionplank/fleet/confirmation.py
+++ b/src/dandelionplank/fleet/confirmation.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from dandelionplank.fleet.changes import StoredChange
+from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.fleet.peers import PeerLoadTable
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.routing.rendezvous import rank_instances
@@ -39,7 +39,7 @@
 
     sender: str
     number: int
-    revision: int
+    revision: StoreRevision
 
 
 class ViewResponse(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -52,9 +52,9 @@
     """
 
     number: int
-    revision: int
+    revision: StoreRevision
     age_s: float
-    reached: int
+    reached: StoreRevision
     changes: tuple[StoredChange, ...] = ()
 
 
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -8,7 +8,7 @@
 
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
-from dandelionplank.fleet.changes import StoredChange
+from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.fleet.clock import boot_time_s
 from dandelionplank.fleet.confirmation import (
     CONFIRMED_AGE_SHARE,
@@ -76,7 +76,9 @@
 class ChangeSource(Protocol):
     """Reads the store's documents; implemented by the platform's adapter."""
 
-    async def resync(self, sink: ChangeSink) -> tuple[frozenset[str], int]:
+    async def resync(
+        self, sink: ChangeSink
+    ) -> tuple[frozenset[str], StoreRevision]:
         """Read all documents.
 
         :return: names of the targets that are listed, and the revision
@@ -86,12 +88,13 @@
     async def follow(
         self,
         sink: ChangeSink,
-        revision: int,
+        revision: StoreRevision,
         wait_s: float,
-    ) -> int | None:
+    ) -> StoreRevision | None:
         """Wait for changes after a revision.
 
-        :return: the revision reached, none if a resync is needed
+        :return: the revision reached, none if a resync is needed because the
+            store has dropped its history or was restored
         :raises StoreError: the store did not respond
         """
 
@@ -128,6 +131,7 @@
         self.failures = 0
         self.known_malformed: set[str] = set()
         self.batch: list[StoredChange] = []
+        self.era: int | None = None
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -221,7 +225,7 @@
         if response.revision == self.view.revision:
             self.view.confirm(queried_at_s - response.age_s)
             self.last_response_s = time.monotonic()
-        elif response.revision > (self.view.revision or 0):
+        elif self.view.revision and response.revision > self.view.revision:
             # The watcher cannot pass on all that it has.
             return False
         limit_s = self.view.revoked_after_s * CONFIRMED_AGE_SHARE
@@ -236,13 +240,14 @@
         may have applied them meanwhile.
         """
         revision = self.view.revision
-        if revision is None or response.reached <= revision:
+        reached = response.reached
+        if revision is None or reached <= revision:
             return
         self.batch.clear()
         for change in response.changes:
-            if change.revision > revision:
+            if change.revision > revision.number:
                 self.source.apply(change, self)
-        self._advance(response.reached)
+        self._advance(reached)
         METRICS.add('changes_passed_on_total', len(response.changes))
 
     def _update_watcher_role(self) -> None:
@@ -305,7 +310,9 @@
             listed, revision = await self.source.resync(self)
             self._record_response(queried_at_s)
             self._drop_unlisted(listed)
+            self._log_restoration(revision)
             self.view.revision = revision
+            self.era = revision.era
             self.view.has_targets = True
             return
         self.batch.clear()
@@ -314,9 +321,19 @@
         )
         self._record_response(queried_at_s)
         if self.view.revision is None:
-            log_event(Event.VIEW_RESYNCED, why='history dropped')
+            log_event(Event.VIEW_RESYNCED, why='history dropped or restored')
 
-    def _advance(self, revision: int | None) -> None:
+    def _log_restoration(self, revision: StoreRevision) -> None:
+        """Log that the store was restored since the last listing."""
+        if self.era not in {None, revision.era}:
+            log_event(
+                Event.STORE_RESTORED,
+                era=revision.era,
+                before=self.era,
+                revision=revision.number,
+            )
+
+    def _advance(self, revision: StoreRevision | None) -> None:
         """Set the revision that the changes of the batch have reached."""
         if self.view.revision is not None and revision is not None:
             self.view.changes.record(self.view.revision, revision, self.batch)
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from dandelionplank.events import Event
-from dandelionplank.fleet.changes import ChangeLog
+from dandelionplank.fleet.changes import ChangeLog, StoreRevision
 from dandelionplank.fleet.clock import boot_time_s
 from dandelionplank.fleet.registry import TargetRegistry
 from dandelionplank.logs import log_event
@@ -39,7 +39,7 @@
         self.table: RouteTable | None = None
         self.registry = TargetRegistry()
         self.peers: dict[str, str] = {}
-        self.revision: int | None = None
+        self.revision: StoreRevision | None = None
         self.changes = ChangeLog()
         self.confirmed_s = -math.inf
         self.has_targets = False
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from dandelionplank.errors import StoreConflictError
-from dandelionplank.fleet.changes import StoredChange
+from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.fleet.follower import ChangeSink
 from dandelionplank.platform import names
 from dandelionplank.platform.documents import (
@@ -28,7 +28,9 @@
         """Hold the client that reads the store."""
         self.store = store
 
-    async def resync(self, sink: ChangeSink) -> tuple[frozenset[str], int]:
+    async def resync(
+        self, sink: ChangeSink
+    ) -> tuple[frozenset[str], StoreRevision]:
         """Read all documents; see :class:`ChangeSource`."""
         batch = await self.store.read_range(ALL_KEYS)
         for change in batch.entries:
@@ -43,14 +45,16 @@
     async def follow(
         self,
         sink: ChangeSink,
-        revision: int,
+        revision: StoreRevision,
         wait_s: float,
-    ) -> int | None:
+    ) -> StoreRevision | None:
         """Wait for changes; see :class:`ChangeSource`."""
         try:
-            batch = await self.store.watch(ALL_KEYS, revision, wait_s)
+            batch = await self.store.watch(ALL_KEYS, revision.number, wait_s)
         except RevisionCompactedError:
             return None
+        if batch.revision.era != revision.era:
+            return None
         for change in batch.entries:
             self.apply(change, sink)
         return max(revision, batch.revision)
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -38,6 +38,9 @@
     )
 )
 
+# How often the store was restored from a copy, in all of its responses.
+STORE_ERA = 'Store-Era'
+
 READY_PATH = '/v1/ready'
 
 CONFIGURATION_KEY = 'op/config'
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -15,7 +15,7 @@
     StoreError,
     StoreUnknownError,
 )
-from dandelionplank.fleet.changes import StoredChange
+from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.platform import names
 
 STEP = 'store'
@@ -53,7 +53,15 @@
     """Items that were read or changed, and the store's revision then."""
 
     entries: tuple[StoredChange, ...]
-    revision: int
+    revision: StoreRevision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreResponse:
+    """Decoded body of a response, and the era in which it was given."""
+
+    body: Any
+    era: int
 
 
 class PlatformStore:
@@ -68,6 +76,7 @@
         self.base_url = f'http://{address}'
         self.timeout_s = timeout_s
         self.session: aiohttp.ClientSession | None = None
+        self.era = 0
 
     @classmethod
     def from_address(cls, address: str, timeout_s: float) -> Self:
@@ -77,16 +86,18 @@
     async def read_range(self, prefix: str) -> ItemBatch:
         """Read all items under a prefix and return the first page's revision.
 
-        :raises StoreError: the call failed
+        :raises StoreError: a call failed, or the pages are of two eras
         """
         found: list[StoredChange] = []
-        revision = 0
+        revision: StoreRevision | None = None
         query = {'Prefix': prefix}
         while True:
             page = await self._call('GET', '/v1/kv-range', query=query)
-            found.extend(map(_stored_item, page['Items']))
-            revision = revision or page['AsOf']
-            if not page.get('HasMore') or not found:
+            found.extend(map(_stored_item, page.body['Items']))
+            revision = revision or StoreRevision(page.era, page.body['AsOf'])
+            if page.era != revision.era:
+                raise StoreError('restored between two pages', step=STEP)
+            if not page.body.get('HasMore') or not found:
                 return ItemBatch(tuple(found), revision)
             query['After'] = found[-1].key
 
@@ -112,8 +123,8 @@
             wait_s=wait_s,
         )
         return ItemBatch(
-            tuple(map(_stored_item, response['events'])),
-            response['AsOf'],
+            tuple(map(_stored_item, response.body['events'])),
+            StoreRevision(response.era, response.body['AsOf']),
         )
 
     async def grant_lease(self, ttl_s: float) -> int:
@@ -126,7 +137,7 @@
             '/v1/kv-lease',
             body={'TtlMs': int(ttl_s * names.MS_PER_SECOND)},
         )
-        lease: int = response['Lease']
+        lease: int = response.body['Lease']
         return lease
 
     async def renew_lease(self, lease: int) -> None:
@@ -190,8 +201,8 @@
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         wait_s: float = 0,
-    ) -> Any:
-        """Make one call and return the decoded body."""
+    ) -> StoreResponse:
+        """Make one call and return the decoded response."""
         if self.session is None:
             self.session = aiohttp.ClientSession()
         try:
@@ -207,8 +218,10 @@
                 ),
             ) as response:
                 raw = await response.read()
+                era = self._record_era(response.headers.get(names.STORE_ERA))
                 self._raise_for_status(response.status, path)
-                return msgspec.json.decode(raw) if raw else {}
+                body = msgspec.json.decode(raw) if raw else {}
+                return StoreResponse(body, era)
         except aiohttp.ClientConnectorError as error:
             raise StoreError(repr(error), step=STEP, peer=path) from error
         except (
@@ -222,6 +235,12 @@
                 peer=path,
             ) from error
 
+    def _record_era(self, text: str | None) -> int:
+        """Return the era of a response, the last one if it states none."""
+        if text and text.isdecimal():
+            self.era = int(text)
+        return self.era
+
     def _raise_for_status(self, status: int, path: str) -> None:
         """Raise the error for a status other than 200."""
         if status != HTTPStatus.OK:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -8,6 +8,7 @@
     MAX_MESSAGE_BYTES,
     ChangeLog,
     StoredChange,
+    StoreRevision,
 )
 
 STORE = st.lists(
@@ -16,6 +17,11 @@
 )
 
 
+def at(number):
+    """Return a revision of the only era."""
+    return StoreRevision(1, number)
+
+
 def make_changes(entries):
     """Return changes; several in a row may have the same revision."""
     changes = []
@@ -29,13 +35,15 @@
 def test_changes_before_a_gap_are_not_passed_on():
     """An instance that missed a change must not skip it unnoticed."""
     log = ChangeLog()
-    log.record(5, 7, [StoredChange('a', 6, b'1'), StoredChange('b', 7, None)])
-    assert log.since(4) is None
-    assert log.since(8) is None
-    assert log.since(6) == (7, (StoredChange('b', 7, None),))
-    assert log.since(7) == (7, ())
-    log.record(9, 10, [StoredChange('c', 10, b'1')])
-    assert log.since(7) is None
+    log.record(
+        at(5), at(7), [StoredChange('a', 6, b'1'), StoredChange('b', 7, None)]
+    )
+    assert log.since(at(4)) is None
+    assert log.since(at(8)) is None
+    assert log.since(at(6)) == (at(7), (StoredChange('b', 7, None),))
+    assert log.since(at(7)) == (at(7), ())
+    log.record(at(9), at(10), [StoredChange('c', 10, b'1')])
+    assert log.since(at(7)) is None
 
 
 def test_the_log_keeps_a_limited_size():
@@ -43,10 +51,10 @@
     log = ChangeLog()
     for revision in range(1, 200):
         change = StoredChange('a', revision, b'x' * 4000)
-        log.record(revision - 1, revision, [change])
+        log.record(at(revision - 1), at(revision), [change])
     assert log.size_bytes <= MAX_LOG_BYTES
-    assert log.since(1) is None
-    assert log.since(198) is not None
+    assert log.since(at(1)) is None
+    assert log.since(at(198)) is not None
 
 
 @given(STORE, st.integers(0, 45))
@@ -57,18 +65,18 @@
     changes = make_changes(entries)
     end = changes[-1].revision if changes else 1
     log = ChangeLog()
-    log.record(0, end, changes)
+    log.record(at(0), at(end), changes)
     revision = min(start, end)
     applied = []
     while revision < end:
-        part = log.since(revision)
+        part = log.since(at(revision))
         if part is None:
             break
         reached, found = part
         assert sum(each.size_bytes for each in found) <= MAX_MESSAGE_BYTES
-        assert reached > revision
+        assert reached > at(revision)
         applied.extend(found)
-        revision = reached
+        revision = reached.number
     assert applied == [
         change for change in changes if start < change.revision <= revision
     ]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -25,6 +25,7 @@
 from dandelionplank.events import Event
 from dandelionplank.fleet import confirmation
 from dandelionplank.fleet import daemon as daemon_module
+from dandelionplank.fleet.changes import StoreRevision
 from dandelionplank.fleet.confirmation import (
     ViewQuery,
     ViewResponse,
@@ -589,20 +590,21 @@
     async def query(self, role):
         """Confirm the view after the delay."""
         await asyncio.sleep(self.delay_s)
-        return ViewResponse(1, 7, 0.1, 7)
+        revision = StoreRevision(1, 7)
+        return ViewResponse(1, revision, 0.1, revision)
 
 
 @run_async
 async def test_a_confirmation_is_dated_to_the_start_of_its_query():
     """A delayed response must not make the view look more recent."""
     view = FleetView(5.0)
-    view.revision = 7
+    view.revision = StoreRevision(1, 7)
     follower = StoreFollower(
         view, None, 1.2, lambda names: None, SlowConfirmer()
     )
     assert await follower._confirm_with_watchers()
     assert view.age_s > SlowConfirmer.delay_s
-    view.revision = 8
+    view.revision = StoreRevision(1, 8)
     confirmed_s = view.confirmed_s
     await follower._confirm_with_watchers()
     assert math.isclose(view.confirmed_s, confirmed_s)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,7 +7,10 @@
 import asyncio
 import time
 
+from nose2.tools import params
+
 from bench.platform import MODEL_HEADERS, configuration
+from dandelionplank.fleet.changes import ChangeLog, StoredChange, StoreRevision
 from dandelionplank.routing.crashes import Quarantine
 from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet
@@ -41,6 +44,11 @@
     store.faults.status = 0
 
 
+def is_restored(view):
+    """Return whether a view has been read after the restoration."""
+    return view.revision is not None and view.revision.era == 2
+
+
 async def is_served_in_time(fleet, gateway, path):
     """Return whether a gateway serves a path within the stated bound."""
     deadline_s = time.monotonic() + IN_FORCE_S
@@ -118,3 +126,38 @@
         await wait_until(lambda: key in fleet.store.entries)
         await restore(fleet, older)
         await wait_until(lambda: key in fleet.store.entries)
+
+
+def make_change(number):
+    """Return a change of a key."""
+    return StoredChange('key', number, b'')
+
+
+@params(((1, 9), False), ((2, 4), True), ((2, 7), False), ((3, 5), False))
+def test_changes_are_passed_on_within_one_history(position, is_known):
+    """The same number in another history is another state."""
+    log = ChangeLog()
+    log.record(StoreRevision(1, 3), StoreRevision(1, 9), [make_change(8)])
+    log.record(StoreRevision(2, 3), StoreRevision(2, 6), [make_change(5)])
+    found = log.since(StoreRevision(*position))
+    assert (found is not None) is is_known
+    if found:
+        assert found == (StoreRevision(2, 6), (make_change(5),))
+
+
+def test_a_later_history_is_newer_whatever_its_revisions():
+    """Revisions go back when the store is restored."""
+    assert StoreRevision(2, 1) > StoreRevision(1, 900)
+
+
+@run_async
+async def test_a_confirmed_configuration_outlives_a_restoration():
+    """The older configuration of the copy does not come back."""
+    async with platform_fleet() as fleet:
+        older = fleet.store.copy()
+        fleet.store.put('op/config', configuration(4, **NEW_ROUTE))
+        view = fleet.gateways[0].view
+        await wait_until(lambda: view.table.version == 4)
+        await restore(fleet, older)
+        await wait_until(lambda: is_restored(view))
+        assert view.table.version == 4
