Write an instance's own records again after the store was restored

After a restoration the store lacked the entry of an instance for as long as another lease with the same number was alive, and quarantines that were written since the copy.

Cause: a lease was known by its number alone, which a restored store gives out again: the instance renewed, or at its stop revoked, another one's lease.

Change: a lease holds its era. One of an earlier era counts as ended and is never revoked; an entry whose lease has ended is written in the same renewal. An instance that has stored a quarantine stores it again, on the condition that the copy lacks it.

--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -68,6 +68,7 @@
         self.exchange = exchange
         self.store = store
         self.unstored: asyncio.Queue[str] = asyncio.Queue()
+        self.stored: set[str] = set()
         self.evidence = CrashEvidence()
         self.own_crashes = CrashLog()
         self.own_answered = AnsweredParts()
@@ -104,6 +105,11 @@
                 self.unstored.put_nowait(part_id)
                 await asyncio.sleep(STORE_RETRY_S)
 
+    def store_again(self) -> None:
+        """Store the quarantines that a restored store may lack."""
+        for part_id in self.stored:
+            self.unstored.put_nowait(part_id)
+
     def learn(self, part_id: str, age_s: float, left_s: float) -> None:
         """Take over a quarantine from the store.
 
@@ -172,11 +178,13 @@
         """Write the entry of a part in quarantine, or remove it."""
         quarantine = self.evidence.quarantines.get(part_id)
         if quarantine is None:
+            self.stored.discard(part_id)
             await self.store.remove(part_id)
             return
         now_s = time.monotonic()
         left_s = quarantine.until_s - now_s
         await self.store.put(part_id, now_s - quarantine.since_s, left_s)
+        self.stored.add(part_id)
 
     def _adopt(self, reported: ReportedQuarantine, now_s: float) -> None:
         """Take over a quarantine of another instance."""
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -119,6 +119,7 @@
             self.exchange, self.pool, parts.quarantines
         )
         self.view.quarantine_listeners.append(self.crashes.learn)
+        self.view.restoration_listeners.append(self.crashes.store_again)
         self.exchange.receivers.update(self.crashes.receivers)
         budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -310,9 +310,8 @@
             listed, revision = await self.source.resync(self)
             self._record_response(queried_at_s)
             self._drop_unlisted(listed)
-            self._log_restoration(revision)
+            self._record_era(revision)
             self.view.revision = revision
-            self.era = revision.era
             self.view.has_targets = True
             return
         self.batch.clear()
@@ -323,15 +322,18 @@
         if self.view.revision is None:
             log_event(Event.VIEW_RESYNCED, why='history dropped or restored')
 
-    def _log_restoration(self, revision: StoreRevision) -> None:
-        """Log that the store was restored since the last listing."""
+    def _record_era(self, revision: StoreRevision) -> None:
+        """Report whether the store was restored since the last listing."""
         if self.era not in {None, revision.era}:
+            for listener in self.view.restoration_listeners:
+                listener()
             log_event(
                 Event.STORE_RESTORED,
                 era=revision.era,
                 before=self.era,
                 revision=revision.number,
             )
+        self.era = revision.era
 
     def _advance(self, revision: StoreRevision | None) -> None:
         """Set the revision that the changes of the batch have reached."""
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -45,6 +45,7 @@
         self.has_targets = False
         self.listeners: list[TableListener] = []
         self.quarantine_listeners: list[QuarantineListener] = []
+        self.restoration_listeners: list[Callable[[], None]] = []
 
     @property
     def age_s(self) -> float:
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -14,8 +14,10 @@
     decode_target,
 )
 from dandelionplank.platform.store import (
+    LeaseEndedError,
     PlatformStore,
     RevisionCompactedError,
+    StoreLease,
 )
 
 ALL_KEYS = ''
@@ -136,7 +138,7 @@
     def __init__(self, store: PlatformStore) -> None:
         """Hold the leases of the entries that were written here."""
         self.store = store
-        self.leases: dict[str, int] = {}
+        self.leases: dict[str, StoreLease] = {}
 
     async def put(self, part_id: str, age_s: float, left_s: float) -> None:
         """Write an entry unless there is one.
@@ -167,7 +169,7 @@
 
         :raises StoreError: it stays until its lease ends
         """
-        lease = self.leases.pop(part_id, 0)
+        lease = self.leases.pop(part_id, None)
         if lease:
             await self.store.revoke_lease(lease)
 
@@ -183,19 +185,16 @@
         self.store = store
         self.key = names.PEER_PREFIX + name
         self.document = msgspec.json.encode(address)
-        self.lease = 0
+        self.lease: StoreLease | None = None
 
     async def renew(self, ttl_s: float) -> None:
         """Write the entry, or renew its lease.
 
         :raises StoreError: the entry may be missing
         """
-        if self.lease:
-            lease = self.lease
-            self.lease = 0
-            await self.store.renew_lease(lease)
-            self.lease = lease
+        if self.lease and await self._renew_lease(self.lease):
             return
+        self.lease = None
         lease = await self.store.grant_lease(ttl_s)
         await self.store.put(self.key, self.document, lease)
         self.lease = lease
@@ -207,3 +206,13 @@
         """
         if self.lease:
             await self.store.revoke_lease(self.lease)
+
+    async def _renew_lease(self, lease: StoreLease) -> bool:
+        """Renew the lease; return whether it still exists."""
+        self.lease = None
+        try:
+            await self.store.renew_lease(lease)
+        except LeaseEndedError:
+            return False
+        self.lease = lease
+        return True
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -56,6 +56,14 @@
     revision: StoreRevision
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLease:
+    """A lease; after a restoration its number may be that of another one."""
+
+    number: int
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreResponse:
     """Decoded body of a response, and the era in which it was given."""
@@ -127,8 +135,8 @@
             StoreRevision(response.era, response.body['AsOf']),
         )
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its id.
+    async def grant_lease(self, ttl_s: float) -> StoreLease:
+        """Create a lease and return it.
 
         :raises StoreError: the call failed
         """
@@ -137,35 +145,39 @@
             '/v1/kv-lease',
             body={'TtlMs': int(ttl_s * names.MS_PER_SECOND)},
         )
-        lease: int = response.body['Lease']
-        return lease
+        return StoreLease(response.body['Lease'], response.era)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: StoreLease) -> None:
         """Renew a lease.
 
         :raises LeaseEndedError: the lease does not exist
         :raises StoreError: the call failed
         """
-        await self._call('POST', f'/v1/kv-keep/{lease}')
+        if lease.era == self.era:
+            await self._call('POST', f'/v1/kv-keep/{lease.number}')
+        self._check_era(lease)
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: StoreLease) -> None:
         """Revoke a lease, which removes its keys.
 
+        One of an earlier era is left to expire.
+
         :raises StoreError: the call failed
         """
-        await self._call('DELETE', f'/v1/kv-lease-end/{lease}')
+        if lease.era == self.era:
+            await self._call('DELETE', f'/v1/kv-lease-end/{lease.number}')
 
     async def put(
         self,
         key: str,
         document: bytes,
-        lease: int = 0,
+        lease: StoreLease,
         *,
         must_be_new: bool = False,
     ) -> None:
         """Write one key.
 
-        :param lease: lease that removes the key when it ends, zero for none
+        :param lease: lease that removes the key when it ends
         :param must_be_new: write it only if it does not exist
         :raises StoreConflictError: it exists
         :raises LeaseEndedError: there is no such lease
@@ -181,12 +193,13 @@
                     {
                         'Key': key,
                         'Value': base64.b64encode(document).decode(),
-                        'Lease': lease,
+                        'Lease': lease.number,
                     },
                 ],
                 'Delete': [],
             },
         )
+        self._check_era(lease)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -235,6 +248,16 @@
                 peer=path,
             ) from error
 
+    def _check_era(self, lease: StoreLease) -> None:
+        """Check that the store was not restored since it granted a lease.
+
+        :raises LeaseEndedError: the lease and its keys may be missing
+        """
+        if lease.era != self.era:
+            raise LeaseEndedError(
+                f'lease of era {lease.era}, now {self.era}', step=STEP
+            )
+
     def _record_era(self, text: str | None) -> int:
         """Return the era of a response, the last one if it states none."""
         if text and text.isdecimal():
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -161,3 +161,24 @@
         await restore(fleet, older)
         await wait_until(lambda: is_restored(view))
         assert view.table.version == 4
+
+
+@run_async
+async def test_an_instance_lists_itself_again_after_a_restoration():
+    """Its lease is lost, and the number of the lease is another's now."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        presence = gateway.parts.presence
+        await wait_until(lambda: presence.key in fleet.store.entries)
+        older = fleet.store.copy()
+        older.entries.pop(presence.key)
+        older.leases.clear()
+        await restore(fleet, older)
+        fleet.store.leases[presence.lease.number] = {'other/key'}
+        await wait_until(lambda: is_restored(gateway.view))
+        await presence.renew(10)
+        await presence.renew(10)
+        assert presence.key in fleet.store.entries
+        await presence.leave()
+        assert presence.key not in fleet.store.entries
+        assert 'other/key' in fleet.store.entries
