Use the targets that live, not those that an older copy lists

After a restoration instances gave work to targets whose entries had been removed since the copy, and dropped targets that the copy lacks until they had listed themselves again.

Cause: the listing of a restored store was applied like any other, although what it says of a target may be older than what is known.

Change: while the listing after a restoration is applied, a start of a target that has been removed stays away until it writes its entry again, and targets that the copy lacks are kept for the time that the platform gives them to do so.

--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -42,6 +42,9 @@
 class ChangeSink(Protocol):
     """Receives changes of the store from the platform's adapter."""
 
+    def listing_began(self, revision: StoreRevision) -> None:
+        """Record the revision of the documents that follow."""
+
     def changed(self, change: StoredChange) -> None:
         """Record a change before it is decoded."""
 
@@ -132,6 +135,8 @@
         self.known_malformed: set[str] = set()
         self.batch: list[StoredChange] = []
         self.era: int | None = None
+        # Documents are being applied that may be older than known ones.
+        self.is_older_copy = False
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -149,6 +154,24 @@
             if expired:
                 self._drop_targets(expired, 'not listed again')
 
+    def listing_began(self, revision: StoreRevision) -> None:
+        """Record whether the store was restored since the last listing.
+
+        Targets may need some time to list themselves again.
+        """
+        self.is_older_copy = self.era not in {None, revision.era}
+        if self.is_older_copy:
+            self.store_back_s = time.monotonic()
+            log_event(
+                Event.STORE_RESTORED,
+                era=revision.era,
+                before=self.era,
+                revision=revision.number,
+            )
+            for listener in self.view.restoration_listeners:
+                listener()
+        self.era = revision.era
+
     def changed(self, change: StoredChange) -> None:
         """Record a change for the instances that query this one."""
         self.batch.append(change)
@@ -159,6 +182,8 @@
 
     def target_listed(self, target: Target) -> None:
         """Add or update a target."""
+        if self.is_older_copy and self.view.registry.has_left(target):
+            return
         was_known = target.name in self.view.registry.targets
         if not self.view.registry.put(target):
             return
@@ -307,10 +332,12 @@
         queried_at_s = boot_time_s()
         METRICS.add('store_calls_total')
         if self.view.revision is None:
-            listed, revision = await self.source.resync(self)
+            try:
+                listed, revision = await self.source.resync(self)
+            finally:
+                self.is_older_copy = False
             self._record_response(queried_at_s)
             self._drop_unlisted(listed)
-            self._record_era(revision)
             self.view.revision = revision
             self.view.has_targets = True
             return
@@ -322,19 +349,6 @@
         if self.view.revision is None:
             log_event(Event.VIEW_RESYNCED, why='history dropped or restored')
 
-    def _record_era(self, revision: StoreRevision) -> None:
-        """Report whether the store was restored since the last listing."""
-        if self.era not in {None, revision.era}:
-            for listener in self.view.restoration_listeners:
-                listener()
-            log_event(
-                Event.STORE_RESTORED,
-                era=revision.era,
-                before=self.era,
-                revision=revision.number,
-            )
-        self.era = revision.era
-
     def _advance(self, revision: StoreRevision | None) -> None:
         """Set the revision that the changes of the batch have reached."""
         if self.view.revision is not None and revision is not None:
--- a/src/dandelionplank/fleet/registry.py
+++ b/src/dandelionplank/fleet/registry.py
@@ -1,7 +1,8 @@
 """Targets as the store lists them: pure state, no I/O and no clock.
 
 Designed for targets that drain, restart under the same id, or disappear from
-the list because their leases expired during an outage of the store.
+the list because their leases expired during an outage of the store. A store
+that was restored from an older copy lists targets that have left, too.
 """
 
 from collections.abc import Iterable
@@ -10,6 +11,8 @@
 
 # Time after an outage within which the platform lists live targets again.
 RELISTING_GRACE_S = 2.0
+# Number of targets that have left which are remembered.
+MAX_LEFT_TARGETS = 4096
 
 
 class TargetRegistry:
@@ -19,6 +22,7 @@
         """Create an empty registry."""
         self.targets: dict[str, Target] = {}
         self.drained_incarnations: dict[str, int] = {}
+        self.left_incarnations: dict[str, int] = {}
         self.remove_at_s: dict[str, float] = {}
         self.by_service: dict[str, tuple[Target, ...]] = {}
 
@@ -48,11 +52,17 @@
     def remove(self, name: str) -> bool:
         """Remove a target; return whether it was known."""
         self.remove_at_s.pop(name, None)
-        if self.targets.pop(name, None) is None:
+        removed = self.targets.pop(name, None)
+        if removed is None:
             return False
+        self._record_left(removed)
         self._index()
         return True
 
+    def has_left(self, target: Target) -> bool:
+        """Return whether this start of a target has been removed."""
+        return self.left_incarnations.get(target.name) == target.started_ms
+
     def mark_missing(self, name: str, until_s: float) -> None:
         """Keep an unlisted target until a given time.
 
@@ -76,6 +86,13 @@
         """Return a service's targets, sorted by name."""
         return self.by_service.get(service, ())
 
+    def _record_left(self, target: Target) -> None:
+        """Remember a target that has left."""
+        self.left_incarnations.pop(target.name, None)
+        self.left_incarnations[target.name] = target.started_ms
+        if len(self.left_incarnations) > MAX_LEFT_TARGETS:
+            self.left_incarnations.pop(next(iter(self.left_incarnations)))
+
     def _index(self) -> None:
         """Rebuild the index of targets by service."""
         found: dict[str, list[Target]] = {}
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -35,6 +35,7 @@
     ) -> tuple[frozenset[str], StoreRevision]:
         """Read all documents; see :class:`ChangeSource`."""
         batch = await self.store.read_range(ALL_KEYS)
+        sink.listing_began(batch.revision)
         for change in batch.entries:
             self.apply(change, sink)
         listed = frozenset(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import base64
 import time
 
+import msgspec
 from nose2.tools import params
 
-from bench.platform import MODEL_HEADERS, configuration
+from bench.platform import MODEL_HEADERS, configuration, target_entry
 from dandelionplank.fleet.changes import ChangeLog, StoredChange, StoreRevision
 from dandelionplank.routing.crashes import Quarantine
 from tests.fixtures import only, run_async, wait_until
@@ -182,3 +184,36 @@
         await presence.leave()
         assert presence.key not in fleet.store.entries
         assert 'other/key' in fleet.store.entries
+
+
+@run_async
+async def test_targets_that_an_older_copy_lists_or_lacks():
+    """One that has left stays away; one that the copy lacks stays in use."""
+    async with platform_fleet(engines=2) as fleet:
+        targets = only(fleet.gateways).view.registry.targets
+        older = fleet.store.copy()
+        fleet.store.delete('servers/plain-0')
+        await fleet.start_target('plain-9', 'plain')
+        await wait_until(
+            lambda: 'plain-0' not in targets and 'plain-9' in targets
+        )
+        late = fleet.store.entries['servers/plain-9']
+        await restore(fleet, older)
+        view = only(fleet.gateways).view
+        await wait_until(lambda: is_restored(view))
+        assert 'plain-0' not in targets
+        assert 'plain-9' in targets
+        address = fleet.targets['plain-0'].runner.addresses[0]
+        entry = target_entry(
+            'plain-0', 'plain', f'{address[0]}:{address[1]}', born=5
+        )
+        fleet.store.put('servers/plain-0', entry)
+        fleet.store.put('servers/plain-9', msgspec.json.decode(_raw(late)))
+        await wait_until(lambda: 'plain-0' in targets)
+        await asyncio.sleep(3)
+        assert {'plain-0', 'plain-9'} <= targets.keys()
+
+
+def _raw(entry):
+    """Return the document of an item of the store."""
+    return base64.b64decode(entry['Value'])
