Do not confirm a view whose changes are missing

A response that says that the history is gone dated the view to now, although the changes since its revision were unknown: if the listing that follows fails, routes and keys were denied or accepted by an older configuration as if it were current.

Cause: every response of the store confirmed the view, whatever it said.

Change: only a response that the view has been brought up to confirms it.

Evidence: test_a_dropped_history_does_not_confirm_a_view failed before and passes.

--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -336,7 +336,8 @@
                 listed, revision = await self.source.resync(self)
             finally:
                 self.is_older_copy = False
-            self._record_response(queried_at_s)
+            self._record_contact()
+            self.view.confirm(queried_at_s)
             self._drop_unlisted(listed)
             self.view.revision = revision
             self.view.has_targets = True
@@ -345,9 +346,11 @@
         self._advance(
             await self.source.follow(self, self.view.revision, wait_s)
         )
-        self._record_response(queried_at_s)
+        self._record_contact()
         if self.view.revision is None:
             log_event(Event.VIEW_RESYNCED, why='history dropped or restored')
+        else:
+            self.view.confirm(queried_at_s)
 
     def _advance(self, revision: StoreRevision | None) -> None:
         """Set the revision that the changes of the batch have reached."""
@@ -362,8 +365,8 @@
             if name not in listed:
                 self.target_removed(name)
 
-    def _record_response(self, queried_at_s: float) -> None:
-        """Record a response of the store; it confirms the view."""
+    def _record_contact(self) -> None:
+        """Record that the store has responded."""
         now_s = time.monotonic()
         silent_s = now_s - self.last_response_s
         if self.failures:
@@ -372,7 +375,6 @@
                 self.store_back_s = now_s
         self.failures = 0
         self.last_response_s = now_s
-        self.view.confirm(queried_at_s)
 
     def _record_failure(self, error: StoreError) -> None:
         """Record that the store did not respond."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -217,3 +217,30 @@
 def _raw(entry):
     """Return the document of an item of the store."""
     return base64.b64decode(entry['Value'])
+
+
+@run_async
+async def test_a_dropped_history_does_not_confirm_a_view():
+    """A view whose changes are missing is not dated to now."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        view = gateway.view
+        older = fleet.store.copy()
+        known = fleet.store.revision
+        fleet.store.faults.status = 503
+        await asyncio.sleep(0.3)
+        confirmed_s = view.confirmed_s
+        fleet.store.restore(older)
+        fill(fleet.store, known + 5)
+        source = gateway.parts.source
+        resync = source.resync
+
+        async def fail(sink):
+            fleet.store.faults.status = 503
+            return await resync(sink)
+
+        source.resync = fail
+        fleet.store.faults.status = 0
+        await wait_until(lambda: view.revision is None)
+        await asyncio.sleep(0.1)
+        assert view.confirmed_s == confirmed_s
