Restore the store and limit targets in the soak of the platform

The soak never restored the store and no target stated a limit, so that it could not find faults of these kinds.

--- a/bench/disturbances.py
+++ b/bench/disturbances.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from bench.gatewayprocess import GRACE_S, REVOKED_AFTER_S
-from bench.platform import target_entry
 from bench.soakfleet import SoakFleet
 from dandelionplank_standins.platformstore import StoreFaults
 from dandelionplank_standins.platformtarget import TargetFaults
@@ -21,6 +20,8 @@
 # confirmed.
 STORE_OUTAGE_S = (0.5, REVOKED_AFTER_S + 3)
 
+# Time until the operator and the targets write again what a store has lost.
+REWRITTEN_AFTER_S = (0.05, 1.0)
 # Responses without a length or chunks that a failing target gives.
 UNFRAMED_RESPONSES = (0, 5, 1000)
 
@@ -54,6 +55,7 @@
             self.fail_target,
             self.replace_target,
             self.revoke_key,
+            self.restore_store,
         )
         tasks = []
         end_s = time.monotonic() + seconds
@@ -168,6 +170,14 @@
         """Make the store drop its history of changes."""
         self.fleet.store.drop_history()
 
+    async def restore_store(self) -> None:
+        """Restore the store from a copy; what it lacks is written again."""
+        older = self.fleet.store.copy()
+        await self.sleep_for_duration()
+        self.fleet.store.restore(older)
+        await asyncio.sleep(self.random.uniform(*REWRITTEN_AFTER_S))
+        self.fleet.write_lost_documents()
+
     async def lose_store_answers(self) -> None:
         """Let the store execute writes without a response."""
         await self.inject_store_faults(StoreFaults(loses_responses=True))
@@ -201,6 +211,7 @@
                 TargetFaults(mismatched_responses=3),
                 TargetFaults(server_errors=5),
                 TargetFaults(delay_s=0.5),
+                TargetFaults(stated_limit='4.5'),
             ),
         )
         target.faults = dataclasses.replace(
@@ -216,11 +227,8 @@
         name = self.random_target()
         service = name.partition('-')[0]
         await self.fleet.add_target(f'{service}-{next(self.fleet.numbers)}')
-        port = self.fleet.relays[name].port
-        self.fleet.store.put(
-            f'servers/{name}',
-            target_entry(name, service, f'127.0.0.1:{port}', State='draining'),
-        )
+        self.fleet.removed_targets.add(name)
+        self.fleet.list_target(name, State='draining')
         await self.sleep_for_duration()
         self.fleet.store.delete(f'servers/{name}')
 
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -6,6 +6,7 @@
 import random
 import time
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from yarl import URL
@@ -50,6 +51,7 @@
         self.revoked: dict[str, float] = {}
         self.keys = ['key-0', 'key-1']
         self.versions = itertools.count(1)
+        self.removed_targets: set[str] = set()
         self.numbers = itertools.count(1)
         self.violations: list[str] = []
         self.trace: list[str] = []
@@ -89,11 +91,22 @@
         self.stack.push_async_callback(relay.stop)
         self.targets[name] = target
         self.relays[name] = relay
+        self.list_target(name)
+
+    def list_target(self, name: str, **changes: Any) -> None:
+        """Write the entry of a target to the store."""
+        address = f'127.0.0.1:{self.relays[name].port}'
+        service = name.partition('-')[0]
         self.store.put(
-            f'servers/{name}',
-            target_entry(name, service, f'127.0.0.1:{port}'),
+            f'servers/{name}', target_entry(name, service, address, **changes)
         )
 
+    def write_lost_documents(self) -> None:
+        """Write what a restored store may lack, as operator and targets do."""
+        self.write_configuration()
+        for name in self.targets.keys() - self.removed_targets:
+            self.list_target(name)
+
     def write_configuration(self) -> None:
         """Write a configuration with the current keys to the store."""
         document = configuration(next(self.versions), tuple(self.keys))
