--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -161,7 +161,7 @@
         """Check that a stream that has ended is complete.
 
         A close is the only end of an unframed stream; before the first event
-        it cannot be told from the end of a connection that broke.
+        it cannot be distinguished from the end of a connection that broke.
 
         :raises TargetError: the stream has been truncated
         """
--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -61,7 +61,7 @@
     ) -> None:
         """Hold the evidence, and apart from it what was seen here.
 
-        :param pool: connections, by which crashes are told from single
+        :param pool: connections, by which crashes are distinguished from single
             broken responses
         :param store: keeps quarantines when all instances restart
         """
@@ -126,7 +126,7 @@
         return self.evidence.left_s(part_ids, time.monotonic())
 
     def record_crash(self, key: CrashKey, part_ids: Iterable[str]) -> None:
-        """Record a crash and tell the other instances at once."""
+        """Record a crash and report it at once."""
         now_s = time.monotonic()
         suspects = tuple(part_ids)
         for log in (self.own_crashes, self.evidence.crashes):
@@ -161,7 +161,7 @@
         self._decide(now_s)
 
     def report(self, now_s: float) -> CrashReport:
-        """Return what this instance has to tell the others."""
+        """Return what this instance knows."""
         return CrashReport(
             self.exchange.name,
             tuple(self._reported_crashes(now_s)),
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -36,7 +36,7 @@
 MAX_PAUSE_S = 0.5
 EXPIRY_PERIOD_S = 0.1
 # Maximum wait for a report of another instance before the first use of a view,
-# which tells whether the store was restored without the latest configuration.
+# which shows whether the store was restored without the latest configuration.
 PEER_REPORT_WAIT_S = 1.0
 PEER_REPORT_POLL_S = 0.01
 # Reports that a target may miss before the platform drops its entry.
@@ -358,7 +358,7 @@
             await self._use_view()
 
     async def _use_view(self) -> None:
-        """Let requests use the view, unless another instance has a newer one."""
+        """Let requests use the view unless a peer has a newer one."""
         if self.view.has_targets:
             return
         deadline_s = time.monotonic() + PEER_REPORT_WAIT_S
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -342,7 +342,7 @@
         if target is None:
             self._put_event(owner, reply.number, TicketEvent.MISDIRECTED)
             self._put_event(owner, reply.number, TicketEvent.ENDED)
-            raise _refusal(waiting, 'granted target is gone', 0)
+            raise _refusal(waiting, 'granted target was removed', 0)
         sent = DispatchedRequest(reply.uncached_tokens, 0, time.monotonic())
         self.grants[reply.number] = RemoteGrant(
             owner, reply.number, queue, sent, reply.target
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -188,7 +188,7 @@
         self.send(owned.sender, owned.reply)
 
     def _confirm_queued(self, owned: OwnedTicket) -> None:
-        """Tell an entry that its ticket waits."""
+        """Confirm to an entry that its ticket waits."""
         is_open = (owned.sender, owned.number) in self.tickets
         if is_open and owned.grant is None:
             self.send(owned.sender, owned.reply)
--- a/src/dandelionplank/routing/crashes.py
+++ b/src/dandelionplank/routing/crashes.py
@@ -209,7 +209,7 @@
         """Quarantine the part that explains most crashes, if one is proven.
 
         Of two with as many crashes, the one that was not answered for longer.
-        Parts that are in the same crashes wait for one that tells them apart.
+        Parts that are in the same crashes wait for one that distinguishes them.
         """
         proven = {
             part_id: tuple(crashes)
