Report only limits and their recent ends to the other instances

Each report listed every target that had answered within ten seconds, limited or not, so that reports grew with the number of targets.

Cause: a response without a limit is a statement, too, and the statement's age alone decided what is reported.

Change: the end of a limit is recorded, and reported for ten seconds.

Evidence: test_only_limits_and_their_recent_ends_are_reported failed before and passes; the other 21 tests of tests.test_target_limits passed on this code.

--- a/src/dandelionplank/fleet/ratereports.py
+++ b/src/dandelionplank/fleet/ratereports.py
@@ -20,11 +20,7 @@
     return {
         name: _report(load, now_s)
         for name, load in loads.items()
-        if load.limit.is_limited
-        or (
-            load.limit.is_own
-            and now_s - load.limit.statement.at_s < ENDED_REPORT_S
-        )
+        if load.limit.is_limited or now_s - load.limit.ended_s < ENDED_REPORT_S
     }
 
 
--- a/src/dandelionplank/routing/ratelimit.py
+++ b/src/dandelionplank/routing/ratelimit.py
@@ -51,6 +51,7 @@
 
     :param statement: latest statement of the target
     :param is_own: this instance got that statement from the target itself
+    :param ended_s: monotonic time at which the last limit ended
     :param granted: requests that this instance has assigned to the target
     """
 
@@ -58,6 +59,7 @@
         """Hold no limit."""
         self.statement = RateStatement(UNLIMITED, -math.inf)
         self.is_own = False
+        self.ended_s = -math.inf
         self.granted = 0
         self.level = 0.0
         self.refilled_s = 0.0
@@ -87,12 +89,15 @@
         known = self.statement
         if statement.at_s <= known.at_s:
             return False
-        if not self.is_limited:
+        was_limited = self.is_limited
+        if not was_limited:
             self.level = 0.0
             self.refilled_s = now_s
         self.refill(now_s)
         self.statement = statement
         self.is_own = is_own
+        if was_limited and not self.is_limited:
+            self.ended_s = now_s
         return _is_considerable(known.rate, statement.rate)
 
     def refill(self, now_s: float) -> None:
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -13,7 +13,10 @@
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet import owners
 from dandelionplank.fleet.peers import PeerLoadTable, PeerReport, ReportedLimit
-from dandelionplank.fleet.ratereports import apply_limit_reports
+from dandelionplank.fleet.ratereports import (
+    apply_limit_reports,
+    limit_reports,
+)
 from dandelionplank.platform.headers import response_metadata
 from dandelionplank.routing.load import TargetLoad
 from dandelionplank.routing.ratelimit import (
@@ -237,6 +240,20 @@
     assert limit.level == level - 2 * is_learned
 
 
+def test_only_limits_and_their_recent_ends_are_reported():
+    """A report does not grow with the targets that state no limit."""
+    load = make_load(limit=8)
+    learn(load.limit, UNLIMITED, 1.0)
+    assert not limit_reports({'a': load}, 1.1)
+    learn(load.limit, 2.0, 2.0)
+    assert limit_reports({'a': load}, 50.0)['a'].rate == 2
+    learn(load.limit, UNLIMITED, 50.0)
+    learn(load.limit, UNLIMITED, 51.0)
+    ended = limit_reports({'a': load}, 52.0)['a']
+    assert (ended.rate, ended.age_s) == (UNLIMITED, 1)
+    assert not limit_reports({'a': load}, 70.0)
+
+
 def test_requests_that_a_limit_delays_past_their_objective_are_refused():
     """A request that cannot be served in time does not wait for it."""
     now_s = time.monotonic()
