Send an instance's introduction like every other datagram

The introduction to a new process repeated the check of the socket, the count of bytes and the sending of PeerExchange. Both now use one method, which takes an address; looking the address up stays apart. Nothing changes on the wire.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -190,11 +190,11 @@
         block = _ENCODER.encode(message)
         for name in tuple(self.view.peers):
             if name != self.name:
-                self._send_block(name, block)
+                self._send_listed(name, block)
 
     def send(self, name: str, message: PeerMessage) -> None:
         """Send a message to one instance."""
-        self._send_block(name, _ENCODER.encode(message))
+        self._send_listed(name, _ENCODER.encode(message))
 
     def _respond(self, query: ViewQuery) -> None:
         """Send the revision, age and changes of the view to an instance."""
@@ -234,10 +234,7 @@
         It may not be listed in the store yet, and has to learn at once whether
         its own view is older.
         """
-        if self.transport is not None:
-            block = _ENCODER.encode(self._report(()))
-            METRICS.add('peer_bytes_total', len(block))
-            self.transport.sendto(block, addr)
+        self._send_block(addr, _ENCODER.encode(self._report(())))
 
     def _receive_report(self, report: PeerReport) -> None:
         """Record another instance's report."""
@@ -263,14 +260,18 @@
             now_s,
         )
 
-    def _send_block(self, name: str, block: bytes) -> None:
+    def _send_listed(self, name: str, block: bytes) -> None:
         """Send an encoded message to an instance, if its address is known."""
         address = self.view.peers.get(name)
-        if address is None or self.transport is None:
-            return
-        ip, _, port = address.rpartition(':')
-        METRICS.add('peer_bytes_total', len(block))
-        self.transport.sendto(block, (ip, int(port)))
+        if address is not None:
+            ip, _, port = address.rpartition(':')
+            self._send_block((ip, int(port)), block)
+
+    def _send_block(self, address: tuple[str, int], block: bytes) -> None:
+        """Send an encoded message once the socket is open."""
+        if self.transport is not None:
+            METRICS.add('peer_bytes_total', len(block))
+            self.transport.sendto(block, address)
 
     def _report(self, prefills: tuple[PrefillReport, ...]) -> PeerReport:
         """Build the next report of this instance's load."""
