Share the play of a limited target between its three tests

The tests differ in the target, the path and whether pools have owners. Limit, calls and checks are the same as before; 36 tests of limits and owners of pools: 0 failed.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -93,36 +93,33 @@
         yield
 
 
+async def play_limited_target(name, path):
+    """Limit the only target of a service, and check what it gets."""
+    async with platform_fleet(gateways=GATEWAYS, engines=1) as fleet:
+        target = fleet.targets[name]
+        target.faults.stated_limit = '3.5'
+        await call_all_gateways(fleet, path)
+        check_limit(target, 3.5)
+
+
 @run_async
 async def test_a_fleet_keeps_the_limit_that_an_engine_states():
     """Instances that decide alone keep the limit together."""
-    async with platform_fleet(gateways=GATEWAYS, engines=1) as fleet:
-        engine = fleet.targets['llm-0']
-        engine.faults.stated_limit = '3.5'
-        await call_all_gateways(fleet, '/chat/x')
-        check_limit(engine, 3.5)
+    await play_limited_target('llm-0', '/chat/x')
 
 
 @run_async
 async def test_the_owners_of_pools_keep_the_limit_that_an_engine_states():
     """An owner learns of a limit from the instances that get responses."""
     with pools_in_small_fleets():
-        async with platform_fleet(gateways=GATEWAYS, engines=1) as fleet:
-            engine = fleet.targets['llm-0']
-            engine.faults.stated_limit = '3.5'
-            await call_all_gateways(fleet, '/chat/x')
-            check_limit(engine, 3.5)
+        await play_limited_target('llm-0', '/chat/x')
 
 
 @run_async
 async def test_pooled_fleets_keep_the_limit_of_a_plain_target():
     """Requests without a prompt are counted against a limit as well."""
     with pools_in_small_fleets():
-        async with platform_fleet(gateways=GATEWAYS, engines=1) as fleet:
-            target = fleet.targets['plain-0']
-            target.faults.stated_limit = '3.5'
-            await call_all_gateways(fleet, '/look/x')
-            check_limit(target, 3.5)
+        await play_limited_target('plain-0', '/look/x')
 
 
 def learn(limit, rate, at_s, now_s=None):
