Keep reserved ports bound until their server binds them

Cause: reserve_ports closed its sockets before their processes bound the ports, so that two test processes could choose the same one.

Change: the sockets stay bound. They do not listen and set SO_REUSEADDR after they are bound, so that a server that sets it as well (all of ours do) binds the port, while another reservation fails and chooses again.

The new test failed before (the second bind succeeded); it passes now on both event loops.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,7 @@
 """Starts and stops router and stand-in processes on loopback."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import hashlib
@@ -28,6 +29,9 @@
 # Range of listening ports, below the usual ephemeral ports of outgoing
 # connections.
 LISTEN_PORTS = (10_000, 32_000)
+# Those reserved first are released first; by then their processes have ended.
+MAX_RESERVED_PORTS = 2048
+RESERVED_SOCKETS: collections.deque[socket.socket] = collections.deque()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -375,23 +379,26 @@
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Return ports that were free when checked.
+    """Return free ports that no other caller of this function gets.
 
-    They lie below the ephemeral ports, so that no outgoing connection of
-    another process takes one before it is used.
+    Their sockets stay bound, so that other programs cannot bind the ports.
+    Once ``SO_REUSEADDR`` is set on a socket that does not listen, a server
+    that sets it as well can bind the port. The ports lie below the ephemeral
+    ones, so that no outgoing connection takes one before it is used.
     """
-    sockets: list[socket.socket] = []
-    while len(sockets) < count:
+    ports: list[int] = []
+    while len(ports) < count:
         opened = socket.socket()
         try:
             opened.bind(('127.0.0.1', random.randint(*LISTEN_PORTS)))
         except OSError:
             opened.close()
             continue
-        sockets.append(opened)
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        ports.append(opened.getsockname()[1])
+        RESERVED_SOCKETS.append(opened)
+    while len(RESERVED_SOCKETS) > MAX_RESERVED_PORTS:
+        RESERVED_SOCKETS.popleft().close()
     return ports
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests of a fleet: shares, keys, configuration and shutdown."""
 
 import asyncio
+import errno
 import signal
+import socket
 from http import HTTPStatus
 
 import aiohttp
@@ -13,6 +15,8 @@
     eventually,
     post_deposit,
     read_metric,
+    reserve_ports,
+    run_on_both_loops,
     with_fleet,
 )
 
@@ -344,3 +348,21 @@
     await fleet.run_statement('SET ACCOUNT small SHARE 7')
     for number in range(3):
         await eventually(lambda n=number: _has_share(fleet, n, 7))
+
+
+@run_on_both_loops
+async def test_reserved_ports_stay_free_until_their_server_binds_them():
+    """Tests failed because another program had taken a reserved port."""
+    port = reserve_ports(1)[0]
+    with socket.socket() as other:
+        is_taken = False
+        try:
+            other.bind(('127.0.0.1', port))
+        except OSError as error:
+            is_taken = error.errno == errno.EADDRINUSE
+        assert is_taken
+    loop = asyncio.get_running_loop()
+    for _ in range(2):
+        server = await loop.create_server(asyncio.Protocol, '127.0.0.1', port)
+        server.close()
+        await server.wait_closed()
