Log once a second what accounts asked for and got

A fleet's totals do not show an account that gets far less than its share. The logs had one line for each request, of which refusals name no cost.

Each instance now counts, for each account, the cost of the requests that arrived and of those that targets began to answer, and the requests that were late or refused.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -4,7 +4,7 @@
 import contextlib
 import functools
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator, Mapping
 
 from dandelionplank.delivery.attempt import (
     FIRST_SERVER_ERROR_STATUS,
@@ -32,6 +32,7 @@
     TargetError,
 )
 from dandelionplank.events import Event
+from dandelionplank.fairness.demand import DemandMeter
 from dandelionplank.logs import log_event
 from dandelionplank.routing.budget import ServiceRetryBudgets
 from dandelionplank.routing.retries import AttemptState
@@ -70,22 +71,15 @@
         self.budgets = budgets
         self.crashes = crashes
         self.held = HeldBytes()
+        self.demand = DemandMeter()
 
     async def fetch(self, request: CallerRequest) -> CompleteResponse:
         """Return the complete response to a request that is not a stream.
 
         :raises DandelionplankError: no attempt got a response
         """
-        progress = Progress()
-        while True:
-            response = None
-            try:
-                response = await self._fetch_once(request, progress)
-            except DandelionplankError as error:
-                if not self._should_retry(request, progress, error):
-                    response = progress.final_response(error)
-            if response is not None:
-                return response
+        with self._count_demand(request):
+            return await self._fetch_until_done(request)
 
     async def relay(
         self,
@@ -100,12 +94,56 @@
         """
         progress = Progress()
         try:
-            return await self._relay_until_done(request, sink, progress)
+            with self._count_demand(request):
+                return await self._relay_until_done(request, sink, progress)
         finally:
             unused = progress.take_reserved()
             if unused:
                 self.dispatcher.release(unused)
 
+    def log_demand(self, levels: Mapping[str, float]) -> None:
+        """Log what the accounts asked for and got since the last call.
+
+        :param levels: service that they received lately, fleet-wide
+        """
+        report = self.demand.take_report()
+        if report:
+            log_event(
+                Event.ACCOUNTS_SERVED,
+                accounts=[
+                    {
+                        **demand.log_fields(),
+                        'level': round(levels.get(demand.account, 0)),
+                    }
+                    for demand in report
+                ],
+            )
+
+    async def _fetch_until_done(
+        self, request: CallerRequest
+    ) -> CompleteResponse:
+        """Make attempts until there is a response or none is left."""
+        progress = Progress()
+        while True:
+            response = None
+            try:
+                response = await self._fetch_once(request, progress)
+            except DandelionplankError as error:
+                if not self._should_retry(request, progress, error):
+                    response = progress.final_response(error)
+            if response is not None:
+                return response
+
+    @contextlib.contextmanager
+    def _count_demand(self, request: CallerRequest) -> Iterator[None]:
+        """Count a request as asked for, and one without a response."""
+        self.demand.record_arrival(request.account, request.cost)
+        try:
+            yield
+        except DandelionplankError:
+            self.demand.record_refusal(request.account)
+            raise
+
     async def _relay_until_done(
         self,
         request: CallerRequest,
@@ -165,8 +203,7 @@
             response = await attempt.open()
             self._raise_if_not_executed(attempt)
             body = await attempt.read_body()
-            record_first_event(request, attempt.grant)
-            self.dispatcher.record_first_event(attempt.grant)
+            self._record_begin(attempt)
             is_success = response.status < FIRST_SERVER_ERROR_STATUS
             self.dispatcher.record_outcome(attempt.grant, is_success=is_success)
             self.crashes.record_response(attempt)
@@ -243,9 +280,21 @@
 
     def _record_events(self, attempt: Attempt) -> None:
         """Record that events of a stream have arrived."""
-        self.dispatcher.record_first_event(attempt.grant)
+        self._record_begin(attempt)
         self.crashes.record_events(attempt)
 
+    def _record_begin(self, attempt: Attempt) -> None:
+        """Record that a target has begun to answer, once for each request."""
+        request = attempt.request
+        self.dispatcher.record_first_event(attempt.grant)
+        if record_first_event(request, attempt.grant):
+            waited_s = time.monotonic() - request.arrived_s
+            self.demand.record_begin(
+                request.account,
+                request.cost,
+                is_late=waited_s > request.route.objective_s,
+            )
+
     def _timeout_error(self, attempt: Attempt) -> DandelionplankError:
         """Return the error for a request that timed out."""
         outcome = Outcome.UNKNOWN
--- a/src/dandelionplank/delivery/progress.py
+++ b/src/dandelionplank/delivery/progress.py
@@ -78,10 +78,15 @@
     trace.tokens_per_s = grant.load.tokens_per_s
 
 
-def record_first_event(request: CallerRequest, grant: Grant) -> None:
-    """Record the time to the first event for the log line."""
-    if not request.trace.first_event_s:
-        request.trace.first_event_s = time.monotonic() - grant.sent.sent_s
+def record_first_event(request: CallerRequest, grant: Grant) -> bool:
+    """Record the time to the first event for the log line.
+
+    :return: whether it is the first one of the request
+    """
+    if request.trace.first_event_s:
+        return False
+    request.trace.first_event_s = time.monotonic() - grant.sent.sent_s
+    return True
 
 
 def record_pause(request: CallerRequest, last_passed_s: float) -> float:
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -78,21 +78,26 @@
         """Seconds until the request times out."""
         return self.deadline_s - time.monotonic()
 
+    @property
+    def cost(self) -> float:
+        """Cost in tokens, for the scheduling order among accounts."""
+        work = self.metadata.work
+        return work.cost if work else PLAIN_COST
+
     def to_waiting_request(self, avoided: tuple[str, ...]) -> WaitingRequest:
         """Return the request as the scheduler queues it.
 
         :param avoided: targets that were already tried
         """
-        work = self.metadata.work
         return WaitingRequest(
             self.metadata.request_id,
             self.account,
             self.route.objective_s,
             self.service,
-            work,
+            self.metadata.work,
             self.arrived_s,
             min(self.deadline_s, self.first_event_deadline_s),
-            cost=work.cost if work else PLAIN_COST,
+            cost=self.cost,
             avoided=avoided,
         )
 
--- a/src/dandelionplank/delivery/streams.py
+++ b/src/dandelionplank/delivery/streams.py
@@ -12,7 +12,6 @@
 from dandelionplank.delivery.progress import (
     Progress,
     new_events,
-    record_first_event,
     record_pause,
 )
 from dandelionplank.delivery.requests import CallerRequest
@@ -75,7 +74,6 @@
         last_passed_s = 0.0
         progress_s = time.monotonic()
         while events := await self._next_events(attempt, progress_s):
-            record_first_event(self.request, attempt.grant)
             self.on_events()
             last_passed_s = record_pause(self.request, last_passed_s)
             block = new_events(events, self.progress)
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -46,6 +46,11 @@
         Level.INFO,
         'a request was refused without being executed',
     )
+    ACCOUNTS_SERVED = (
+        212,
+        Level.INFO,
+        'what accounts asked for and got in a period with late requests',
+    )
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -49,6 +49,7 @@
 LAST_RESPONSE_S = 0.2
 DRAIN_POLL_S = 0.05
 SWEEP_PERIOD_S = 0.5
+DEMAND_PERIOD_S = 1.0
 LEAVE_TIMEOUT_S = 0.3
 
 
@@ -201,6 +202,7 @@
             self.crashes.run_storing,
             self.settings_follower.run,
             self._sweep,
+            self._log_demand,
         ):
             self._spawn(run)
         await self.server.listen(callers)
@@ -323,6 +325,12 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.pool.close_expired()
 
+    async def _log_demand(self) -> None:
+        """Log what the accounts asked for and got, once a second."""
+        while True:
+            await asyncio.sleep(DEMAND_PERIOD_S)
+            self.gateway.delivery.log_demand(self.scheduler.service_levels)
+
     def _forget_targets(self, names: tuple[str, ...]) -> None:
         """Drop connections and state of removed targets."""
         for name in names:
