Serve accounts far behind in other pools when their own has no room

Cause: fair order existed within one pool of engines. A request that its preferred pool refused was offered to one other pool, and only to an idle engine of it. An account with few shared prefixes depends on one or two pools; if these lost their engines, it was refused there, while the other pools served the large account. A pool whose engines were all unreachable kept granting them in turn, and requests that waited in it stayed until their deadline.

Change: a request of an account whose service level, fleet-wide, is below a quarter of the highest one waits in the fair order of two further pools. Of several pools, one without a reachable target rejects at once, also what waits, so that requests are sent on.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -91,6 +91,7 @@
             settings.instance.data_center,
             pools.targets_in,
             self.peer_loads,
+            has_other_pools=pools.has_other_pools,
         )
         self.view.listeners.append(self.scheduler.configure)
         self.dispatcher = Dispatcher(self.scheduler)
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import random
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from dandelionplank.delivery.dispatch import Dispatcher
@@ -42,6 +43,8 @@
 SENDS_PER_OWNER = 2
 # Period at which the owner of a queued ticket is asked whether it still waits.
 QUEUED_CHECK_S = 0.1
+# Pools besides its own in which a request of an account far behind may wait.
+POOLS_IF_BEHIND = 2
 # Period at which open grants are listed to their owners.
 LISTING_PERIOD_S = 0.5
 RANDOM_NUMBER_BITS = 48
@@ -126,9 +129,7 @@
         try:
             return await self._acquire_in(queues[0], waiting)
         except RefusalError:
-            grant = None
-            for queue in queues[1:2]:
-                grant = await self._overflow_to(queue, waiting)
+            grant = await self._acquire_elsewhere(queues[1:], waiting)
             if grant is None:
                 raise
             return grant
@@ -217,14 +218,24 @@
             return [waiting.service]
         return []
 
-    async def _overflow_to(
-        self, queue: str, waiting: WaitingRequest
+    async def _acquire_elsewhere(
+        self, queues: Sequence[str], waiting: WaitingRequest
     ) -> Grant | None:
-        """Return a target of a pool that is not the preferred one."""
-        try:
-            return await self._acquire_in(queue, waiting, is_overflow=True)
-        except RefusalError:
-            return None
+        """Return a target of a pool that is not the preferred one.
+
+        Only an idle target, unless the account is far behind: then the
+        request waits in the fair order of the other pools, because its own
+        may have lost its targets while others serve the accounts ahead.
+        """
+        is_behind = self.dispatcher.scheduler.is_behind(
+            waiting.account, time.monotonic()
+        )
+        for queue in queues[: POOLS_IF_BEHIND if is_behind else 1]:
+            with contextlib.suppress(RefusalError):
+                return await self._acquire_in(
+                    queue, waiting, is_overflow=not is_behind
+                )
+        return None
 
     async def _acquire_in(
         self,
--- a/src/dandelionplank/routing/health.py
+++ b/src/dandelionplank/routing/health.py
@@ -29,6 +29,11 @@
         self.consecutive_unreachable = 0
         self.paused_until_s = 0.0
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the target accepted no connection at the last attempt."""
+        return self.consecutive_unreachable > 0
+
     def is_paused(self, now_s: float) -> bool:
         """Return whether the target gets no work at present."""
         return now_s < self.paused_until_s
--- a/src/dandelionplank/routing/pools.py
+++ b/src/dandelionplank/routing/pools.py
@@ -101,6 +101,11 @@
             return targets
         return self.pools_of(service).by_queue.get(queue, ())
 
+    def has_other_pools(self, queue: str) -> bool:
+        """Return whether a queue is that of one of several pools."""
+        service, separator, _ = queue.rpartition('#')
+        return bool(separator) and len(self.pools_of(service).by_queue) > 1
+
     def rank(self, service: str, work: TokenWork) -> list[str]:
         """Return the queues of a service in order of preference for a prompt.
 
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -54,12 +54,16 @@
 # Extra work that a target may hold before a request of an account that has
 # received no service lately, as a fraction of the usual limit.
 FAIRNESS_QUEUE_BONUS = 1.0
+# An account is far behind if its service level is below this share of the
+# highest one.
+BEHIND_RANK = 0.25
 # The service levels of the accounts are summed again after this time.
 SERVICE_LEVELS_MAX_AGE_S = 0.05
 # Maximum number of prefills held for the next reports to the other instances.
 MAX_PREFILL_REPORTS = 256
 # Retry-After of a service that has no target at all.
 NO_TARGET_RETRY_S = 1.0
+NO_TARGET = 'no sound target'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +98,11 @@
 TargetsOf = Callable[[str], Iterable[Target]]
 
 
+def _has_none(_: str) -> bool:
+    """Return that the queue of a service without pools is its only one."""
+    return False
+
+
 class Scheduler:
     """Decides for this instance which request goes to which target."""
 
@@ -103,13 +112,17 @@
         targets_of: TargetsOf,
         peers: PeerLoadTable,
         jitter: Callable[[], float] = random.random,
+        has_other_pools: Callable[[str], bool] = _has_none,
     ) -> None:
         """Hold the loads of the targets and the queues of the services.
 
         :param targets_of: returns the targets of a service that accept work
         :param peers: load of the other instances
         :param jitter: returns random numbers from zero to one
+        :param has_other_pools: returns whether a queue is that of one of
+            several pools of a service
         """
+        self.has_other_pools = has_other_pools
         self.data_center = data_center
         self.targets_of = targets_of
         self.peers = peers
@@ -140,7 +153,7 @@
         queue_limit_s = self._queue_limit_s(waiting.account)
         placement = self._place(waiting, snapshots, queue_limit_s, now_s)
         if placement is None:
-            return Rejection(waiting, 'no sound target', NO_TARGET_RETRY_S)
+            return Rejection(waiting, NO_TARGET, NO_TARGET_RETRY_S)
         queue = self.queues.setdefault(waiting.service, WaitingQueue())
         if not placement.has_capacity or queue.count:
             estimate = self._estimate_latency(waiting, placement, queue)
@@ -166,6 +179,11 @@
         placement = self._place(waiting, snapshots, TARGET_QUEUE_S, now_s)
         return placement is not None and placement.has_capacity
 
+    def is_behind(self, account: str, now_s: float) -> bool:
+        """Return whether an account is far behind the one that got most."""
+        self._refresh_service_levels(now_s)
+        return bool(account) and self._rank(account) < BEHIND_RANK
+
     def withdraw(self, waiting: WaitingRequest) -> None:
         """Remove a request from its queue."""
         queue = self.queues.get(waiting.service)
@@ -202,7 +220,12 @@
         return grants
 
     def expire(self, now_s: float) -> list[Rejection]:
-        """Reject the requests whose deadline has passed."""
+        """Reject the requests whose deadline has passed.
+
+        Those of a pool that has lost its targets may be served in another one,
+        and do not wait until then.
+        """
+        rejections = self._reject_stranded(now_s)
         expired = [
             waiting
             for queue in self.queues.values()
@@ -211,10 +234,11 @@
         ]
         for waiting in expired:
             self.withdraw(waiting)
-        return [
+        rejections.extend(
             Rejection(waiting, 'no target was free in time', 1 + self.jitter())
             for waiting in expired
-        ]
+        )
+        return rejections
 
     def load_of(self, target: Target) -> TargetLoad:
         """Return the load of a target, a fresh one if it has restarted."""
@@ -256,6 +280,23 @@
             if load and load.is_idle:
                 self.loads.pop(name)
 
+    def _reject_stranded(self, now_s: float) -> list[Rejection]:
+        """Reject the requests of pools without a sound target."""
+        stranded = [
+            waiting
+            for name, queue in self.queues.items()
+            if queue.count
+            and self.has_other_pools(name)
+            and not self._snapshots(name, now_s)
+            for waiting in queue.all_requests()
+        ]
+        for waiting in stranded:
+            self.withdraw(waiting)
+        return [
+            Rejection(waiting, NO_TARGET, NO_TARGET_RETRY_S)
+            for waiting in stranded
+        ]
+
     def _grant(
         self,
         waiting: WaitingRequest,
@@ -296,7 +337,8 @@
     def _snapshots(self, service: str, now_s: float) -> TargetSnapshots:
         """Return load snapshots of the targets that accept requests.
 
-        Paused targets are left out, unless all of them are paused.
+        Paused targets are left out, unless all of them are paused. In a pool,
+        unreachable ones are left out even then if there are other pools.
         """
         taken_s, snapshots = self.snapshots.get(service, NO_SNAPSHOT)
         if now_s - taken_s < SNAPSHOT_MAX_AGE_S:
@@ -308,7 +350,13 @@
             if not load.health.is_paused(now_s)
         ]
         if not names:
-            names = [load.target.name for load in loads]
+            names = [
+                load.target.name
+                for load in loads
+                if not (
+                    load.health.is_unreachable and self.has_other_pools(service)
+                )
+            ]
         snapshots = self._policy(service).snapshot(names, now_s)
         self.snapshots[service] = (now_s, snapshots)
         return snapshots
--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -80,7 +80,12 @@
             self.view.registry.put(make_engine(f'e{number}'))
         self.peer_loads = PeerLoadTable()
         self.pools = TargetPools(self.view.targets_of)
-        self.scheduler = Scheduler('a', self.pools.targets_in, self.peer_loads)
+        self.scheduler = Scheduler(
+            'a',
+            self.pools.targets_in,
+            self.peer_loads,
+            has_other_pools=self.pools.has_other_pools,
+        )
         self.scheduler.engine_memory = {'llm': MEMORY}
         self.dispatcher = Dispatcher(self.scheduler)
         self.owner = PoolOwner(name, self.dispatcher, network.sender(name))
