Fit the time-out of tickets to the reply times of owners

Cause: an owner of a pool counted as silent after 50 ms without a reply. On an instance that is late itself the replies wait unread in its socket, so that it took its own delay for silence and sent the large account's requests to other owners. These assign the same engines and do not know the requests that wait at the first owner, so that there are two orders instead of one.

Change: the time-out follows the measured reply times of each owner, from 25 to 250 ms, as TCP's does, and a late reply ends the suspicion of its owner.

--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -1,7 +1,7 @@
 """Entry's side of the pools: obtains targets from the owners of pools.
 
-An owner that does not answer within some tens of milliseconds is skipped: the
-next owner is asked, and then this instance decides alone.
+An owner that does not answer in the time that its replies usually take is
+skipped: the next owner is asked, and then this instance decides alone.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet.owners import OwnerDirectory
+from dandelionplank.fleet.replytimes import ReplyTimes
 from dandelionplank.fleet.tickets import (
     OpenGrant,
     OpenGrants,
@@ -37,9 +38,7 @@
 from dandelionplank.routing.work import TokenWork
 
 STEP = 'pool'
-# Time after which an unanswered ticket is sent again, and how often it is sent
-# before its owner counts as silent.
-REPLY_TIMEOUT_S = 0.025
+# How often a ticket is sent before its owner counts as silent.
 SENDS_PER_OWNER = 2
 # Period at which the owner of a queued ticket is asked whether it still waits.
 QUEUED_CHECK_S = 0.1
@@ -104,6 +103,7 @@
         # A random start, so that no reply to an earlier process matches.
         self.numbers = itertools.count(random.getrandbits(RANDOM_NUMBER_BITS))
         self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
+        self.reply_times = ReplyTimes()
         self.grants: dict[int, RemoteGrant] = {}
         self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
             defaultdict(list)
@@ -180,9 +180,11 @@
         replies = self.replies.get(reply.number)
         if replies is not None:
             replies.put_nowait(reply)
-        elif isinstance(reply, TicketGrant) and (
-            reply.number not in self.grants
-        ):
+            return
+        owner = self.reply_times.record_late(reply.number, time.monotonic())
+        if owner:
+            self.owners.record_answer(owner)
+        if isinstance(reply, TicketGrant) and reply.number not in self.grants:
             self._put_event(reply.owner, reply.number, TicketEvent.ENDED)
 
     async def run_listing(self) -> None:
@@ -322,13 +324,15 @@
 
         :return: None if the owner does not answer
         """
+        sent_s = time.monotonic()
         for _ in range(SENDS_PER_OWNER):
             self.send(owner, ticket)
             try:
-                async with asyncio.timeout(REPLY_TIMEOUT_S):
+                async with asyncio.timeout(self.reply_times.timeout_s(owner)):
                     reply = await replies.get()
             except TimeoutError:
                 continue
+            self.reply_times.record(owner, time.monotonic() - sent_s)
             if not isinstance(reply, TicketQueued):
                 return reply
             try:
@@ -336,6 +340,7 @@
                     return await _decision(replies)
             except TimeoutError:
                 return reply
+        self.reply_times.record_unanswered(owner, ticket.number, sent_s)
         return None
 
     def _accept(
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -1,11 +1,26 @@
 """Tests of the accounts' shares while engines crash under a high load."""
 
 import asyncio
+import math
+import random
 
 from nose2.tools import params
 
+from dandelionplank.fleet.replytimes import (
+    LONGEST_TIMEOUT_S,
+    MAX_UNANSWERED,
+    SHORTEST_TIMEOUT_S,
+    ReplyTimes,
+)
+from tests.fixtures import run_async
 from tests.fleetsimulation import run_in_virtual_time, simulate
-from tests.test_pool_owners import make_work
+from tests.test_pool_owners import (
+    entry_other_than,
+    make_waiting,
+    make_work,
+    owner_of,
+    pooled_fleet,
+)
 
 ENGINES = 28
 INSTANCES = 16
@@ -14,6 +29,34 @@
 BUSY_INSTANCE = 1
 # Shares are guaranteed over this many seconds.
 WINDOW_S = 6
+SEED = 2
+
+
+def delay_messages(network, name, delay_s):
+    """Delay the messages to an instance, as its busy event loop does."""
+    deliver_later = network.deliver_later
+
+    def deliver_delayed(source, receiver, message):
+        if receiver != name:
+            deliver_later(source, receiver, message)
+            return
+        asyncio.get_running_loop().call_later(
+            delay_s * random.uniform(0.5, 1.5),
+            deliver_later,
+            source,
+            receiver,
+            message,
+        )
+
+    network.deliver_later = deliver_delayed
+
+
+async def crash_twice(fleet):
+    """Crash a quarter of the engines, and as many again three seconds later."""
+    await asyncio.sleep(2)
+    fleet.crash_engines(CRASHED)
+    await asyncio.sleep(3)
+    fleet.crash_engines(CRASHED)
 
 
 def crash_pool(fleet, account, subject):
@@ -48,3 +91,83 @@
 
     fleet = run_in_virtual_time(simulate(plan, ENGINES, INSTANCES), seed)
     assert not fleet.shortfalls(SECONDS, WINDOW_S)
+
+
+@params(0.06, 0.1)
+def test_a_busy_entry_takes_no_service_from_other_accounts(delay_s):
+    """An account got less than half of its share beside a large one.
+
+    The large account's entry took the late replies of owners for silence, and
+    sent its requests to other owners, which did not know those that waited.
+    """
+
+    async def call(fleet):
+        await asyncio.sleep(1)
+        delay_messages(fleet.network, f'i{BUSY_INSTANCE}', delay_s)
+
+    async def plan(fleet):
+        others = [
+            fleet.send(f'small{number}', (4 + number,), 4, 4, SECONDS)
+            for number in range(6)
+        ]
+        await asyncio.gather(
+            call(fleet),
+            crash_twice(fleet),
+            fleet.send('large', (BUSY_INSTANCE,), 40, 450, SECONDS),
+            fleet.send('middle', (2, 5), 10, 90, SECONDS),
+            fleet.send('light', (3, 9), 6, 20, SECONDS),
+            *others,
+        )
+
+    fleet = run_in_virtual_time(simulate(plan, ENGINES, INSTANCES), SEED)
+    assert not fleet.shortfalls(SECONDS, WINDOW_S)
+
+
+def test_the_time_out_follows_the_replies():
+    """It is short on an idle instance and never longer than its limit."""
+    times = ReplyTimes()
+    for _ in range(50):
+        times.record('near', 0.001)
+        times.record('late', 0.1)
+        times.record('frozen', 10)
+    for owner, timeout_s in (
+        ('near', SHORTEST_TIMEOUT_S),
+        ('unknown', SHORTEST_TIMEOUT_S),
+        ('frozen', LONGEST_TIMEOUT_S),
+    ):
+        assert math.isclose(times.timeout_s(owner), timeout_s), owner
+    late_s = times.timeout_s('late')
+    assert SHORTEST_TIMEOUT_S * 4 < late_s < LONGEST_TIMEOUT_S
+    for _ in range(50):
+        times.record('late', 0.001)
+    assert math.isclose(times.timeout_s('late'), SHORTEST_TIMEOUT_S)
+
+
+def test_the_tickets_whose_replies_may_be_late_are_bounded():
+    """An owner that never replies costs no memory without limit."""
+    times = ReplyTimes()
+    for number in range(2 * MAX_UNANSWERED):
+        times.record_unanswered('owner', number, 0)
+    assert len(times.unanswered) == MAX_UNANSWERED
+    assert not times.record_late(0, 1)
+    assert times.record_late(2 * MAX_UNANSWERED - 1, 1) == 'owner'
+
+
+@run_async
+async def test_a_late_reply_shows_that_its_owner_is_alive():
+    """The owner is asked again at once, with a longer time-out."""
+    async with pooled_fleet() as network:
+        work = make_work('subject', 'own')
+        owner = owner_of(network, work)
+        entry = entry_other_than(network, owner.name)
+        await entry.client.acquire(make_waiting(work))
+        delay_messages(network, entry.name, 0.1)
+        await entry.client.acquire(make_waiting(work))
+        await asyncio.sleep(0.3)
+        assert not entry.directory.suspicions
+        grant = await entry.client.acquire(make_waiting(work))
+        assert grant.load.target.name in {
+            each.grant.load.target.name for each in owner.owner.tickets.values()
+        }
+        timeout_s = entry.client.reply_times.timeout_s(owner.name)
+        assert timeout_s > SHORTEST_TIMEOUT_S
