--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -6,6 +6,7 @@
 
 from nose2.tools import params
 
+from dandelionplank.fairness.demand import MAX_REPORTED_ACCOUNTS, DemandMeter
 from dandelionplank.fleet.replytimes import (
     LONGEST_TIMEOUT_S,
     MAX_UNANSWERED,
@@ -171,3 +172,30 @@
         }
         timeout_s = entry.client.reply_times.timeout_s(owner.name)
         assert timeout_s > SHORTEST_TIMEOUT_S
+
+
+def test_a_report_names_the_accounts_that_are_furthest_behind():
+    """One account's lack of service does not show in the fleet's totals."""
+    meter = DemandMeter()
+    for number in range(50):
+        account = f'a{number}'
+        meter.record_arrival(account, 1000)
+        meter.record_begin(account, 1000, is_late=number == 1)
+    for _ in range(3):
+        meter.record_arrival('behind', 1000)
+        meter.record_refusal('behind')
+    meter.record_arrival('best', 9000)
+    meter.record_begin('best', 9000, is_late=False)
+    report = meter.take_report()
+    assert [each.account for each in report] == ['behind', 'a1', 'best']
+    assert (report[0].missing, report[0].refused) == (3000, 3)
+    assert not meter.take_report()
+
+
+def test_a_report_of_many_accounts_is_bounded():
+    """The log line does not grow with the number of accounts."""
+    meter = DemandMeter()
+    for number in range(1000):
+        meter.record_arrival(f'a{number}', number)
+        meter.record_refusal(f'a{number}')
+    assert len(meter.take_report()) == MAX_REPORTED_ACCOUNTS
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -14,7 +14,6 @@
 from dandelionplank.contracts import ServiceContract, ServiceKind
 from dandelionplank.errors import ErrorCode
 from dandelionplank.fairness.counters import VirtualCounters
-from dandelionplank.fairness.demand import MAX_REPORTED_ACCOUNTS, DemandMeter
 from dandelionplank.fairness.invariants import find_violations
 from dandelionplank.fairness.recovery import SchedulerRecovery
 from dandelionplank.fairness.scheduler import PoolScheduler
@@ -407,30 +406,3 @@
         SchedulerMachine,
         settings=settings(max_examples=60, stateful_step_count=40),
     )
-
-
-def test_a_report_names_the_accounts_that_are_furthest_behind():
-    """One account's lack of service does not show in the fleet's totals."""
-    meter = DemandMeter()
-    for number in range(50):
-        account = f'a{number}'
-        meter.record_arrival(account, 1000)
-        meter.record_begin(account, 1000, is_late=number == 1)
-    for _ in range(3):
-        meter.record_arrival('behind', 1000)
-        meter.record_refusal('behind')
-    meter.record_arrival('best', 9000)
-    meter.record_begin('best', 9000, is_late=False)
-    report = meter.take_report()
-    assert [each.account for each in report] == ['behind', 'a1', 'best']
-    assert (report[0].missing, report[0].refused) == (3000, 3)
-    assert not meter.take_report()
-
-
-def test_a_report_of_many_accounts_is_bounded():
-    """The log line does not grow with the number of accounts."""
-    meter = DemandMeter()
-    for number in range(1000):
-        meter.record_arrival(f'a{number}', number)
-        meter.record_refusal(f'a{number}')
-    assert len(meter.take_report()) == MAX_REPORTED_ACCOUNTS
