Refuse a request that has crashed three targets

Cause: only parts of prompts were suspects of a crash. A request without a prompt left no evidence.

Change: the identity of a request, a digest of its account, method, path and body and of the target's software version, is one more part of it in the evidence of crashes. It is exchanged, quarantined after three crashes (five if it was answered within 30 s before), stored and released as parts of prompts are. Of an identity and a part in the same crashes, the identity is quarantined. The version is part of it, so that a new version of the service gets the request again; targets report it in their entries. Answered identities are held apart from answered parts, because there are far more of them.

Ruled out: quarantine by path and caller (refuses their sound requests), and a second mechanism beside the evidence of parts (the same messages and entries twice).

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -88,6 +88,7 @@
         'Service': service,
         'Addr': address,
         'Zone': 'a',
+        'Version': '1',
         'Slots': 8,
         'State': 'ready',
         **changes,
--- a/src/dandelionplank/delivery/crashwatch.py
+++ b/src/dandelionplank/delivery/crashwatch.py
@@ -1,7 +1,7 @@
 """Tells crashes of targets from single broken responses.
 
 A target has crashed if it breaks off a response and then refuses connections.
-The prompts that it had just begun to answer may be the cause; those that are
+The requests that it had just begun to answer may be the cause; those that are
 known to be one are refused.
 """
 
@@ -9,10 +9,14 @@
 import dataclasses
 import time
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from dandelionplank.delivery.attempt import SUCCESS_STATUSES, Attempt
+from dandelionplank.delivery.attempt import (
+    FIRST_SERVER_ERROR_STATUS,
+    SUCCESS_STATUSES,
+    Attempt,
+)
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.requests import CallerRequest
 from dandelionplank.errors import ErrorCode, RefusalError, TargetError
@@ -32,13 +36,17 @@
 SAME_CRASH_S = 1.0
 MAX_LOGGED_PARTS = 16
 
+# Returns the software versions of the targets of a service.
+VersionsOf = Callable[[str], Iterable[str]]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenResponse:
     """A response that broke off before it had gone on for long.
 
     :param at_s: monotonic time at which it broke off
-    :param part_ids: parts of the prompt that other prompts may share
+    :param part_ids: identity of the request, and the parts of its prompt that
+        other prompts may share
     :param is_complete: it is complete unless the target has crashed, as only
         the end of the connection marks its end
     """
@@ -49,37 +57,49 @@
 
 
 class CrashRecorder(Protocol):
-    """Collects evidence of the prompts that crash targets."""
+    """Collects evidence of the requests that crash targets."""
+
+    @property
+    def has_quarantines(self) -> bool:
+        """Return whether any part is in quarantine."""
 
     def quarantine_left_s(self, part_ids: Iterable[str]) -> float:
-        """Return how long a prompt may not be sent, zero if it may."""
+        """Return how long a request may not be sent, zero if it may."""
 
     def record_crash(self, key: CrashKey, part_ids: Iterable[str]) -> None:
-        """Record the parts of the prompts open at a target that crashed."""
+        """Record the parts of the requests open at a target that crashed."""
 
     def record_answer(self, part_ids: Iterable[str], at_s: float) -> None:
         """Record that a target began an answer that it went on with."""
 
 
 class CrashWatch:
-    """Finds crashed targets, and the parts of the prompts open at them."""
+    """Finds crashed targets, and the parts of the requests open at them."""
 
-    def __init__(self, pool: ConnectionPool, recorder: CrashRecorder) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        recorder: CrashRecorder,
+        versions_of: VersionsOf,
+    ) -> None:
         """Hold the broken responses of targets that may have crashed."""
         self.pool = pool
         self.recorder = recorder
+        self.versions_of = versions_of
         self.broken: dict[Target, list[BrokenResponse]] = defaultdict(list)
         self.checks: dict[Target, asyncio.Task[None]] = {}
 
-    def check_prompt(self, request: CallerRequest) -> None:
-        """Refuse a request whose prompt holds a quarantined part.
+    def check_request(self, request: CallerRequest) -> None:
+        """Refuse a request that is quarantined, or a part of its prompt.
 
         :raises RefusalError: the request must not be sent to any target
         """
-        work = request.metadata.work
-        if work is None:
+        if not self.recorder.has_quarantines:
             return
-        left_s = self.recorder.quarantine_left_s(work.shared_part_ids)
+        versions = self.versions_of(request.service)
+        left_s = self.recorder.quarantine_left_s(
+            (*map(request.identity, versions), *_shared_parts(request))
+        )
         if left_s > 0:
             raise RefusalError(
                 step=STEP,
@@ -104,7 +124,7 @@
         its connection delimits.
         """
         response = attempt.response
-        if response is None or response.status not in SUCCESS_STATUSES:
+        if response is None or not _is_answer(attempt.request, response.status):
             return
         now_s = time.monotonic()
         began_s = attempt.first_bytes_s or now_s
@@ -128,18 +148,17 @@
         self, attempt: Attempt, now_s: float, *, is_complete: bool
     ) -> None:
         """Check whether the target of a response is alive."""
-        part_ids = _shared_parts(attempt)
-        if not part_ids:
-            return
         target = attempt.grant.load.target
-        self.broken[target].append(BrokenResponse(now_s, part_ids, is_complete))
+        self.broken[target].append(
+            BrokenResponse(now_s, _suspect_ids(attempt), is_complete)
+        )
         if target not in self.checks:
             self.checks[target] = asyncio.ensure_future(self._check(target))
 
     def _record_answer(self, attempt: Attempt, began_s: float) -> None:
         """Record that a target went on with an answer."""
         attempt.is_recorded_sound = True
-        self.recorder.record_answer(_shared_parts(attempt), began_s)
+        self.recorder.record_answer(_suspect_ids(attempt), began_s)
 
     async def _check(self, target: Target) -> None:
         """Open a connection to a target, and keep it if one is accepted."""
@@ -186,9 +205,23 @@
     return began_s is None or now_s - began_s < SUSPECT_RESPONSE_S
 
 
-def _shared_parts(attempt: Attempt) -> tuple[str, ...]:
+def _is_answer(request: CallerRequest, status: int) -> bool:
+    """Return whether a status shows that a target has run a request."""
+    if request.metadata.work is None:
+        return status < FIRST_SERVER_ERROR_STATUS
+    return status in SUCCESS_STATUSES
+
+
+def _suspect_ids(attempt: Attempt) -> tuple[str, ...]:
+    """Return what an attempt's target may have crashed on."""
+    request = attempt.request
+    version = attempt.grant.load.target.version
+    return (request.identity(version), *_shared_parts(request))
+
+
+def _shared_parts(request: CallerRequest) -> tuple[str, ...]:
     """Return the parts of a prompt that other prompts may share."""
-    work = attempt.request.metadata.work
+    work = request.metadata.work
     return work.shared_part_ids if work else ()
 
 
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -253,7 +253,7 @@
         progress: Progress,
     ) -> AsyncIterator[Attempt]:
         """Acquire a target for an attempt and always release it afterwards."""
-        self.crashes.check_prompt(request)
+        self.crashes.check_request(request)
         grant = progress.take_reserved() or await self.dispatcher.acquire(
             request.to_waiting_request(progress.avoided),
         )
@@ -263,8 +263,8 @@
         progress.avoided = (*progress.avoided, attempt.target_name)
         progress.possible_executions += 1
         try:
-            # The prompt may have been quarantined while the request waited.
-            self.crashes.check_prompt(request)
+            # It may have been quarantined while the request waited.
+            self.crashes.check_request(request)
             async with asyncio.timeout(request.time_left_s):
                 yield attempt
         except TimeoutError as error:
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -1,15 +1,19 @@
 """A caller's request, its trace, and the complete response to it."""
 
 import dataclasses
+import hashlib
 import time
 
 from dandelionplank.fairness.waiting import WaitingRequest
+from dandelionplank.routing.crashes import REQUEST_PREFIX
 from dandelionplank.routing.routes import Route
 from dandelionplank.routing.work import RequestMetadata
 
 # Cost in tokens of a request to a plain service, for the scheduling order
 # among accounts.
 PLAIN_COST = 1000.0
+IDENTITY_BYTES = 10
+LENGTH_BYTES = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,6 +88,21 @@
         work = self.metadata.work
         return work.cost if work else PLAIN_COST
 
+    def identity(self, version: str) -> str:
+        """Return what the repetitions of this request have in common.
+
+        A digest, because it appears in logs and in messages to instances.
+
+        :param version: software version of the target that executes it
+        """
+        digest = hashlib.blake2b(digest_size=IDENTITY_BYTES)
+        for text in (self.account, self.method, self.path, version):
+            encoded = text.encode('utf-8', 'surrogateescape')
+            digest.update(len(encoded).to_bytes(LENGTH_BYTES, 'big'))
+            digest.update(encoded)
+        digest.update(self.body)
+        return REQUEST_PREFIX + digest.hexdigest()
+
     def to_waiting_request(self, avoided: tuple[str, ...]) -> WaitingRequest:
         """Return the request as the scheduler queues it.
 
--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -64,7 +64,7 @@
     PROMPT_QUARANTINED = (
         3006,
         HTTPStatus.SERVICE_UNAVAILABLE,
-        'a part of the prompt has crashed targets',
+        'the request, or a part of its prompt, has crashed targets',
     )
     TARGET_UNREACHABLE = (
         4001,
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -90,12 +90,12 @@
     PART_QUARANTINED = (
         316,
         Level.WARNING,
-        'prompts with a part that crashes targets are refused',
+        'requests with a part that crashes targets are refused',
     )
     PART_RELEASED = (
         317,
         Level.INFO,
-        'prompts with a quarantined part are accepted again',
+        'requests with a quarantined part are accepted again',
     )
     TARGET_LIMITED = (
         318,
--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -1,12 +1,13 @@
 """Task that exchanges evidence of crashes with the other instances."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from dandelionplank.delivery.connections import ConnectionPool
-from dandelionplank.delivery.crashwatch import CrashWatch
+from dandelionplank.delivery.crashwatch import CrashWatch, VersionsOf
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
 from dandelionplank.fleet.crashmessages import (
@@ -58,12 +59,14 @@
         exchange: PeerExchange,
         pool: ConnectionPool,
         store: QuarantineStore,
+        versions_of: VersionsOf,
     ) -> None:
         """Hold the evidence, and apart from it what was seen here.
 
         :param pool: connections, by which crashes are distinguished from single
             broken responses
         :param store: keeps quarantines when all instances restart
+        :param versions_of: returns the software versions of a service's targets
         """
         self.exchange = exchange
         self.store = store
@@ -72,7 +75,7 @@
         self.evidence = CrashEvidence()
         self.own_crashes = CrashLog()
         self.own_answered = AnsweredParts()
-        self.watch = CrashWatch(pool, self)
+        self.watch = CrashWatch(pool, self, versions_of)
         self.sent_s = 0.0
 
     @property
@@ -121,8 +124,13 @@
             time.monotonic(),
         )
 
+    @property
+    def has_quarantines(self) -> bool:
+        """Return whether any part is in quarantine."""
+        return bool(self.evidence.quarantines)
+
     def quarantine_left_s(self, part_ids: Iterable[str]) -> float:
-        """Return how long a prompt may not be sent, zero if it may."""
+        """Return how long a request may not be sent, zero if it may."""
         return self.evidence.left_s(part_ids, time.monotonic())
 
     def record_crash(self, key: CrashKey, part_ids: Iterable[str]) -> None:
@@ -208,8 +216,8 @@
         """Yield the last answers seen here to prompts with suspect parts."""
         bytes_left = MAX_ANSWER_BYTES
         for part_id in self._suspects():
-            at_s = self.own_answered.times.get(part_id)
-            if at_s is None:
+            at_s = self.own_answered.last_s(part_id)
+            if math.isinf(at_s):
                 continue
             bytes_left -= _size_of((part_id,))
             if bytes_left < 0:
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -118,7 +118,10 @@
             settings_path, settings, self._apply_settings
         )
         self.crashes = CrashReporter(
-            self.exchange, self.pool, parts.quarantines
+            self.exchange,
+            self.pool,
+            parts.quarantines,
+            self.view.versions_of,
         )
         self.view.quarantine_listeners.append(self.crashes.learn)
         self.view.restoration_listeners.append(self.crashes.store_again)
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -128,3 +128,7 @@
     def targets_of(self, service: str) -> tuple[Target, ...]:
         """Return the targets of a service that may be given work."""
         return self.registry.of_service(service)
+
+    def versions_of(self, service: str) -> set[str]:
+        """Return the software versions of these targets."""
+        return {target.version for target in self.targets_of(service)}
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -63,6 +63,7 @@
             state=_STATES[_text(entry, 'State')],
             limit=_positive_integer(entry, 'Slots'),
             started_ms=int(entry.get('born', 0)),
+            version=str(entry.get('Version', '')),
         )
     except _DECODE_ERRORS as error:
         raise MalformedDocumentError(
--- a/src/dandelionplank/routing/crashes.py
+++ b/src/dandelionplank/routing/crashes.py
@@ -1,9 +1,11 @@
-"""Which parts of prompts crash targets: pure state, no I/O and no clock.
-
-A crash makes suspects of the parts of all prompts that the target had just
-begun to answer. A part that is in several crashes, and in no answer since the
-first of them, is quarantined. Every crash that it explains then counts for it
-alone, so that parts that are merely in the same prompts are spared.
+"""Which requests crash targets: pure state, no I/O and no clock.
+
+A crash makes suspects of all requests that the target had just begun to
+answer: of each request as a whole, and of the parts of its prompt. A part that
+is in several crashes, and in no answer since the first of them, is
+quarantined. Every crash that it explains then counts for it alone, so that
+parts that are merely in the same requests are spared. The identity of a
+request, equal for its repetitions, is treated as one more part of it.
 """
 
 import dataclasses
@@ -32,6 +34,9 @@
 MAX_QUARANTINES = 32
 MAX_SUSPECTS = 128
 MAX_PART_ID_LENGTH = 64
+# Prefix of the identities of requests; the id of a part of a prompt contains
+# no colon.
+REQUEST_PREFIX = 'r:'
 
 # Name of a target and the Unix time of its start in milliseconds.
 CrashKey = tuple[str, int]
@@ -111,23 +116,32 @@
 
 
 class AnsweredParts:
-    """When a prompt with a part was last answered."""
+    """When a request with a part was last answered."""
 
     def __init__(self) -> None:
-        """Hold the monotonic times by part, the latest last."""
+        """Hold the monotonic times by part, the latest last.
+
+        The identities of requests are held apart: there are far more of them.
+        """
         self.times: OrderedDict[str, float] = OrderedDict()
+        self.request_times: OrderedDict[str, float] = OrderedDict()
 
     def add(self, part_ids: Iterable[str], at_s: float) -> None:
         """Record that a target began an answer that it went on with."""
         for part_id in filter(_is_valid, part_ids):
-            self.times[part_id] = max(at_s, self.last_s(part_id))
-            self.times.move_to_end(part_id)
-        while len(self.times) > MAX_ANSWERED_PARTS:
-            self.times.popitem(last=False)
+            times = self._times_of(part_id)
+            times[part_id] = max(at_s, self.last_s(part_id))
+            times.move_to_end(part_id)
+            if len(times) > MAX_ANSWERED_PARTS:
+                times.popitem(last=False)
 
     def last_s(self, part_id: str) -> float:
         """Return the time of the last answer, minus infinity for none."""
-        return self.times.get(part_id, -math.inf)
+        return self._times_of(part_id).get(part_id, -math.inf)
+
+    def _times_of(self, part_id: str) -> OrderedDict[str, float]:
+        """Return the times that a part is held among."""
+        return self.request_times if is_request(part_id) else self.times
 
 
 class CrashEvidence:
@@ -208,19 +222,29 @@
     def _quarantine_worst(self, now_s: float) -> QuarantineChange | None:
         """Quarantine the part that explains most crashes, if one is proven.
 
-        Of two with as many crashes, the one that was not answered for longer.
-        Parts that are in the same crashes wait for one that distinguishes them.
+        Of two with as many crashes, the identity of a request, which refuses
+        no other request, or else the one that was not answered for longer.
+        Parts that are in the same crashes wait for one that distinguishes
+        them, and so do identities.
         """
         proven = {
             part_id: tuple(crashes)
             for part_id, crashes in self.suspects().items()
             if self._is_proven(part_id, crashes, now_s)
         }
-        rivals = Counter(proven.values())
+        rivals = Counter(
+            (is_request(part_id), crashes)
+            for part_id, crashes in proven.items()
+        )
         ranked = [
-            (len(crashes), -self.answered.last_s(part_id), part_id)
+            (
+                len(crashes),
+                is_request(part_id),
+                -self.answered.last_s(part_id),
+                part_id,
+            )
             for part_id, crashes in proven.items()
-            if rivals[crashes] == 1
+            if rivals[is_request(part_id), crashes] == 1
             or len(crashes) >= PROVEN_CRASHES_IF_ANSWERED
         ]
         if not ranked:
@@ -253,6 +277,11 @@
         )
 
 
+def is_request(part_id: str) -> bool:
+    """Return whether an id is the identity of a request."""
+    return part_id.startswith(REQUEST_PREFIX)
+
+
 def _is_valid(part_id: str) -> bool:
     """Return whether an id is short enough to be held and sent."""
     return len(part_id) <= MAX_PART_ID_LENGTH
--- a/src/dandelionplank/targets.py
+++ b/src/dandelionplank/targets.py
@@ -18,6 +18,7 @@
     :param checks_fencing: it refuses orders with an outdated fencing token
     :param limit: initial limit on calls in flight, zero for the contract's
     :param started_ms: Unix time of its start, zero if not reported
+    :param version: version of its software, empty if not reported
     """
 
     name: Name
@@ -28,6 +29,7 @@
     checks_fencing: bool = False
     limit: int = 0
     started_ms: int = 0
+    version: str = ''
 
     @property
     def url(self) -> str:
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -45,6 +45,8 @@
     :param delay_s: delay between the execution and the response
     :param crashing_part: part of a prompt that crashes the target before it
         responds, unless it is the last one
+    :param crashing_body: body of a request that crashes the target before it
+        responds, empty for none
     :param sends_head_before_crash: the crash follows a head that states neither
         length nor chunks, so that it looks like the end of the response
     :param stated_limit: request rate that every response states, empty for none
@@ -60,6 +62,7 @@
     runs_left: int = -1
     delay_s: float = 0
     crashing_part: str = ''
+    crashing_body: bytes = b''
     sends_head_before_crash: bool = False
     stated_limit: str = ''
 
@@ -160,7 +163,7 @@
             self.faults.lost_responses -= 1
             _reset_connection(request)
         await asyncio.sleep(self.faults.delay_s)
-        if _holds_part(request, self.faults.crashing_part):
+        if self._crashes_on(request, body):
             if self.faults.sends_head_before_crash:
                 _write_undelimited_head(request, self.name)
                 await asyncio.sleep(EVENT_INTERVAL_S)
@@ -170,6 +173,12 @@
             return await self._stream(request)
         return await self._echo(request, body)
 
+    def _crashes_on(self, request: web.Request, body: bytes) -> bool:
+        """Return whether a request crashes the target."""
+        if self.faults.crashing_body and body == self.faults.crashing_body:
+            return True
+        return _holds_part(request, self.faults.crashing_part)
+
     async def _echo(
         self, request: web.Request, body: bytes
     ) -> web.StreamResponse:
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -38,6 +38,8 @@
 class CrashScene:
     """Callers of sound and of crashing prompts, and engines that restart."""
 
+    service = 'llm'
+
     def __init__(self, fleet):
         """Hold the fleet and the outcomes of the sound calls."""
         self.fleet = fleet
@@ -51,7 +53,9 @@
     def engines(self):
         """Return all engines, those that have crashed included."""
         return [
-            target for target in self.fleet.targets.values() if target.streams
+            target
+            for target in self.fleet.targets.values()
+            if target.name.startswith(self.service)
         ]
 
     def now_s(self):
@@ -178,7 +182,7 @@
         """Start an engine with a new id in place of one that crashed."""
         await asyncio.sleep(RESTART_S)
         self.fleet.store.delete(f'servers/{name}')
-        engine = await self.fleet.start_target(f'{name}-again', 'llm')
+        engine = await self.fleet.start_target(f'{name}-again', self.service)
         faults = self.fleet.targets[name].faults
         engine.faults = dataclasses.replace(faults, delay_s=0)
 
