Send no request id twice on one connection to a target

A target that wrote an earlier refusal once more on a kept connection made callers get 503, which promises that their request has not run, for requests that it ran.

Cause: a response is told from those to other requests by the request's id alone. A caller that was refused repeats its request with the same id; on the same connection the repeated refusal states that id. A request without an id accepted any response without one.

Change: a connection remembers the last 64 ids that it carried and carries none of them again; a request without an id is only sent as the first one on its connection. Connections that cannot carry a request stay idle for others.

Ruled out: closing the connection after each refusal, as a full target then costs a connection for each refusal (an existing test states this).

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -91,6 +91,7 @@
         route = self.request.route
         self.connection = await self.pool.acquire(
             self.grant.load.target,
+            request_id=self.request.metadata.request_id,
             is_retryable=route.is_retryable,
         )
         head = self._head(last_event_id)
@@ -99,6 +100,7 @@
         if not self.connection.send(
             head,
             self.request.body,
+            request_id=self.request.metadata.request_id,
             has_response_body=has_body,
         ):
             self.state = AttemptState.NOT_SENT
--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -1,6 +1,7 @@
 """Connections to targets: one request at a time, reused while usable."""
 
 import asyncio
+import collections
 import dataclasses
 import socket
 import time
@@ -35,6 +36,8 @@
 # cannot have closed the connection meanwhile.
 NON_IDEMPOTENT_IDLE_LIMIT_S = 0.4
 MAX_HEADER_LINE_BYTES = 65_536
+# Request ids that a connection remembers.
+MAX_CARRIED_IDS = 64
 FIRST_FINAL_STATUS = 200
 
 
@@ -114,6 +117,9 @@
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.keep_alive = True
         self.request_count = 0
+        self.carried_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_CARRIED_IDS
+        )
 
     @property
     def is_usable(self) -> bool:
@@ -124,13 +130,30 @@
             and not self.protocol.should_close
         )
 
+    def can_carry(self, request_id: str) -> bool:
+        """Return whether a response to a request is known to be its own.
+
+        A target may repeat the response to an earlier request. It is told
+        from the response to this one by the id alone, so that a connection
+        carries an id once, and a request without an id only as its first.
+        """
+        if not self.request_count:
+            return True
+        return bool(request_id) and request_id not in self.carried_ids
+
     def send(
-        self, head: bytes, body: bytes, *, has_response_body: bool
+        self,
+        head: bytes,
+        body: bytes,
+        *,
+        request_id: str,
+        has_response_body: bool,
     ) -> bool:
         """Write a request unless the connection is closing.
 
         :return: whether any byte was written
         """
+        self.carried_ids.append(request_id)
         transport = self.protocol.transport
         if transport is None or transport.is_closing():
             return False
@@ -201,15 +224,17 @@
         self,
         target: Target,
         *,
+        request_id: str,
         is_retryable: bool,
     ) -> TargetConnection:
         """Return a connection that carries no request.
 
+        :param request_id: id of the request that is to be sent, may be empty
         :param is_retryable: the request may be retried if the connection turns
             out to be closed
         :raises TargetError: no connection was established; nothing was sent
         """
-        found = self._reuse(target.name, is_retryable=is_retryable)
+        found = self._reuse(target.name, request_id, is_retryable=is_retryable)
         return found or await self.open(target)
 
     async def open(self, target: Target) -> TargetConnection:
@@ -273,13 +298,15 @@
             self.drop(name)
 
     def _reuse(
-        self, name: str, *, is_retryable: bool
+        self, name: str, request_id: str, *, is_retryable: bool
     ) -> TargetConnection | None:
         """Return the most recently used connection that is reusable."""
         connections = self.idle.get(name, [])
         now_s = time.monotonic()
-        while connections:
-            connection = connections.pop()
+        for connection in reversed(connections):
+            if not connection.can_carry(request_id):
+                continue
+            connections.remove(connection)
             limit_s = connection.idle_limit_s
             if not is_retryable:
                 limit_s = min(limit_s, NON_IDEMPOTENT_IDLE_LIMIT_S)
