Respect Server-Leaving and Retry-After of targets

A target that said that it was leaving got requests until the store listed it as draining, and one that turned a request away with 503 and Retry-After got the next one at once. No source file read either header.

Change: both are decoded at the platform boundary and kept for each start of a target in one place (TargetAvailability). A target that is leaving stays out whatever the store lists for this start of it; a new start is used. If all targets of a service are closed, requests are refused at once, those that wait as soon as no target opens before their deadline, with the time that is left as Retry-After, spread at random.

Not covered: Server-Leaving in responses to the query for cached parts at start, and in a 421 of another target.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: sends a request to one target and reads the response."""
 
 import asyncio
+import random
 import time
 from http import HTTPStatus
 
@@ -23,6 +24,8 @@
 from dandelionplank.delivery.requests import CallerRequest
 from dandelionplank.delivery.responses import ResponseMetadata
 from dandelionplank.errors import ErrorCode, Outcome, TargetError
+from dandelionplank.events import Event
+from dandelionplank.logs import log_event
 from dandelionplank.routing.ratelimit import UNLIMITED, RateStatement
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.scheduler import Grant
@@ -82,6 +85,11 @@
         """Id of the target."""
         return self.grant.load.target.name
 
+    @property
+    def is_target_open(self) -> bool:
+        """Whether the target has not turned this instance away since."""
+        return self.grant.load.availability.is_open(time.monotonic())
+
     async def open(self, last_event_id: str = '') -> TargetResponse:
         """Send the request and return the head of its response.
 
@@ -94,6 +102,12 @@
             request_id=self.request.metadata.request_id,
             is_retryable=route.is_retryable,
         )
+        if not self.is_target_open:
+            raise self._error(
+                'the target takes no requests',
+                Outcome.NOT_RUN,
+                ErrorCode.TARGET_REFUSED,
+            )
         head = self._head(last_event_id)
         has_body = self.request.method != NO_BODY_METHOD
         self.state = AttemptState.SENT
@@ -199,6 +213,7 @@
             raise aiohttp.ClientPayloadError('responses to other requests')
         self.response = response
         self.marks = marks
+        self._record_closure(marks, response.status)
         if marks.report:
             now_s = asyncio.get_running_loop().time()
             self.grant.load.record_report(marks.report, now_s)
@@ -216,6 +231,25 @@
         self._record_request_rate(marks.request_rate, response.status)
         return response
 
+    def _record_closure(self, marks: ResponseMetadata, status: int) -> None:
+        """Record that the target turns this instance away."""
+        if not (marks.is_leaving or marks.closed_s):
+            return
+        availability = self.grant.load.availability
+        if marks.is_leaving:
+            availability.record_leaving()
+        else:
+            availability.record_closed(
+                time.monotonic(), marks.closed_s, random.random()
+            )
+        log_event(
+            Event.TARGET_CLOSED,
+            target=self.target_name,
+            status=status,
+            is_leaving=marks.is_leaving,
+            closed_s=marks.closed_s,
+        )
+
     def _record_request_rate(self, rate: float | None, status: int) -> None:
         """Record the request rate that the target states.
 
@@ -288,14 +322,19 @@
             'surrogateescape',
         )
 
-    def _error(self, reason: str, outcome: Outcome) -> TargetError:
+    def _error(
+        self,
+        reason: str,
+        outcome: Outcome,
+        code: ErrorCode = ErrorCode.TARGET_FAILED,
+    ) -> TargetError:
         """Return an error with the target and request of this attempt."""
         return TargetError(
             reason,
             step=STEP,
             peer=self.target_name,
             request_id=self.request.metadata.request_id,
-            code=ErrorCode.TARGET_FAILED,
+            code=code,
             outcome=outcome,
         )
 
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -14,7 +14,7 @@
 )
 from dandelionplank.delivery.bounds import HeldBytes
 from dandelionplank.delivery.codec import RequestCodec
-from dandelionplank.delivery.connections import ConnectionPool
+from dandelionplank.delivery.connections import ConnectionPool, TargetResponse
 from dandelionplank.delivery.crashwatch import CrashWatch
 from dandelionplank.delivery.dispatch import TargetAssigner
 from dandelionplank.delivery.progress import (
@@ -37,6 +37,7 @@
 from dandelionplank.routing.budget import ServiceRetryBudgets
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.routes import RequestKind
+from dandelionplank.routing.scheduler import Grant
 
 STEP = 'delivery'
 # Share of its objective after which a safe request without a response is
@@ -200,8 +201,7 @@
     ) -> CompleteResponse | None:
         """Make one attempt; return None if it is to be retried."""
         async with self._attempt(request, progress) as attempt:
-            response = await attempt.open()
-            self._raise_if_not_executed(attempt)
+            response = await self._open(attempt)
             body = await attempt.read_body()
             self._record_begin(attempt)
             is_success = response.status < FIRST_SERVER_ERROR_STATUS
@@ -225,8 +225,7 @@
     ) -> CompleteResponse | None:
         """Make one attempt to start or resume a stream."""
         async with self._attempt(request, progress) as attempt:
-            response = await attempt.open(progress.resume_point)
-            self._raise_if_not_executed(attempt)
+            response = await self._open(attempt, progress.resume_point)
             if response.status not in SUCCESS_STATUSES:
                 body = await attempt.read_body()
                 self.dispatcher.record_outcome(attempt.grant, is_success=False)
@@ -254,9 +253,7 @@
     ) -> AsyncIterator[Attempt]:
         """Acquire a target for an attempt and always release it afterwards."""
         self.crashes.check_request(request)
-        grant = progress.take_reserved() or await self.dispatcher.acquire(
-            request.to_waiting_request(progress.avoided),
-        )
+        grant = await self._acquire(request, progress)
         attempt = Attempt(request, grant, self.pool, self.codec, self.held)
         progress.tries += 1
         record_grant(request, grant)
@@ -278,6 +275,39 @@
             attempt.finish()
             self.dispatcher.release(grant)
 
+    async def _acquire(
+        self, request: CallerRequest, progress: Progress
+    ) -> Grant:
+        """Return a target that takes requests, reserved or newly assigned.
+
+        A target may turn this instance away while the request waits, or while
+        another instance that does not know assigns it.
+
+        :raises RefusalError: there is none
+        """
+        grant = progress.take_reserved() or await self._assign(
+            request, progress
+        )
+        for _ in range(MAX_TRIES):
+            if grant.load.availability.is_open(time.monotonic()):
+                return grant
+            self.dispatcher.release(grant)
+            closed = grant.load.target.name
+            progress.avoided = (*progress.avoided, closed)
+            grant = await self._assign(request, progress)
+        return grant
+
+    async def _assign(
+        self, request: CallerRequest, progress: Progress
+    ) -> Grant:
+        """Wait for a target.
+
+        :raises RefusalError: the request was rejected and not executed
+        """
+        return await self.dispatcher.acquire(
+            request.to_waiting_request(progress.avoided)
+        )
+
     def _record_events(self, attempt: Attempt) -> None:
         """Record that events of a stream have arrived."""
         self._record_begin(attempt)
@@ -328,6 +358,21 @@
         elif error.code is not ErrorCode.TARGET_REFUSED:
             self.dispatcher.record_outcome(grant, is_success=False)
 
+    async def _open(
+        self, attempt: Attempt, last_event_id: str = ''
+    ) -> TargetResponse:
+        """Send the request of an attempt and return the head of its response.
+
+        :raises TargetError: the attempt failed, or was not executed
+        """
+        try:
+            response = await attempt.open(last_event_id)
+        finally:
+            if not attempt.is_target_open:
+                self.dispatcher.record_closed(attempt.grant)
+        self._raise_if_not_executed(attempt)
+        return response
+
     def _raise_if_not_executed(self, attempt: Attempt) -> None:
         """Pause the target and raise if it did not execute the request."""
         if attempt.state is not AttemptState.REFUSED_NOT_EXECUTED:
--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -40,6 +40,9 @@
     ) -> None:
         """Pause a target that did not execute a request."""
 
+    def record_closed(self, grant: Grant) -> None:
+        """Record that a target has turned this instance away."""
+
     def release(self, grant: Grant) -> None:
         """Record that a request has left its target."""
 
@@ -101,6 +104,10 @@
         pause_s = MISDIRECTED_PAUSE_S if is_misdirected else FULL_PAUSE_S
         grant.load.health.pause_until(time.monotonic() + pause_s)
 
+    def record_closed(self, grant: Grant) -> None:
+        """Check the waiting requests: their targets may all be closed."""
+        self.wake(grant.waiting.service)
+
     def release(self, grant: Grant) -> None:
         """Record that a request has left its target."""
         grant.load.record_end(grant.sent)
--- a/src/dandelionplank/delivery/responses.py
+++ b/src/dandelionplank/delivery/responses.py
@@ -29,6 +29,9 @@
     :param request_rate: requests per second that the target takes from all
         instances together, infinite if it states no limit, None if that
         cannot be decoded
+    :param is_leaving: the target takes no further requests
+    :param closed_s: seconds for which it wants no request from this instance,
+        zero if it states none
     """
 
     request_id: str
@@ -37,3 +40,5 @@
     is_encoded: bool
     report: TargetReport | None
     request_rate: float | None
+    is_leaving: bool = False
+    closed_s: float = 0
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -102,6 +102,11 @@
         Level.INFO,
         'a target states another request rate for the whole fleet',
     )
+    TARGET_CLOSED = (
+        319,
+        Level.INFO,
+        'a target is leaving, or wants no requests for a time',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -32,7 +32,11 @@
     TicketReply,
 )
 from dandelionplank.metrics import METRICS
-from dandelionplank.routing.load import DispatchedRequest
+from dandelionplank.routing.load import (
+    DispatchedRequest,
+    TargetLoad,
+    opens_in_s,
+)
 from dandelionplank.routing.pools import TargetPools
 from dandelionplank.routing.scheduler import Grant
 from dandelionplank.routing.work import TokenWork
@@ -104,6 +108,7 @@
         self.numbers = itertools.count(random.getrandbits(RANDOM_NUMBER_BITS))
         self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
         self.reply_times = ReplyTimes()
+        self.closed: dict[str, TargetLoad] = {}
         self.grants: dict[int, RemoteGrant] = {}
         self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
             defaultdict(list)
@@ -126,13 +131,11 @@
         queues = self._queues_of(waiting)
         if not queues:
             return await self.dispatcher.acquire(waiting)
-        try:
-            return await self._acquire_in(queues[0], waiting)
-        except RefusalError:
-            grant = await self._acquire_elsewhere(queues[1:], waiting)
-            if grant is None:
-                raise
-            return grant
+        if self._has_no_open_target(waiting.service):
+            return await self.dispatcher.acquire(waiting)
+        # Owners do not know which targets have turned this instance away.
+        waiting.avoided = (*waiting.avoided, *self.closed)
+        return await self._acquire_in_order(queues, waiting)
 
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
@@ -167,6 +170,14 @@
             grant, is_misdirected=is_misdirected
         )
 
+    def record_closed(self, grant: Grant) -> None:
+        """Record that a target has turned this instance away."""
+        target = grant.load.target
+        self.closed[target.name] = grant.load
+        if grant.load.availability.is_leaving:
+            self.owners.view.registry.record_leaving(target)
+        self.dispatcher.record_closed(grant)
+
     def release(self, grant: Grant) -> None:
         """Record that a request has left its target."""
         if grant.ticket_number < 0:
@@ -206,6 +217,35 @@
         for owner, grants in by_owner.items():
             self.send(owner, OpenGrants(self.name, tuple(grants)))
 
+    async def _acquire_in_order(
+        self, queues: Sequence[str], waiting: WaitingRequest
+    ) -> Grant:
+        """Wait for a target of the preferred pool, or else of another one.
+
+        :raises RefusalError: the request was rejected and not executed
+        """
+        try:
+            return await self._acquire_in(queues[0], waiting)
+        except RefusalError:
+            grant = await self._acquire_elsewhere(queues[1:], waiting)
+            if grant is None:
+                raise
+            return grant
+
+    def _has_no_open_target(self, service: str) -> bool:
+        """Return whether all targets of a service turn this instance away."""
+        now_s = time.monotonic()
+        registry = self.owners.view.registry
+        self.closed = {
+            name: load
+            for name, load in self.closed.items()
+            if name in registry.targets and not load.availability.is_open(now_s)
+        }
+        if not self.closed:
+            return False
+        loads = self.dispatcher.scheduler.loads_of(service)
+        return opens_in_s(loads, now_s) > 0
+
     def _queues_of(self, waiting: WaitingRequest) -> list[str]:
         """Return the queues whose owners assign a target to a request.
 
--- a/src/dandelionplank/fleet/registry.py
+++ b/src/dandelionplank/fleet/registry.py
@@ -38,17 +38,24 @@
         known = self.targets.get(target.name)
         if known and target.started_ms < known.started_ms:
             return False
-        if self.drained_incarnations.get(target.name) == target.started_ms:
-            return False
         if target.state is TargetState.DRAINING:
             self.drained_incarnations[target.name] = target.started_ms
             return self.remove(target.name)
+        if self.drained_incarnations.get(target.name) == target.started_ms:
+            return False
         if known == target:
             return False
         self.targets[target.name] = target
         self._index()
         return True
 
+    def record_leaving(self, target: Target) -> None:
+        """Ignore later records of a target that is leaving.
+
+        It stays until the store removes it or lists it as draining.
+        """
+        self.drained_incarnations[target.name] = target.started_ms
+
     def remove(self, name: str) -> bool:
         """Remove a target; return whether it was known."""
         self.remove_at_s.pop(name, None)
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -2,6 +2,9 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+from http import HTTPStatus
 
 from multidict import CIMultiDict
 
@@ -25,7 +28,9 @@
         'expect',
     ),
 )
+# A response to a request for another target says nothing of that target.
 NOT_EXECUTED_STATUSES = frozenset((421,))
+LEAVING_TEXT = '1'
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100
 
@@ -167,9 +172,52 @@
         is_encoded='Content-Encoding' in headers,
         report=_target_report(headers.get(names.LOAD, '')),
         request_rate=_request_rate(headers.get(names.REQUEST_RATE)),
+        is_leaving=(
+            headers.get(names.LEAVING, '').strip() == LEAVING_TEXT
+            and status not in NOT_EXECUTED_STATUSES
+        ),
+        closed_s=(
+            _retry_after_s(headers)
+            if status == HTTPStatus.SERVICE_UNAVAILABLE
+            else 0
+        ),
     )
 
 
+def _retry_after_s(headers: Mapping[str, str]) -> float:
+    """Decode the longest ``Retry-After``, zero if there is no valid one."""
+    stated = names.RETRY_AFTER.lower()
+    texts = [
+        delay for header, delay in headers.items() if header.lower() == stated
+    ]
+    sent = _parse_date(headers.get('Date', ''))
+    return max((_parse_delay(delay, sent) for delay in texts), default=0)
+
+
+def _parse_delay(text: str, sent: datetime | None) -> float:
+    """Parse seconds, or a date, into seconds; zero if malformed or past.
+
+    :param sent: date of the response; no other clock is known to agree with
+        the target's
+    """
+    numbers = _parse_numbers(text)
+    if numbers:
+        return max(0.0, *numbers)
+    until = _parse_date(text)
+    if until is None or sent is None:
+        return 0
+    return max(0.0, (until - sent).total_seconds())
+
+
+def _parse_date(text: str) -> datetime | None:
+    """Parse the date of a header; ``None`` if malformed."""
+    try:
+        parsed = parsedate_to_datetime(text)
+    except ValueError:
+        return None
+    return parsed if parsed.tzinfo else parsed.replace(tzinfo=UTC)
+
+
 def _request_rate(text: str | None) -> float | None:
     """Decode the requests per second that a target takes."""
     if text is None:
@@ -203,5 +251,5 @@
     if request_id:
         headers[names.REQUEST_ID] = request_id
     if retry_after_s > 0:
-        headers['Retry-After'] = f'{retry_after_s:.2f}'
+        headers[names.RETRY_AFTER] = f'{retry_after_s:.2f}'
     return headers
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -13,7 +13,10 @@
 LOAD = 'Dandelionplank-Engine-Load'
 # Requests per second that a target takes from all instances together.
 REQUEST_RATE = 'Server-Limit'
+# Set to 1 in all responses of a target that is leaving.
+LEAVING = 'Server-Leaving'
 LAST_EVENT = 'Last-Event-Id'
+RETRY_AFTER = 'Retry-After'
 
 # Not forwarded from a caller's request: headers that the fleet or targets
 # set, and the API key.
@@ -28,6 +31,7 @@
         NOT_EXECUTED,
         LOAD,
         REQUEST_RATE,
+        LEAVING,
         'Dandelionplank-Instance-Id',
         'Dandelionplank-Expect-Version',
         'Dandelionplank-Hold',
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -6,9 +6,11 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 from dandelionplank.delivery.responses import TargetReport
 from dandelionplank.fleet.peers import TargetShare
+from dandelionplank.routing.availability import TargetAvailability
 from dandelionplank.routing.health import TargetHealth
 from dandelionplank.routing.prefix_cache import PrefixCache
 from dandelionplank.routing.ratelimit import RequestRateLimit
@@ -100,6 +102,7 @@
         self.reported_running = 0
         self.reported_s = float('-inf')
         self.limit = RequestRateLimit()
+        self.availability = TargetAvailability()
 
     @property
     def tokens_per_s(self) -> float:
@@ -218,3 +221,12 @@
         self.pending_prefill_tokens = max(
             0.0, self.pending_prefill_tokens - sent.uncached_tokens
         )
+
+
+def opens_in_s(loads: Iterable[TargetLoad], now_s: float) -> float:
+    """Return the time until one of some targets takes requests again.
+
+    :return: zero if one does now or there is none, infinite for never
+    """
+    waits_s = (load.availability.wait_s(now_s) for load in loads)
+    return min(waits_s, default=0)
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import itertools
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
@@ -27,6 +28,7 @@
     TARGET_QUEUE_S,
     DispatchedRequest,
     TargetLoad,
+    opens_in_s,
 )
 from dandelionplank.routing.placement import (
     Placement,
@@ -153,7 +155,11 @@
         queue_limit_s = self._queue_limit_s(waiting.account)
         placement = self._place(waiting, snapshots, queue_limit_s, now_s)
         if placement is None:
-            return Rejection(waiting, NO_TARGET, NO_TARGET_RETRY_S)
+            return _reject_without_target(
+                waiting,
+                opens_in_s(self.loads_of(waiting.service), now_s),
+                self.jitter(),
+            )
         queue = self.queues.setdefault(waiting.service, WaitingQueue())
         if not placement.has_capacity or queue.count:
             estimate = self._estimate_latency(waiting, placement, queue)
@@ -248,6 +254,10 @@
             self.loads[target.name] = load
         return load
 
+    def loads_of(self, service: str) -> list[TargetLoad]:
+        """Return the loads of the targets of a service."""
+        return [self.load_of(target) for target in self.targets_of(service)]
+
     def has_limits(self, service: str) -> bool:
         """Return whether a target of a service states a request rate."""
         loads = (
@@ -285,15 +295,20 @@
         stranded = [
             waiting
             for name, queue in self.queues.items()
-            if queue.count
-            and self.has_other_pools(name)
-            and not self._snapshots(name, now_s)
+            if queue.count and not self._snapshots(name, now_s)
             for waiting in queue.all_requests()
+            if self.has_other_pools(name)
+            or now_s + opens_in_s(self.loads_of(name), now_s)
+            >= waiting.deadline_s
         ]
         for waiting in stranded:
             self.withdraw(waiting)
         return [
-            Rejection(waiting, NO_TARGET, NO_TARGET_RETRY_S)
+            _reject_without_target(
+                waiting,
+                opens_in_s(self.loads_of(waiting.service), now_s),
+                self.jitter(),
+            )
             for waiting in stranded
         ]
 
@@ -337,13 +352,18 @@
     def _snapshots(self, service: str, now_s: float) -> TargetSnapshots:
         """Return load snapshots of the targets that accept requests.
 
-        Paused targets are left out, unless all of them are paused. In a pool,
+        Targets that turn this instance away are left out, and paused ones
+        unless all of them are paused. In a pool,
         unreachable ones are left out even then if there are other pools.
         """
         taken_s, snapshots = self.snapshots.get(service, NO_SNAPSHOT)
         if now_s - taken_s < SNAPSHOT_MAX_AGE_S:
             return snapshots
-        loads = [self.load_of(target) for target in self.targets_of(service)]
+        loads = [
+            load
+            for load in self.loads_of(service)
+            if load.availability.is_open(now_s)
+        ]
         names = [
             load.target.name
             for load in loads
@@ -458,6 +478,19 @@
             load.waiting = max(0, load.waiting - 1)
 
 
+def _reject_without_target(
+    waiting: WaitingRequest, opens_s: float, jitter: float
+) -> Rejection:
+    """Reject a request that no target can take at present.
+
+    :param opens_s: time until a target takes requests again
+    """
+    retry_s = NO_TARGET_RETRY_S
+    if 0 < opens_s < math.inf:
+        retry_s = opens_s + jitter * min(opens_s, NO_TARGET_RETRY_S)
+    return Rejection(waiting, NO_TARGET, retry_s)
+
+
 def _keeps_waiting(
     waiting: WaitingRequest,
     snapshots: TargetSnapshots,
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -49,6 +49,9 @@
         responds, empty for none
     :param sends_head_before_crash: the crash follows a head that states neither
         length nor chunks, so that it looks like the end of the response
+    :param is_leaving: every response states that the target is leaving
+    :param retry_after: text of ``Retry-After`` in each rejection, empty for
+        none
     :param stated_limit: request rate that every response states, empty for none
     """
 
@@ -64,6 +67,8 @@
     crashing_part: str = ''
     crashing_body: bytes = b''
     sends_head_before_crash: bool = False
+    is_leaving: bool = False
+    retry_after: str = ''
     stated_limit: str = ''
 
 
@@ -102,6 +107,7 @@
         self.events = events
         self.faults = TargetFaults()
         self.runs: list[ExecutedRequest] = []
+        self.rejected_at_s: list[float] = []
         self.cached_parts: dict[str, int] | None = {}
         self.runner: web.AppRunner | None = None
         self.crashed_at_s: float | None = None
@@ -137,15 +143,18 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         """Execute one request, or reject it."""
         if request.headers.get('Dandelionplank-Expect-Instance') != self.name:
-            return web.Response(status=421, headers=_echoed_id(request))
+            return web.Response(status=421, headers=self._all_headers(request))
         if self.faults.rejected_requests or not self.faults.runs_left:
             self.faults.rejected_requests = max(
                 0, self.faults.rejected_requests - 1
             )
             headers = {
-                **_echoed_id(request),
+                **self._all_headers(request),
                 'Dandelionplank-Not-Executed': '1',
             }
+            if self.faults.retry_after:
+                headers['Retry-After'] = self.faults.retry_after
+            self.rejected_at_s.append(asyncio.get_running_loop().time())
             return await self._respond(request, 503, headers, b'full')
         self.faults.runs_left -= 1
         body = await request.read()
@@ -251,11 +260,18 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         return response
 
+    def _all_headers(self, request: web.Request) -> dict[str, str]:
+        """Return the headers of every response."""
+        headers = _echoed_id(request)
+        if self.faults.is_leaving:
+            headers['Server-Leaving'] = '1'
+        return headers
+
     def _response_headers(self, request: web.Request) -> dict[str, str]:
         """Return the headers that identify a response and report the load."""
         request_id = request.headers.get('Dandelionplank-Request-Id', '')
         headers = {
-            **_echoed_id(request),
+            **self._all_headers(request),
             'Dandelionplank-Server-Stamp': f'{self.name}.{request_id}',
             'Dandelionplank-Engine-Load': '1,0,8,100',
         }
