Take back the charge for a request that its target did not run

After engines were lost, an account was charged for each try at an engine that refused the connection, or that reported that it did not run the request. With up to eight tries a request its service level rose by eight times its cost, so that it lost its place in the fair order to accounts whose engines lived.

Cause: a grant is charged when it is made, and nothing took the charge back.

Change: the instance that granted the target takes it back when the target is unreachable, full or misdirected; an entry reports these events to the owner already. A run that breaks off stays charged, so that requests that crash targets are not free.

The new test, with a grant of the entry itself and of an owner: the level stayed at the request's cost before.

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -96,6 +96,7 @@
     def record_unreachable(self, grant: Grant) -> None:
         """Record that a target accepted no connection."""
         grant.load.health.record_unreachable(time.monotonic())
+        self._refund(grant)
 
     def record_not_executed(
         self, grant: Grant, *, is_misdirected: bool
@@ -103,6 +104,7 @@
         """Pause a target that did not execute a request."""
         pause_s = MISDIRECTED_PAUSE_S if is_misdirected else FULL_PAUSE_S
         grant.load.health.pause_until(time.monotonic() + pause_s)
+        self._refund(grant)
 
     def record_closed(self, grant: Grant) -> None:
         """Check the waiting requests: their targets may all be closed."""
@@ -134,6 +136,16 @@
             for service in tuple(self.scheduler.queues):
                 self._run_pass(service, now_s)
 
+    def _refund(self, grant: Grant) -> None:
+        """Take back the charge for a request that its target did not run.
+
+        The instance that granted the target has charged it.
+        """
+        if grant.ticket_number < 0:
+            self.scheduler.local_service_levels.refund(
+                grant.waiting.account, grant.waiting.cost, time.monotonic()
+            )
+
     def _run_due_passes(self) -> None:
         """Run the scheduled passes."""
         self.is_pass_scheduled = False
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -203,6 +203,12 @@
         self.decay_to(now_s)
         self.levels[account] = self.levels.get(account, 0) + cost
 
+    def refund(self, account: str, cost: float, now_s: float) -> None:
+        """Take back the charge for work that did not run."""
+        self.decay_to(now_s)
+        if account in self.levels:
+            self.levels[account] = max(0.0, self.levels[account] - cost)
+
     def decay_to(self, now_s: float) -> dict[str, float]:
         """Decay the levels to a time and return them, without those below 1."""
         factor = decay(now_s - self.decayed_s)
--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -387,3 +387,27 @@
         with contextlib.suppress(RefusalError):
             await entry.client.acquire(make_waiting(work))
             raise AssertionError('no engine can start the prompt in time')
+
+
+@run_async
+async def test_grants_that_no_target_ran_cost_an_account_nothing():
+    """Tries at lost engines moved an account back in the fair order."""
+    async with pooled_fleet() as network:
+        work = make_work('subject', 'own')
+        owner = owner_of(network, work)
+        entry = entry_other_than(network, owner.name)
+        levels = owner.scheduler.local_service_levels
+        for client in (entry.client, owner.client):
+            for fail in (
+                client.record_unreachable,
+                lambda grant, client=client: client.record_not_executed(
+                    grant, is_misdirected=False
+                ),
+            ):
+                grant = await client.acquire(make_waiting(work))
+                assert levels.levels['x'] > work.cost / 2
+                fail(grant)
+                client.release(grant)
+                await asyncio.sleep(4 * DELAY_S)
+                assert levels.levels.get('x', 0) < work.cost / 100
+        assert not entry.scheduler.local_service_levels.levels
