Let other instances use a target that turned one away

Retry-After of a target speaks to the instance that got it. An owner of a pool that was turned away left the target out for the tickets of all instances.

Change: the scheduler avoids closed targets for this instance's own requests only; tickets name those of their entry already. A target that is leaving is left out for all. What waits and can use no target before its deadline is refused as before.

--- a/src/dandelionplank/fairness/waiting.py
+++ b/src/dandelionplank/fairness/waiting.py
@@ -26,7 +26,9 @@
         an account does not depend on the engines' prefix caches
     :param assigned_target: target that it waits for, empty if it has none
     :param placed_s: monotonic time at which that target was chosen
-    :param avoided: targets at which an earlier attempt failed
+    :param avoided: targets at which an earlier attempt failed, or that want no
+        request of the instance that sends it
+    :param is_ticket: another instance sends it
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     uncached_tokens: float = 0
     placed_s: float = 0
     avoided: tuple[str, ...] = ()
+    is_ticket: bool = False
 
     @property
     def objective_deadline_s(self) -> float:
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -257,6 +257,7 @@
         now_s + ticket.deadline_left_s,
         cost=ticket.cost,
         avoided=ticket.avoided,
+        is_ticket=True,
     )
 
 
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -100,8 +100,8 @@
 TargetsOf = Callable[[str], Iterable[Target]]
 
 
-def _has_none(_: str) -> bool:
-    """Return that the queue of a service without pools is its only one."""
+def _is_never_divided(_: str) -> bool:
+    """Return whether there are other pools, for services without pools."""
     return False
 
 
@@ -114,7 +114,7 @@
         targets_of: TargetsOf,
         peers: PeerLoadTable,
         jitter: Callable[[], float] = random.random,
-        has_other_pools: Callable[[str], bool] = _has_none,
+        has_other_pools: Callable[[str], bool] = _is_never_divided,
     ) -> None:
         """Hold the loads of the targets and the queues of the services.
 
@@ -134,6 +134,7 @@
         self.policies: dict[str, PlacementPolicy] = {}
         self.engine_memory: Mapping[str, ModelMemory | None] = {}
         self.snapshots: dict[str, tuple[float, TargetSnapshots]] = {}
+        self.closed: dict[str, tuple[str, ...]] = {}
         self.local_service_levels = ServiceLevels()
         self.prefill_reports: deque[PrefillReport] = deque(
             maxlen=MAX_PREFILL_REPORTS
@@ -291,26 +292,25 @@
                 self.loads.pop(name)
 
     def _reject_stranded(self, now_s: float) -> list[Rejection]:
-        """Reject the requests of pools without a sound target."""
-        stranded = [
-            waiting
-            for name, queue in self.queues.items()
-            if queue.count and not self._snapshots(name, now_s)
-            for waiting in queue.all_requests()
-            if self.has_other_pools(name)
-            or now_s + opens_in_s(self.loads_of(name), now_s)
-            >= waiting.deadline_s
-        ]
-        for waiting in stranded:
-            self.withdraw(waiting)
-        return [
-            _reject_without_target(
-                waiting,
-                opens_in_s(self.loads_of(waiting.service), now_s),
-                self.jitter(),
+        """Reject the requests that no target will take in time."""
+        rejections: list[Rejection] = []
+        for name, queue in self.queues.items():
+            if not queue.count:
+                continue
+            names = self._snapshots(name, now_s).keys()
+            if names - set(self.closed[name]):
+                continue
+            opens_s = opens_in_s(self.loads_of(name), now_s)
+            is_final = self.has_other_pools(name)
+            rejections.extend(
+                _reject_without_target(waiting, opens_s, self.jitter())
+                for waiting in queue.all_requests()
+                if not (names and waiting.is_ticket)
+                and (is_final or now_s + opens_s >= waiting.deadline_s)
             )
-            for waiting in stranded
-        ]
+        for rejection in rejections:
+            self.withdraw(rejection.waiting)
+        return rejections
 
     def _grant(
         self,
@@ -352,9 +352,10 @@
     def _snapshots(self, service: str, now_s: float) -> TargetSnapshots:
         """Return load snapshots of the targets that accept requests.
 
-        Targets that turn this instance away are left out, and paused ones
-        unless all of them are paused. In a pool,
-        unreachable ones are left out even then if there are other pools.
+        Targets that are leaving are left out, and so are paused ones, unless
+        all are paused. If there are other pools, unreachable ones are left out
+        even then. Those that want no requests of this instance are taken
+        note of, as they may get those of others.
         """
         taken_s, snapshots = self.snapshots.get(service, NO_SNAPSHOT)
         if now_s - taken_s < SNAPSHOT_MAX_AGE_S:
@@ -362,8 +363,13 @@
         loads = [
             load
             for load in self.loads_of(service)
-            if load.availability.is_open(now_s)
+            if not load.availability.is_leaving
         ]
+        self.closed[service] = tuple(
+            load.target.name
+            for load in loads
+            if not load.availability.is_open(now_s)
+        )
         names = [
             load.target.name
             for load in loads
@@ -397,12 +403,15 @@
         now_s: float,
     ) -> Placement | None:
         """Choose a target for a request."""
+        closed: tuple[str, ...] = ()
+        if not waiting.is_ticket:
+            closed = self.closed.get(waiting.service, ())
         return self._policy(waiting.service).choose(
             snapshots,
             waiting.work,
             now_s,
             queue_limit_s,
-            waiting.avoided,
+            waiting.avoided + closed,
         )
 
     def _rank(self, account: str) -> float:
--- a/tests/test_closed_targets.py
+++ b/tests/test_closed_targets.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import time
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -268,3 +269,24 @@
         assert all(isinstance(each, RefusalError) for each in failures)
         assert all(each.retry_after_s > 59 for each in failures)
         assert time.monotonic() - start_s < 1
+
+
+@run_async
+async def test_a_target_that_turned_its_owner_away_serves_other_instances():
+    """Only the instance that got the response is meant."""
+    async with pooled_fleet() as network:
+        work = make_work('subject', 'own')
+        owner = owner_of(network, work)
+        entry = entry_other_than(network, owner.name)
+        for load in owner.scheduler.loads_of('llm'):
+            load.availability.record_closed(time.monotonic(), 60, 0)
+            owner.client.record_closed(
+                mock.Mock(load=load, waiting=make_waiting(work))
+            )
+        await entry.client.acquire(make_waiting(work))
+        try:
+            await owner.client.acquire(make_waiting(work))
+        except RefusalError as error:
+            assert error.retry_after_s > 59
+        else:
+            raise AssertionError('a closed target was assigned')
