Hold SIGHUP back while a gateway starts

A gateway that got SIGHUP in the first half second after its start ended, so that the instance was missing until it was started again.

Cause: until the daemon has a handler the signal ends the process, and loading the modules takes longer than anything else at the start.

Change: the signal is blocked before the other modules are loaded and delivered once there is a handler; the settings are then read again.

The new test sends it as soon as it is blocked: 'reloaded' follows. Before, it was never blocked (the test ended at its time limit).

--- a/src/dandelionplank/commands/gateway.py
+++ b/src/dandelionplank/commands/gateway.py
@@ -1,5 +1,8 @@
 """Command line of the gateway, the router for the users' platform."""
 
+from dandelionplank.commands.hangup import HELD_SIGNALS
+
+# isort: split
 import gc
 import sys
 from pathlib import Path
@@ -52,7 +55,7 @@
 
 async def _serve(settings: GatewaySettings, path: Path) -> None:
     """Build the daemon inside the event loop and run it."""
-    await build_daemon(settings, path).run()
+    await build_daemon(settings, path).run(HELD_SIGNALS)
 
 
 def build_daemon(settings: GatewaySettings, path: Path) -> GatewayDaemon:
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -177,14 +177,18 @@
         """Build a daemon from its settings."""
         return cls(settings, parts, settings_path)
 
-    async def run(self) -> None:
-        """Serve until a signal requests a graceful shutdown."""
+    async def run(self, held_signals: frozenset[signal.Signals]) -> None:
+        """Serve until a signal requests a graceful shutdown.
+
+        :param held_signals: signals that wait until there are handlers
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(
             signal.SIGHUP, self.settings_follower.signalled.set
         )
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, held_signals)
         await self.start()
         await self.stopping.wait()
         self.gateway.grace.begin(
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -9,6 +9,7 @@
 import aiohttp
 from yarl import URL
 
+from bench.gatewayprocess import GatewayProcess
 from bench.plannedstops import play
 from bench.platform import (
     MODEL_HEADERS,
@@ -17,6 +18,7 @@
 )
 from bench.soakfleet import SoakFleet
 from dandelionplank.ingress import grace
+from dandelionplank.settings import Address
 from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet
 
@@ -199,3 +201,35 @@
         assert (await fleet.call('/book/x'))[0] == 200
         loads = gateway.scheduler.loads.values()
         assert not any(load.running for load in loads)
+
+
+def is_in_mask(process, field, number):
+    """Return whether a signal is in a mask of a process."""
+    status = Path(f'/proc/{process.pid}/status').read_text(encoding='utf-8')
+    mask = next(
+        line.split()[1]
+        for line in status.splitlines()
+        if line.startswith(f'{field}:')
+    )
+    return bool(int(mask, 16) >> (number - 1) & 1)
+
+
+@run_async
+async def test_a_reload_during_the_start_does_not_end_the_gateway():
+    """SIGHUP ended a gateway that had no handler for it yet."""
+    async with platform_fleet(engines=1) as fleet:
+        store = Address.from_text(fleet.store_address)
+        with tempfile.TemporaryDirectory() as directory:
+            gateway = GatewayProcess(9, Path(directory), store)
+            await gateway.relay.start()
+            gateway.start()
+            process = gateway.process
+            await wait_until(lambda: is_in_mask(process, 'SigBlk', 1))
+            assert not is_in_mask(process, 'SigCgt', 1)
+            gateway.signal(signal.SIGHUP)
+            log = gateway.log_path
+            await wait_until(lambda: '"reloaded"' in log.read_text())
+            assert gateway.is_running
+            gateway.kill()
+            await gateway.wait()
+            await gateway.relay.stop()
