--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -133,9 +133,9 @@
     def can_carry(self, request_id: str) -> bool:
         """Return whether a response to a request is known to be its own.
 
-        A target may repeat the response to an earlier request. It is told
-        from the response to this one by the id alone, so that a connection
-        carries an id once, and a request without an id only as its first.
+        A target may repeat the response to an earlier request, and only the id
+        distinguishes the two. A connection therefore carries each id once, and
+        a request without an id only as its first.
         """
         if not self.request_count:
             return True
--- a/src/dandelionplank/routing/availability.py
+++ b/src/dandelionplank/routing/availability.py
@@ -1,6 +1,6 @@
 """When a target may take a request from this instance: pure state, no I/O.
 
-Combines what the target has said itself. Its request rate, which all instances
+Combines what the target has stated itself. Its request rate, which all instances
 share, is kept apart (:mod:`dandelionplank.routing.ratelimit`).
 """
 
--- a/tests/test_closed_targets.py
+++ b/tests/test_closed_targets.py
@@ -80,7 +80,7 @@
 
 @run_async
 async def test_a_new_start_of_a_target_that_has_left_is_used():
-    """What a target says holds for its id and start, whatever is listed."""
+    """What a target states holds for its id and start, whatever is listed."""
     async with platform_fleet(engines=1) as fleet:
         target = fleet.targets['plain-0']
         target.faults.is_leaving = True
@@ -227,7 +227,7 @@
     (200, 'yes', False),
     (421, '1', False),
 )
-def test_the_word_of_a_leaving_target_is_decoded(status, text, is_leaving):
+def test_the_statement_of_a_leaving_target_is_decoded(status, text, is_leaving):
     """A misdirected request was answered by another target."""
     headers = CIMultiDict({'Server-Leaving': text})
     assert response_metadata(status, headers).is_leaving is is_leaving
@@ -248,7 +248,7 @@
 
 
 @run_async
-async def test_requests_of_a_service_that_closes_do_not_wait_in_vain():
+async def test_waiting_requests_of_a_service_that_closes_are_refused():
     """What waits is refused as soon as no target can take it in time."""
     async with pooled_fleet(2) as network:
         instance = next(iter(network.instances.values()))
