--- a/src/dandelionplank/routing/availability.py
+++ b/src/dandelionplank/routing/availability.py
@@ -1,7 +1,7 @@
 """When a target may take a request from this instance: pure state, no I/O.
 
-Combines what the target has stated itself. Its request rate, which all instances
-share, is kept apart (:mod:`dandelionplank.routing.ratelimit`).
+Combines what the target has stated itself. Its request rate, which all
+instances share, is kept apart (:mod:`dandelionplank.routing.ratelimit`).
 """
 
 import math
