Block SIGHUP in the gateway's program alone

Cause: the signal was blocked when dandelionplank.commands.gateway was imported, and tests import that module for build_daemon. The mask was then blocked in the test process as well (measured with pthread_sigmask: blocked before, not now) and inherited by all processes that it started.

Change: build_daemon is in a module of its own, commands/assembly.py, which the program and the tests import. The behaviour of the program is the same.

--- a/src/dandelionplank/commands/gateway.py
+++ b/src/dandelionplank/commands/gateway.py
@@ -11,18 +11,10 @@
 import cyclopts
 import uvloop
 
+from dandelionplank.commands.assembly import build_daemon
 from dandelionplank.errors import SettingsError
-from dandelionplank.fleet.daemon import GatewayDaemon, PlatformAdapter
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.logs import NonBlockingStream, start_logging
-from dandelionplank.platform import headers, names
-from dandelionplank.platform.engines import fetch_cached_parts
-from dandelionplank.platform.follow import (
-    StoreChangeSource,
-    StorePresence,
-    StoreQuarantines,
-)
-from dandelionplank.platform.store import PlatformStore
 from dandelionplank.settings import load_yaml
 
 EXIT_INVALID_SETTINGS = 2
@@ -58,27 +50,6 @@
     await build_daemon(settings, path).run(HELD_SIGNALS)
 
 
-def build_daemon(settings: GatewaySettings, path: Path) -> GatewayDaemon:
-    """Build a gateway that uses the platform's adapter.
-
-    :param path: file that the settings were loaded from
-    """
-    store = PlatformStore.from_address(
-        settings.store.address,
-        settings.store.call_timeout_s,
-    )
-    adapter = PlatformAdapter(
-        StoreChangeSource(store),
-        StorePresence(store, settings.instance.id, settings.listen.peers),
-        headers,
-        names.READY_PATH,
-        fetch_cached_parts,
-        StoreQuarantines(store),
-        store.close,
-    )
-    return GatewayDaemon.from_settings(settings, adapter, path)
-
-
 def main() -> None:
     """Run the command line."""
     app()
--- a/src/dandelionplank/commands/hangup.py
+++ b/src/dandelionplank/commands/hangup.py
@@ -1,7 +1,7 @@
 """Holds SIGHUP back while a daemon starts.
 
-Imported before all modules that take time to load: until the daemon has a
-handler, the signal would end the process.
+Imported by the program alone, before all modules that take time to load: until
+the daemon has a handler, the signal would end the process.
 """
 
 import signal
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -18,7 +18,7 @@
     start_server,
     target_entry,
 )
-from dandelionplank.commands.gateway import build_daemon
+from dandelionplank.commands.assembly import build_daemon
 from dandelionplank_standins.hostiletarget import HostileTarget
 from dandelionplank_standins.platformstore import StoreStandin
 from dandelionplank_standins.platformtarget import TargetStandin
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -223,13 +223,19 @@
             gateway = GatewayProcess(9, Path(directory), store)
             await gateway.relay.start()
             gateway.start()
-            process = gateway.process
-            await wait_until(lambda: is_in_mask(process, 'SigBlk', 1))
-            assert not is_in_mask(process, 'SigCgt', 1)
-            gateway.signal(signal.SIGHUP)
-            log = gateway.log_path
-            await wait_until(lambda: '"reloaded"' in log.read_text())
-            assert gateway.is_running
-            gateway.kill()
-            await gateway.wait()
-            await gateway.relay.stop()
+            try:
+                await check_reload_during_start(gateway)
+            finally:
+                gateway.kill()
+                await gateway.wait()
+                await gateway.relay.stop()
+
+
+async def check_reload_during_start(gateway):
+    """Send SIGHUP to a gateway that has no handler yet."""
+    process = gateway.process
+    await wait_until(lambda: is_in_mask(process, 'SigBlk', signal.SIGHUP))
+    assert not is_in_mask(process, 'SigCgt', signal.SIGHUP)
+    gateway.signal(signal.SIGHUP)
+    await wait_until(lambda: '"reloaded"' in gateway.log_path.read_text())
+    assert gateway.is_running
