Share the running of background tasks between tests

Four places started tasks for the time of a test and cancelled them in the same lines: the scenes of crashing prompts and of crashing requests, the fleet of pools, and the simulated fleet, which did not wait for its task to end. They now use one context manager, tests.fixtures.running. Assertions are unchanged.

--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -77,6 +77,18 @@
     return decorate
 
 
+@contextlib.asynccontextmanager
+async def running(*coroutines):
+    """Run coroutines as tasks while the context is open."""
+    tasks = list(map(asyncio.ensure_future, coroutines))
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 @contextlib.asynccontextmanager
 async def key_value_store(timeout_s=0.5):
     """Serve the key-value stand-in and yield it with a client."""
--- a/tests/fleetsimulation.py
+++ b/tests/fleetsimulation.py
@@ -14,6 +14,7 @@
 from dandelionplank.routing.work import PromptPart, TokenWork
 from dandelionplank.settings import Address
 from dandelionplank.targets import Target
+from tests.fixtures import running
 from tests.test_pool_owners import pooled_fleet
 
 ENGINE_SLOTS = 16
@@ -311,10 +312,7 @@
     """
     async with pooled_fleet(instance_count) as network:
         simulation = FleetSimulation(network, engine_count)
-        reporting = asyncio.ensure_future(simulation.report())
-        try:
+        async with running(simulation.report()):
             await plan(simulation)
             await asyncio.gather(*simulation.tasks)
-        finally:
-            reporting.cancel()
         return simulation
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -14,7 +14,7 @@
     PROVEN_CRASHES_IF_ANSWERED,
     Quarantine,
 )
-from tests.fixtures import run_async, wait_until
+from tests.fixtures import run_async, running, wait_until
 from tests.platformfleet import platform_fleet, stop
 
 GATEWAYS = 3
@@ -194,16 +194,8 @@
         scene = CrashScene(fleet)
         for engine in scene.engines:
             engine.faults.crashing_part = crashing_part
-        tasks = [
-            asyncio.ensure_future(run())
-            for run in (scene.call_sound, scene.restart_engines)
-        ]
-        try:
+        async with running(scene.call_sound(), scene.restart_engines()):
             yield scene
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @run_async
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from dandelionplank.delivery.requests import CallerRequest
-from tests.fixtures import run_async, wait_until
+from tests.fixtures import run_async, running, wait_until
 from tests.platformfleet import platform_fleet, stop
 from tests.test_crashing_prompts import (
     CONTAINED_AFTER_S,
@@ -93,13 +93,8 @@
         runs = [scene.restart_engines()]
         if calls_sound:
             runs.append(scene.call_sound())
-        tasks = list(map(asyncio.ensure_future, runs))
-        try:
+        async with running(*runs):
             yield scene
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @run_async
--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -35,7 +35,7 @@
 from dandelionplank.routing.work import PromptPart, TokenWork
 from dandelionplank.settings import Address
 from dandelionplank.targets import Target
-from tests.fixtures import run_async, wait_until
+from tests.fixtures import run_async, running, wait_until
 
 ENGINE_COUNT = 16
 INSTANCE_COUNT = 10
@@ -158,8 +158,8 @@
             if name != instance.name:
                 report = PeerReport(name, 1, 1, 60, 1, 0, False, {}, {})
                 instance.peer_loads.receive(report, now_s)
-    tasks = [
-        asyncio.ensure_future(coroutine)
+    periodic = [
+        coroutine
         for instance in network.instances.values()
         for coroutine in (
             instance.dispatcher.run(),
@@ -167,12 +167,8 @@
             instance.client.run_listing(),
         )
     ]
-    try:
+    async with running(*periodic):
         yield network
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def owner_of(network, work):
