--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -60,7 +60,10 @@
 async def read_chunks(reader):
     """Yield the chunks of a chunked body."""
     while True:
-        size = int((await reader.readline()).split(b';')[0].strip(), 16)
+        line = await reader.readline()
+        if not line:
+            raise asyncio.IncompleteReadError(b'', None)
+        size = int(line.split(b';')[0].strip(), 16)
         if not size:
             while (await reader.readline()).strip():
                 pass
