--- a/review/1/case.py
+++ b/review/1/case.py
@@ -30,9 +30,10 @@
 
 
 async def send_requests(case, answers, until_s):
-    """Send lookups to all machines in turn, each on its own connection."""
+    """Send lookups to the machines in rotation, each on its own connection."""
     while time.monotonic() < until_s:
-        machine = case.machines[case.numbers % MACHINES]
+        rotation = case.rotation()
+        machine = rotation[case.numbers % len(rotation)]
         asyncio.ensure_future(send_one(case, machine, answers))
         await asyncio.sleep(1 / REQUESTS_PER_S)
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,8 @@
 from standins.store import Store  # noqa: E402
 
 MACHINES = 3
-ENGINES = 6
+# As in the site file, three in each zone.
+ENGINES = 9
 CALM_S = 5.0
 TROUBLE_S = 45.0
 CRASHING_PERIOD_S = 5.0
@@ -111,7 +112,8 @@
     """
     path = '/chat/1' if kind == 'chat' else '/draft/1'
     end_s = time.monotonic() + DEADLINE_MS / 1000
-    machines = random.sample(case.machines, 1 + RETRIES)
+    rotation = case.rotation()
+    machines = random.sample(rotation, min(len(rotation), 1 + RETRIES))
     for number, machine in enumerate(machines):
         request_id = case.request_id()
         connection = ClientConnection(machine.front)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -76,14 +76,15 @@
 
 
 async def send_for(case, seconds, answers, *, is_malformed):
-    """Send requests to the machines in turn, each on its own connection."""
+    """Send requests to the machines in rotation, each on its own connection."""
     end_s = time.monotonic() + seconds
     turn = 0
     key, headers = (
         (OTHER_KEY, MALFORMED) if is_malformed else (KEY, MODEL_HEADERS)
     )
     while time.monotonic() < end_s:
-        machine = case.machines[turn % MACHINES]
+        rotation = case.rotation()
+        machine = rotation[turn % len(rotation)]
         turn += 1
         asyncio.ensure_future(send_one(case, machine, key, headers, answers))
         await asyncio.sleep(PERIOD_S)
