Set entries aside that cannot be decoded

Cause: the JSON decoder raises RecursionError, which the list of decoding errors lacked.

Change: one list, DECODE_ERRORS, for every decoder of what other programs wrote. It adds RecursionError, ArithmeticError (a number too large for its type) and MemoryError. The entries of peers and quarantines are decoded like those of targets. Responses of the store have types, and a malformed one is a failed call; a list of cached parts, a datagram or a settings file that nests deeply is rejected like any other malformed one. So are the events, loads, probes and links of the first daemon. An entry that cannot be read names no target, also where it replaces a sound one, and is logged once until it can be read again.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
 from dandelionplank.fleet.confirmation import (
@@ -122,7 +123,7 @@
         """Decode and handle a message of another instance."""
         try:
             message = _DECODER.decode(block)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             METRICS.add('peer_reports_malformed_total')
             return
         receive = self.receivers[type(message)]
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -76,9 +76,6 @@
         :param left_s: time until the quarantine ends
         """
 
-    def malformed(self, key: str, reason: str) -> None:
-        """Record that a document cannot be decoded."""
-
 
 class ChangeSource(Protocol):
     """Reads the store's documents; implemented by the platform's adapter."""
@@ -136,7 +133,6 @@
         self.last_response_s = time.monotonic()
         self.store_back_s = float('-inf')
         self.failures = 0
-        self.known_malformed: set[str] = set()
         self.batch: list[StoredChange] = []
         self.era: int | None = None
         # Documents are being applied that may be older than known ones.
@@ -224,13 +220,6 @@
         for listener in self.view.quarantine_listeners:
             listener(part_id, age_s, left_s)
 
-    def malformed(self, key: str, reason: str) -> None:
-        """Log a document that cannot be decoded, once per key."""
-        if key in self.known_malformed:
-            return
-        self.known_malformed.add(key)
-        log_event(Event.DOCUMENT_MALFORMED, key=key, why=reason)
-
     async def _confirm_with_watchers(self) -> bool:
         """Query the watchers; return whether the view is recent."""
         if self.view.revision is None or self.failures:
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -5,10 +5,11 @@
 """
 
 import types
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, StoreError
 from dandelionplank.platform.names import MS_PER_SECOND
 from dandelionplank.routing.routes import (
@@ -25,6 +26,7 @@
 
 STEP = 'decode'
 DEFAULT_TIMEOUT_MS = 30_000
+MAX_UNIX_MS = 9_007_199_254_740_991
 
 _KINDS = types.MappingProxyType(
     {
@@ -33,12 +35,11 @@
         'streaming': RequestKind.STREAM,
     },
 )
+# Any time of the present era; sums of such times stay exact as floats.
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 _STATES = types.MappingProxyType(
     {'ready': TargetState.ACTIVE, 'draining': TargetState.DRAINING},
 )
-# Raised by the decoders for a document of an unexpected form; msgspec's
-# errors are subclasses of ValueError.
-_DECODE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
 
 
 class MalformedDocumentError(StoreError):
@@ -65,7 +66,7 @@
             started_ms=int(entry.get('born', 0)),
             version=str(entry.get('Version', '')),
         )
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise MalformedDocumentError(
             f'target entry: {error!r}',
             step=STEP,
@@ -73,6 +74,42 @@
         ) from error
 
 
+def decode_peer_address(document: bytes) -> str:
+    """Decode the entry of another instance into its address.
+
+    :return: ``ip:port``
+    :raises MalformedDocumentError: the entry is no address
+    """
+    try:
+        return msgspec.json.decode(document, type=str)
+    except DECODE_ERRORS as error:
+        raise MalformedDocumentError(f'peer: {error!r}', step=STEP) from error
+
+
+class QuarantineDocument(msgspec.Struct, frozen=True):
+    """Entry of a quarantined part of prompts.
+
+    :param first_ms: Unix time of the first crash that it explains
+    :param until_ms: Unix time at which it ends
+    """
+
+    first_ms: UnixMs
+    until_ms: UnixMs
+
+
+def decode_quarantine(document: bytes) -> QuarantineDocument:
+    """Decode the entry of a quarantined part of prompts.
+
+    :raises MalformedDocumentError: the entry describes no quarantine
+    """
+    try:
+        return msgspec.json.decode(document, type=QuarantineDocument)
+    except DECODE_ERRORS as error:
+        raise MalformedDocumentError(
+            f'quarantine: {error!r}', step=STEP
+        ) from error
+
+
 def _text(entry: Any, name: str) -> str:
     """Return a field that must be a non-empty string."""
     found = entry[name]
@@ -107,7 +144,7 @@
             tuple(_service(each) for each in entry.get('Services', ())),
             _limits(entry.get('Limits') or {}),
         )
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise MalformedDocumentError(
             f'configuration: {error!r}',
             step=STEP,
--- a/src/dandelionplank/platform/engines.py
+++ b/src/dandelionplank/platform/engines.py
@@ -3,6 +3,7 @@
 import aiohttp
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, TargetError
 from dandelionplank.routing.work import PromptPart
 from dandelionplank.targets import Target
@@ -10,6 +11,7 @@
 STEP = 'kept parts'
 CACHED_PARTS_PATH = '/v1/kv-list'
 TIMEOUT_S = 1.0
+FETCH_ERRORS = (aiohttp.ClientError, TimeoutError, *DECODE_ERRORS)
 
 # An entry of the list: an empty string, the part's id, its tokens, the model.
 _CacheEntry = tuple[str, str, int, str]
@@ -35,7 +37,7 @@
         ):
             raw = await response.read()
             decoded = msgspec.json.decode(raw, type=_CachedParts)
-    except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+    except FETCH_ERRORS as error:
         raise TargetError(
             repr(error),
             step=STEP,
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -5,12 +5,17 @@
 import msgspec
 
 from dandelionplank.errors import StoreConflictError
+from dandelionplank.events import Event
 from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.fleet.follower import ChangeSink
+from dandelionplank.logs import log_event
 from dandelionplank.platform import names
 from dandelionplank.platform.documents import (
     MalformedDocumentError,
+    QuarantineDocument,
     decode_configuration,
+    decode_peer_address,
+    decode_quarantine,
     decode_target,
 )
 from dandelionplank.platform.store import (
@@ -21,6 +26,8 @@
 )
 
 ALL_KEYS = ''
+# Characters of the reason why a document cannot be decoded.
+MAX_LOGGED_REASON = 200
 
 
 class StoreChangeSource:
@@ -29,6 +36,7 @@
     def __init__(self, store: PlatformStore) -> None:
         """Hold the client that reads the store."""
         self.store = store
+        self.known_malformed: set[str] = set()
 
     async def resync(
         self, sink: ChangeSink
@@ -78,16 +86,36 @@
             elif change.key.startswith(names.QUARANTINE_PREFIX):
                 _apply_quarantine(change, sink)
         except MalformedDocumentError as error:
-            sink.malformed(change.key, error.reason)
+            self._log_malformed(change.key, error.reason)
+        else:
+            self.known_malformed.discard(change.key)
+
+    def _log_malformed(self, key: str, reason: str) -> None:
+        """Log a document that cannot be decoded, once until it can be."""
+        if key not in self.known_malformed:
+            self.known_malformed.add(key)
+            log_event(
+                Event.DOCUMENT_MALFORMED,
+                key=key,
+                why=reason[:MAX_LOGGED_REASON],
+            )
 
 
 def _apply_target(change: StoredChange, sink: ChangeSink) -> None:
-    """Pass on a change of a target's entry."""
+    """Pass on a change of a target's entry; a malformed one names no target.
+
+    :raises MalformedDocumentError: the entry describes no valid target
+    """
     name = change.key.removeprefix(names.TARGET_PREFIX)
     if change.document is None:
         sink.target_removed(name)
-    else:
-        sink.target_listed(decode_target(name, change.document))
+        return
+    try:
+        target = decode_target(name, change.document)
+    except MalformedDocumentError:
+        sink.target_removed(name)
+        raise
+    sink.target_listed(target)
 
 
 def _apply_peer(change: StoredChange, sink: ChangeSink) -> None:
@@ -95,22 +123,8 @@
     name = change.key.removeprefix(names.PEER_PREFIX)
     if change.document is None:
         sink.peer_removed(name)
-        return
-    try:
-        sink.peer_listed(name, msgspec.json.decode(change.document, type=str))
-    except msgspec.DecodeError as error:
-        sink.malformed(change.key, repr(error))
-
-
-class QuarantineDocument(msgspec.Struct, frozen=True):
-    """Entry of a quarantined part of prompts.
-
-    :param first_ms: Unix time of the first crash that it explains
-    :param until_ms: Unix time at which it ends
-    """
-
-    first_ms: int
-    until_ms: int
+    else:
+        sink.peer_listed(name, decode_peer_address(change.document))
 
 
 def _apply_quarantine(change: StoredChange, sink: ChangeSink) -> None:
@@ -120,11 +134,7 @@
     """
     if change.document is None:
         return
-    try:
-        document = msgspec.json.decode(change.document, type=QuarantineDocument)
-    except msgspec.DecodeError as error:
-        sink.malformed(change.key, repr(error))
-        return
+    document = decode_quarantine(change.document)
     now_ms = time.time() * names.MS_PER_SECOND
     sink.part_quarantined(
         change.key.removeprefix(names.QUARANTINE_PREFIX),
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -4,11 +4,12 @@
 import dataclasses
 import types
 from http import HTTPStatus
-from typing import Any, Self
+from typing import Any, Generic, Self, TypeVar
 
 import aiohttp
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import (
     ErrorCode,
     StoreConflictError,
@@ -20,8 +21,11 @@
 
 STEP = 'store'
 CONNECT_TIMEOUT_S = 1.0
+NO_BODY = b'{}'
 _ENCODER = msgspec.json.Encoder()
 
+Body = TypeVar('Body')
+
 
 class RevisionCompactedError(StoreError):
     """A watch requests changes that are no longer in the store's history."""
@@ -64,11 +68,62 @@
     era: int
 
 
+class _StoredItem(msgspec.Struct, frozen=True, rename='pascal'):
+    """An item as it was written, or the removal of one.
+
+    :param text: its value in base64
+    """
+
+    key: str
+    rev: int
+    text: str | None = msgspec.field(name='Value', default=None)
+    tombstone: bool = False
+
+    def to_change(self) -> StoredChange:
+        """Return the item as a change.
+
+        A value that is no base64 text is an empty document, which no decoder
+        accepts, so that the other items of its page hold.
+        """
+        if self.tombstone:
+            return StoredChange(self.key, self.rev, None)
+        try:
+            document = base64.b64decode(self.text or '')
+        except ValueError:
+            document = b''
+        return StoredChange(self.key, self.rev, document)
+
+
+class _Page(msgspec.Struct, frozen=True, rename='pascal'):
+    """Response to the read of a range."""
+
+    entries: tuple[_StoredItem, ...] = msgspec.field(name='Items')
+    as_of: int
+    has_more: bool = False
+
+
+class _Changes(msgspec.Struct, frozen=True, rename='pascal'):
+    """Response to a watch."""
+
+    as_of: int
+    events: tuple[_StoredItem, ...] = msgspec.field(name='events')
+
+
+class _GrantedLease(msgspec.Struct, frozen=True, rename='pascal'):
+    """Response to the grant of a lease."""
+
+    lease: int
+
+
+class _Confirmation(msgspec.Struct, frozen=True):
+    """Response of which no field is used."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class StoreResponse:
+class StoreResponse(Generic[Body]):
     """Decoded body of a response, and the era in which it was given."""
 
-    body: Any
+    body: Body
     era: int
 
 
@@ -100,12 +155,12 @@
         revision: StoreRevision | None = None
         query = {'Prefix': prefix}
         while True:
-            page = await self._call('GET', '/v1/kv-range', query=query)
-            found.extend(map(_stored_item, page.body['Items']))
-            revision = revision or StoreRevision(page.era, page.body['AsOf'])
+            page = await self._call('GET', '/v1/kv-range', _Page, query=query)
+            found.extend(entry.to_change() for entry in page.body.entries)
+            revision = revision or StoreRevision(page.era, page.body.as_of)
             if page.era != revision.era:
                 raise StoreError('restored between two pages', step=STEP)
-            if not page.body.get('HasMore') or not found:
+            if not page.body.has_more or not found:
                 return ItemBatch(tuple(found), revision)
             query['After'] = found[-1].key
 
@@ -123,6 +178,7 @@
         response = await self._call(
             'GET',
             '/v1/kv-watch',
+            _Changes,
             query={
                 'Prefix': prefix,
                 'After': str(after),
@@ -131,8 +187,8 @@
             wait_s=wait_s,
         )
         return ItemBatch(
-            tuple(map(_stored_item, response.body['events'])),
-            StoreRevision(response.era, response.body['AsOf']),
+            tuple(event.to_change() for event in response.body.events),
+            StoreRevision(response.era, response.body.as_of),
         )
 
     async def grant_lease(self, ttl_s: float) -> StoreLease:
@@ -143,9 +199,10 @@
         response = await self._call(
             'POST',
             '/v1/kv-lease',
+            _GrantedLease,
             body={'TtlMs': int(ttl_s * names.MS_PER_SECOND)},
         )
-        return StoreLease(response.body['Lease'], response.era)
+        return StoreLease(response.body.lease, response.era)
 
     async def renew_lease(self, lease: StoreLease) -> None:
         """Renew a lease.
@@ -154,7 +211,9 @@
         :raises StoreError: the call failed
         """
         if lease.era == self.era:
-            await self._call('POST', f'/v1/kv-keep/{lease.number}')
+            await self._call(
+                'POST', f'/v1/kv-keep/{lease.number}', _Confirmation
+            )
         self._check_era(lease)
 
     async def revoke_lease(self, lease: StoreLease) -> None:
@@ -165,7 +224,9 @@
         :raises StoreError: the call failed
         """
         if lease.era == self.era:
-            await self._call('DELETE', f'/v1/kv-lease-end/{lease.number}')
+            await self._call(
+                'DELETE', f'/v1/kv-lease-end/{lease.number}', _Confirmation
+            )
 
     async def put(
         self,
@@ -187,6 +248,7 @@
         await self._call(
             'POST',
             '/v1/kv-txn',
+            _Confirmation,
             body={
                 'Expected': [{'Key': key, 'Rev': 0}] if must_be_new else [],
                 'Writes': [
@@ -210,12 +272,17 @@
         self,
         method: str,
         path: str,
+        form: type[Body],
         *,
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         wait_s: float = 0,
-    ) -> StoreResponse:
-        """Make one call and return the decoded response."""
+    ) -> StoreResponse[Body]:
+        """Make one call and return the decoded response.
+
+        :param form: type of the response's body
+        :raises StoreError: the call failed, or its response is malformed
+        """
         if self.session is None:
             self.session = aiohttp.ClientSession()
         try:
@@ -233,14 +300,12 @@
                 raw = await response.read()
                 era = self._record_era(response.headers.get(names.STORE_ERA))
                 self._raise_for_status(response.status, path)
-                body = msgspec.json.decode(raw) if raw else {}
-                return StoreResponse(body, era)
+                return StoreResponse(_decode_body(raw, form, path), era)
         except aiohttp.ClientConnectorError as error:
             raise StoreError(repr(error), step=STEP, peer=path) from error
         except (
             aiohttp.ClientError,
             TimeoutError,
-            msgspec.DecodeError,
         ) as error:
             raise StoreUnknownError(
                 repr(error),
@@ -271,9 +336,14 @@
             raise error(f'status {status}', step=STEP, peer=path)
 
 
-def _stored_item(entry: dict[str, Any]) -> StoredChange:
-    """Decode one item or event."""
-    document = None
-    if not entry.get('Tombstone'):
-        document = base64.b64decode(entry.get('Value') or '')
-    return StoredChange(entry['Key'], entry['Rev'], document)
+def _decode_body(raw: bytes, form: type[Body], path: str) -> Body:
+    """Decode the body of a response.
+
+    :param path: path of the call
+    :raises StoreUnknownError: the body is malformed; the call may have taken
+        effect
+    """
+    try:
+        return msgspec.json.decode(raw or NO_BODY, type=form)
+    except DECODE_ERRORS as error:
+        raise StoreUnknownError(repr(error), step=STEP, peer=path) from error
--- a/src/dandelionplank/router/administration.py
+++ b/src/dandelionplank/router/administration.py
@@ -11,6 +11,7 @@
     ConfigurationRepository,
 )
 from dandelionplank.contracts import ServiceKind
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import (
     DandelionplankError,
     ErrorCode,
@@ -186,7 +187,7 @@
     """Return the statement request in a JSON body."""
     try:
         return _REQUEST_DECODER.decode(await request.read())
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise RefusalError(
             f'body: {error}',
             step='parse',
--- a/src/dandelionplank/router/links.py
+++ b/src/dandelionplank/router/links.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.events import Event
 from dandelionplank.logs import log_event
 from dandelionplank.messages import FRAME_DECODER, FRAME_ENCODER, Message
@@ -31,8 +32,8 @@
 READ_ERRORS = (
     OSError,
     asyncio.IncompleteReadError,
-    msgspec.DecodeError,
     TimeoutError,
+    *DECODE_ERRORS,
 )
 
 
--- a/src/dandelionplank/router/membership.py
+++ b/src/dandelionplank/router/membership.py
@@ -10,8 +10,8 @@
 from types import MappingProxyType
 
 import aiohttp
-import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.events import Event
 from dandelionplank.instances import Instance, InstanceStatus
 from dandelionplank.logs import log_event
@@ -34,6 +34,7 @@
 from dandelionplank.settings import Address, Settings
 
 INDIRECT_PROBES = 2
+LIST_ERRORS = (aiohttp.ClientError, TimeoutError, *DECODE_ERRORS)
 PROBE_JITTER = (0.9, 1.1)
 RELAYED_PROBE_LIMIT = 1000
 STATUS_EVENTS = MappingProxyType(
@@ -158,7 +159,7 @@
         """Fetch the platform's list and probe listed routers not present."""
         try:
             listed = await self.platform_list.fetch()
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+        except LIST_ERRORS:
             return
         self.listed = {each.id: each for each in listed}
         routers = [
@@ -193,7 +194,7 @@
         METRICS.add('probe_bytes_received_total', len(payload))
         try:
             message = PROBE_DECODER.decode(self.signer.unsign(payload) or b'')
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             METRICS.add('probe_malformed_total')
             return
         self._merge_updates(message)
--- a/src/dandelionplank/router/sse.py
+++ b/src/dandelionplank/router/sse.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, Outcome, TargetError
 from dandelionplank.fairness.cost import Usage
 
@@ -189,6 +190,6 @@
         return {}
     try:
         document = _DECODER.decode(event[len(DATA_PREFIX) :])
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return {}
     return document if isinstance(document, dict) else {}
--- a/src/dandelionplank/router/targets.py
+++ b/src/dandelionplank/router/targets.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, Outcome, TargetError
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.settings import CallerSettings
@@ -20,6 +21,7 @@
 CANCEL_TIMEOUT_S = 2.0
 TRANSFER_TIMEOUT_S = 2.0
 KEEPALIVE_S = 15
+LOAD_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, *DECODE_ERRORS)
 
 
 class EngineLoad(msgspec.Struct, frozen=True):
@@ -180,7 +182,7 @@
 
     async def read_load(self, target: Target) -> EngineLoad:
         """Return a target's reported load, zeros if it does not respond."""
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+        with contextlib.suppress(*LOAD_ERRORS):
             async with asyncio.timeout(CANCEL_TIMEOUT_S):
                 async with self.keepalive_session.get(
                     f'{target.url}/load'
--- a/src/dandelionplank/settings.py
+++ b/src/dandelionplank/settings.py
@@ -9,11 +9,13 @@
 import msgspec
 import yaml
 
+from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, SettingsError
 
 STEP = 'settings'
 MAX_PORT = 65_535
 MAX_NAME_LENGTH = 63
+YAML_ERRORS = (yaml.YAMLError, *DECODE_ERRORS)
 _PATH_PATTERN = re.compile(r' - at `\$(?P<path>[^`]*)`')
 _PART_PATTERN = re.compile(r'\.(?P<name>[^.\[]+)|\[(?P<index>\d+)\]')
 
@@ -201,7 +203,7 @@
     """
     try:
         document = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except YAML_ERRORS as error:
         raise SettingsError(
             f'{origin}: not valid YAML: {error}',
             step=STEP,
--- a/src/dandelionplank_standins/platformstore.py
+++ b/src/dandelionplank_standins/platformstore.py
@@ -21,11 +21,13 @@
     :param is_silent: calls get no response
     :param status: status of every response, zero for no fault
     :param loses_responses: writes are applied and get no response
+    :param body: body of every response, empty for no fault
     """
 
     is_silent: bool = False
     status: int = 0
     loses_responses: bool = False
+    body: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +155,8 @@
             await asyncio.sleep(3600)
         if self.faults.status:
             return web.Response(status=self.faults.status)
+        if self.faults.body:
+            return web.Response(body=self.faults.body)
         response = await handler(request)
         response.headers['Store-Era'] = str(self.era)
         if self.faults.is_silent or (
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -108,7 +108,7 @@
         self.faults = TargetFaults()
         self.runs: list[ExecutedRequest] = []
         self.rejected_at_s: list[float] = []
-        self.cached_parts: dict[str, int] | None = {}
+        self.cached_parts: dict[str, int] | bytes = {}
         self.runner: web.AppRunner | None = None
         self.crashed_at_s: float | None = None
 
@@ -132,9 +132,9 @@
                 connection.transport.abort()
 
     async def _list_cached_parts(self, request: web.Request) -> web.Response:
-        """Return the cached parts of prompts, or text that is no list."""
-        if self.cached_parts is None:
-            return web.Response(text='not a list')
+        """Return the cached parts of prompts, or bytes that are no list."""
+        if isinstance(self.cached_parts, bytes):
+            return web.Response(body=self.cached_parts)
         cached = [
             ['', part, size, 'm'] for part, size in self.cached_parts.items()
         ]
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -14,6 +14,7 @@
     ServicePlan,
     reserve_ports,
 )
+from dandelionplank.metrics import METRICS
 from dandelionplank.platform.etcd import EtcdStore
 from dandelionplank_standins.commands import start_serving
 from dandelionplank_standins.keyvalue import KeyValueStandin
@@ -166,6 +167,16 @@
     return runs
 
 
+def event_counter(event):
+    """Return the key of the counter of an event's log lines."""
+    return ('events_total', (('event', str(event.number)),))
+
+
+def count_events(event):
+    """Return how many log lines an event has in this process."""
+    return METRICS.counters[event_counter(event)]
+
+
 def only(found):
     """Return the single element of a list."""
     assert len(found) == 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -49,7 +49,7 @@
 from dandelionplank.router.idle import REQUEST_START_TURNS
 from dandelionplank.settings import parse_yaml
 from dandelionplank_standins.platformtarget import TargetFaults
-from tests.fixtures import only, run_async, wait_until
+from tests.fixtures import event_counter, only, run_async, wait_until
 from tests.platformfleet import platform_fleet
 
 TEMPLATE = Path(__file__).parent.parent / 'deploy' / 'settings.yaml'
@@ -71,11 +71,6 @@
 }
 
 
-def event_counter(event):
-    """Return the key of the counter of an event's log lines."""
-    return ('events_total', (('event', str(event.number)),))
-
-
 def test_the_settings_template_gives_valid_settings():
     """The template, filled in as by the platform, passes validation."""
     text = TEMPLATE.read_text(encoding='utf-8')
@@ -353,7 +348,7 @@
     async with platform_fleet() as fleet:
         engine = fleet.targets['llm-0']
         engine.cached_parts = {'ab': 200, 'ef': 70}
-        fleet.targets['llm-1'].cached_parts = None
+        fleet.targets['llm-1'].cached_parts = b'not a list'
         await fleet.gateways[0].warmup.run()
         loads = fleet.gateways[0].scheduler.loads
         assert loads['llm-0'].prefix_cache.parts == engine.cached_parts
