Keep the process while one of its tasks fails

Cause: supervision gave a task up after twelve errors in a row and stopped the daemon. What makes a task fail again and again is mostly input that all instances share, so that one bad input ended all of them.

Change: a failing task is started again, once a second, for as long as the process runs. Event 107 says that it fails, once a minute; 108 that it runs again; the gauge failing_tasks counts. An instance whose dispatcher fails is not ready, so that callers connect to others. An error while one document of the store is applied concerns that document: it is logged with its key, and the following of all others goes on. The process still ends by itself if it cannot start: with invalid settings, or without its sockets.

Evidence: on a task that always fails stops the daemon after 12 errors (scratch form of the first test, failed); an error in a listener restarted StoreFollower.run.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -26,6 +26,12 @@
         'changed settings are not valid; the previous ones stay in force',
     )
     TASK_FAILED = (104, Level.ERROR, 'a task failed with an error')
+    TASK_FAILING = (
+        107,
+        Level.ERROR,
+        'a task fails again and again; it is started again once a second',
+    )
+    TASK_RECOVERED = (108, Level.INFO, 'a failing task runs without an error')
     ROUTED = (200, Level.INFO, 'a ticket was granted a target')
     REFUSED = (201, Level.INFO, 'a call was refused')
     ANSWERED = (202, Level.INFO, 'a call received a complete response')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -26,7 +26,7 @@
 from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
-from dandelionplank.fleet.supervision import TaskFactory, supervise
+from dandelionplank.fleet.supervision import Supervisor, TaskFactory
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CachedPartsReader, CacheWarmup
 from dandelionplank.ingress.gateway import Gateway
@@ -50,6 +50,8 @@
 DRAIN_POLL_S = 0.05
 SWEEP_PERIOD_S = 0.5
 DEMAND_PERIOD_S = 1.0
+# While one of these fails, other instances serve callers better.
+SERVING_TASKS = frozenset((Dispatcher.run.__qualname__,))
 LEAVE_TIMEOUT_S = 0.3
 
 
@@ -154,7 +156,7 @@
         )
         self.server = CallerServer(self.gateway, self.view)
         self.stopping = asyncio.Event()
-        self.tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor()
         self.runners: list[web.AppRunner] = []
 
     @property
@@ -275,23 +277,14 @@
                 await self.parts.presence.leave()
         except (StoreError, TimeoutError) as error:
             log_event(Event.LEASE_LOST, why=repr(error))
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.supervisor.cancel()
         self.pool.close()
         await self.parts.close()
 
     def _spawn(self, run: TaskFactory) -> None:
-        """Start a supervised task; if it fails for good, the daemon stops."""
+        """Start a supervised task."""
         name = getattr(run, '__qualname__', keep_presence.__qualname__)
-        task = asyncio.ensure_future(supervise(name, run))
-        task.add_done_callback(self._stop_on_failure)
-        self.tasks.append(task)
-
-    def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
-        """Stop the daemon after a task has failed for good."""
-        if not task.cancelled() and task.exception() is not None:
-            self.stopping.set()
+        self.supervisor.spawn(name, run)
 
     async def _serve_page(
         self,
@@ -309,7 +302,11 @@
 
     async def _ready(self, request: web.Request) -> web.Response:
         """Report to the balancer whether this instance is ready."""
-        is_ready = self.view.is_loaded and not self.gateway.is_leaving
+        is_ready = (
+            self.view.is_loaded
+            and not self.gateway.is_leaving
+            and self.supervisor.failing.isdisjoint(SERVING_TASKS)
+        )
         if is_ready and self.view.is_stale:
             peers_age_s = self.peer_loads.min_view_age_s(time.monotonic())
             is_ready = peers_age_s > self.view.age_s
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -87,6 +87,9 @@
                 _apply_quarantine(change, sink)
         except MalformedDocumentError as error:
             self._log_malformed(change.key, error.reason)
+        except Exception as error:
+            # One document must not end the following of all others.
+            self._log_malformed(change.key, repr(error))
         else:
             self.known_malformed.discard(change.key)
 
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -161,9 +161,7 @@
 
 async def stop(daemon):
     """Stop a gateway without completing its open requests."""
-    for task in daemon.tasks:
-        task.cancel()
-    await asyncio.gather(*daemon.tasks, return_exceptions=True)
+    await daemon.supervisor.cancel()
     daemon.server.stop_accepting()
     for runner in daemon.runners:
         await runner.cleanup()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -548,7 +548,7 @@
                 await wait_until(functools.partial(getattr, failing, 'called'))
         await wait_until(lambda: METRICS.counters[failures] >= before + 6)
         assert not gateway.stopping.is_set()
-        assert not any(task.done() for task in gateway.tasks[:5])
+        assert not any(task.done() for task in gateway.supervisor.tasks[:5])
         assert (await fleet.call('/mine/x'))[0] == 200
 
 
