Find a crashing part although its requests are repeated

Cause: of a request's identity and a part of its prompt with the same crashes, the identity was quarantined and explained them from then on. With each repeated request the part started from zero. Logs of the case on: event 316 names a new identity two seconds after each request, and never the part.

Change: crashes record which request had which parts. A part is no candidate while one request may have caused all of its crashes; once another request with it crashes, the earlier crashes count for the part again, it is quarantined, and the request released. A request that was merely in the crashes is no longer preferred to a part of others.

--- a/src/dandelionplank/delivery/crashwatch.py
+++ b/src/dandelionplank/delivery/crashwatch.py
@@ -23,7 +23,7 @@
 from dandelionplank.events import Event
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
-from dandelionplank.routing.crashes import CrashKey
+from dandelionplank.routing.crashlog import CrashKey
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.targets import Target
 
@@ -67,7 +67,10 @@
         """Return how long a request may not be sent, zero if it may."""
 
     def record_crash(self, key: CrashKey, part_ids: Iterable[str]) -> None:
-        """Record the parts of the requests open at a target that crashed."""
+        """Record the requests open at a target that crashed.
+
+        :param part_ids: requests, each as its identity and its parts
+        """
 
     def record_answer(self, part_ids: Iterable[str], at_s: float) -> None:
         """Record that a target began an answer that it went on with."""
@@ -178,12 +181,12 @@
 
     def _record_crash(self, target: Target, now_s: float) -> None:
         """Record a crash if responses of the target have just broken off."""
-        suspects = {
+        suspects = [
             part_id
             for broken in self.broken.pop(target, ())
             if now_s - broken.at_s < SAME_CRASH_S
             for part_id in broken.part_ids
-        }
+        ]
         if not suspects:
             return
         METRICS.add('target_crashes_total')
@@ -191,8 +194,8 @@
             Event.TARGET_CRASHED,
             target=target.name,
             started_ms=target.started_ms,
-            parts=len(suspects),
-            suspects=sorted(suspects)[:MAX_LOGGED_PARTS],
+            parts=len(set(suspects)),
+            suspects=sorted(set(suspects))[:MAX_LOGGED_PARTS],
         )
         self.recorder.record_crash((target.name, target.started_ms), suspects)
 
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -5,7 +5,7 @@
 import time
 
 from dandelionplank.fairness.waiting import WaitingRequest
-from dandelionplank.routing.crashes import REQUEST_PREFIX
+from dandelionplank.routing.crashlog import REQUEST_PREFIX
 from dandelionplank.routing.routes import Route
 from dandelionplank.routing.work import RequestMetadata
 
--- a/src/dandelionplank/fleet/crashmessages.py
+++ b/src/dandelionplank/fleet/crashmessages.py
@@ -11,6 +11,7 @@
     """A crash that the sender saw.
 
     :param started_ms: Unix time of the target's start, zero if not known
+    :param part_ids: requests, each as its identity and its parts
     """
 
     target: str
--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -21,13 +21,15 @@
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.crashes import (
     QUARANTINE_S,
+    CrashEvidence,
+    Quarantine,
+    QuarantineChange,
+)
+from dandelionplank.routing.crashlog import (
     AnsweredParts,
     Crash,
-    CrashEvidence,
     CrashKey,
     CrashLog,
-    Quarantine,
-    QuarantineChange,
 )
 
 MIN_PERIOD_S = 0.5
@@ -134,7 +136,10 @@
         return self.evidence.left_s(part_ids, time.monotonic())
 
     def record_crash(self, key: CrashKey, part_ids: Iterable[str]) -> None:
-        """Record a crash and report it at once."""
+        """Record a crash and report it at once.
+
+        :param part_ids: requests, each as its identity and its parts
+        """
         now_s = time.monotonic()
         suspects = tuple(part_ids)
         for log in (self.own_crashes, self.evidence.crashes):
@@ -201,15 +206,16 @@
             _log_change(QuarantineChange(reported.part_id, (), reported.left_s))
 
     def _reported_crashes(self, now_s: float) -> Iterable[ReportedCrash]:
-        """Yield the crashes seen here that are unexplained, newest first."""
+        """Yield the crashes seen here that no part explains, newest first."""
         bytes_left = MAX_CRASH_BYTES
-        crashes = self.own_crashes.unexplained(self.evidence.quarantines)
+        crashes = self.own_crashes.without(self.evidence.shared_quarantines)
         for (target, started_ms), crash in reversed(crashes.items()):
-            bytes_left -= _size_of(crash.part_ids)
+            requests = crash.requests
+            bytes_left -= _size_of(requests)
             if bytes_left < 0:
                 return
             yield ReportedCrash(
-                target, started_ms, now_s - crash.at_s, tuple(crash.part_ids)
+                target, started_ms, now_s - crash.at_s, requests
             )
 
     def _reported_answers(self, now_s: float) -> Iterable[ReportedAnswer]:
@@ -237,8 +243,8 @@
 
     def _decide(self, now_s: float) -> None:
         """Quarantine and release parts, and log the changes."""
-        self.own_crashes.expire(now_s)
         changes = self.evidence.decide(now_s)
+        self.own_crashes.expire(now_s, self.evidence.request_quarantines)
         for change in changes:
             _log_change(change)
             if self._has_seen(change.part_id):
--- a/src/dandelionplank/routing/crashes.py
+++ b/src/dandelionplank/routing/crashes.py
@@ -1,17 +1,30 @@
 """Which requests crash targets: pure state, no I/O and no clock.
 
 A crash makes suspects of all requests that the target had just begun to
-answer: of each request as a whole, and of the parts of its prompt. A part that
-is in several crashes, and in no answer since the first of them, is
-quarantined. Every crash that it explains then counts for it alone, so that
-parts that are merely in the same requests are spared. The identity of a
-request, equal for its repetitions, is treated as one more part of it.
+answer: of each request as a whole, and of the parts of its prompt. A suspect
+that is in several crashes, and in no answer since the first of them, is
+quarantined, and explains these crashes, so that others that are merely in them
+are spared.
+
+Of a request and a part of its prompt that were in the same crashes, the request
+is quarantined: that refuses no other one. Once another request with the part
+is in a crash, the part explains more crashes than the request did; the earlier
+ones then count for the part again.
 """
 
 import dataclasses
 import math
-from collections import Counter, OrderedDict, defaultdict
-from collections.abc import Collection, Iterable
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+
+from dandelionplank.routing.crashlog import (
+    AnsweredParts,
+    Crash,
+    CrashKey,
+    CrashLog,
+    is_request,
+    is_valid,
+)
 
 # Crashes that prove a part, and those that prove one which was answered in the
 # time before.
@@ -24,34 +37,11 @@
 # Difference between the clocks of two instances, which is the delay of their
 # messages.
 CLOCK_MARGIN_S = 0.5
-CRASH_TTL_S = 120.0
 QUARANTINE_S = 600.0
 # A quarantine of another instance that ends this soon is not taken over, so
 # that instances do not prolong it for each other.
 MIN_ADOPTED_S = 5.0
-MAX_CRASHES = 256
-MAX_ANSWERED_PARTS = 8192
 MAX_QUARANTINES = 32
-MAX_SUSPECTS = 128
-MAX_PART_ID_LENGTH = 64
-# Prefix of the identities of requests; the id of a part of a prompt contains
-# no colon.
-REQUEST_PREFIX = 'r:'
-
-# Name of a target and the Unix time of its start in milliseconds.
-CrashKey = tuple[str, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash of a target.
-
-    :param at_s: monotonic time
-    :param part_ids: parts of the prompts that it had just begun to answer
-    """
-
-    at_s: float
-    part_ids: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,73 +69,11 @@
     left_s: float
 
 
-class CrashLog:
-    """The latest crashes."""
-
-    def __init__(self) -> None:
-        """Hold the crashes by target."""
-        self.crashes: OrderedDict[CrashKey, Crash] = OrderedDict()
-
-    def add(self, key: CrashKey, at_s: float, part_ids: Iterable[str]) -> None:
-        """Record a crash; reports of the same crash are joined."""
-        suspects = set(filter(_is_valid, part_ids))
-        known = self.crashes.get(key)
-        if known:
-            at_s = min(at_s, known.at_s)
-            suspects |= known.part_ids
-        kept = frozenset(sorted(suspects)[:MAX_SUSPECTS])
-        self.crashes[key] = Crash(at_s, kept)
-        if len(self.crashes) > MAX_CRASHES:
-            self.crashes.popitem(last=False)
-
-    def expire(self, now_s: float) -> None:
-        """Drop crashes that are too old to count."""
-        for key, crash in tuple(self.crashes.items()):
-            if now_s - crash.at_s > CRASH_TTL_S:
-                self.crashes.pop(key)
-
-    def unexplained(
-        self, quarantined: Collection[str]
-    ) -> dict[CrashKey, Crash]:
-        """Return the crashes that no quarantined part explains."""
-        return {
-            key: crash
-            for key, crash in self.crashes.items()
-            if crash.part_ids.isdisjoint(quarantined)
-        }
-
-
-class AnsweredParts:
-    """When a request with a part was last answered."""
-
-    def __init__(self) -> None:
-        """Hold the monotonic times by part, the latest last.
-
-        The identities of requests are held apart: there are far more of them.
-        """
-        self.times: OrderedDict[str, float] = OrderedDict()
-        self.request_times: OrderedDict[str, float] = OrderedDict()
-
-    def add(self, part_ids: Iterable[str], at_s: float) -> None:
-        """Record that a target began an answer that it went on with."""
-        for part_id in filter(_is_valid, part_ids):
-            times = self._times_of(part_id)
-            times[part_id] = max(at_s, self.last_s(part_id))
-            times.move_to_end(part_id)
-            if len(times) > MAX_ANSWERED_PARTS:
-                times.popitem(last=False)
-
-    def last_s(self, part_id: str) -> float:
-        """Return the time of the last answer, minus infinity for none."""
-        return self._times_of(part_id).get(part_id, -math.inf)
-
-    def _times_of(self, part_id: str) -> OrderedDict[str, float]:
-        """Return the times that a part is held among."""
-        return self.request_times if is_request(part_id) else self.times
-
-
 class CrashEvidence:
-    """Crashes and answers of all instances, and the parts in quarantine."""
+    """Crashes and answers of all instances, and the parts in quarantine.
+
+    Identities of requests are treated as parts unless stated otherwise.
+    """
 
     def __init__(self) -> None:
         """Hold no evidence at first."""
@@ -153,6 +81,18 @@
         self.answered = AnsweredParts()
         self.quarantines: dict[str, Quarantine] = {}
 
+    @property
+    def shared_quarantines(self) -> frozenset[str]:
+        """Return the parts of prompts in quarantine, without identities."""
+        return frozenset(
+            part_id for part_id in self.quarantines if not is_request(part_id)
+        )
+
+    @property
+    def request_quarantines(self) -> frozenset[str]:
+        """Return the identities of requests in quarantine."""
+        return frozenset(filter(is_request, self.quarantines))
+
     def left_s(self, part_ids: Iterable[str], now_s: float) -> float:
         """Return how long a prompt may not be sent, zero if it may."""
         found = filter(None, map(self.quarantines.get, part_ids))
@@ -161,12 +101,13 @@
 
     def adopt(self, part_id: str, quarantine: Quarantine, now_s: float) -> bool:
         """Take over another instance's quarantine; return whether it is new."""
-        if len(self.quarantines) >= MAX_QUARANTINES or not _is_valid(part_id):
+        if len(self.quarantines) >= MAX_QUARANTINES or not is_valid(part_id):
             return False
         is_new = (
             part_id not in self.quarantines
             and quarantine.until_s - now_s > MIN_ADOPTED_S
             and not self._is_sound(part_id, quarantine.since_s)
+            and not self._is_superseded(part_id, self._quarantined_keys())
         )
         if is_new:
             self.quarantines[part_id] = quarantine
@@ -174,19 +115,20 @@
 
     def decide(self, now_s: float) -> list[QuarantineChange]:
         """Quarantine and release parts; return the changes."""
-        self.crashes.expire(now_s)
         changes = self._release(now_s)
+        self.crashes.expire(now_s, self.request_quarantines)
         while len(self.quarantines) < MAX_QUARANTINES:
             change = self._quarantine_worst(now_s)
             if change is None:
                 break
             changes.append(change)
+            changes.extend(self._release(now_s))
         return changes
 
     def suspects(self) -> dict[str, list[Crash]]:
-        """Return the crashes that count for each part."""
+        """Return the crashes of each part that no other part explains."""
         found: dict[str, list[Crash]] = defaultdict(list)
-        for crash in self.crashes.unexplained(self.quarantines).values():
+        for crash in self.crashes.without(self.shared_quarantines).values():
             for part_id in crash.part_ids:
                 found[part_id].append(crash)
         return found
@@ -195,13 +137,39 @@
         """Return whether a part was answered after its first crash."""
         return self.answered.last_s(part_id) > first_s + CLOCK_MARGIN_S
 
+    def _is_superseded(
+        self, part_id: str, quarantined: Mapping[str, set[CrashKey]]
+    ) -> bool:
+        """Return whether a quarantined part explains all that a request does.
+
+        Another request does so only if it explains more.
+
+        :param quarantined: crashes that each part in quarantine was in
+        """
+        if not is_request(part_id):
+            return False
+        explained = self.crashes.keys_of(part_id)
+        return bool(explained) and any(
+            explained < keys or (explained == keys and not is_request(other))
+            for other, keys in quarantined.items()
+        )
+
+    def _quarantined_keys(self) -> dict[str, set[CrashKey]]:
+        """Return the crashes that each part in quarantine was in."""
+        return {
+            part_id: self.crashes.keys_of(part_id)
+            for part_id in self.quarantines
+        }
+
     def _release(self, now_s: float) -> list[QuarantineChange]:
-        """Release the parts that were answered or whose time has passed."""
+        """Release the parts that are no longer suspect, or not for longer."""
+        quarantined = self._quarantined_keys()
         released = [
             part_id
             for part_id, quarantine in self.quarantines.items()
             if now_s >= quarantine.until_s
             or self._is_sound(part_id, self._first_s(part_id, quarantine))
+            or self._is_superseded(part_id, quarantined)
         ]
         for part_id in released:
             self.quarantines.pop(part_id)
@@ -219,53 +187,76 @@
         )
         return min(quarantine.since_s, min(crashes_s, default=math.inf))
 
+    def _counted(self) -> dict[str, dict[CrashKey, Crash]]:
+        """Return the crashes that count for each part.
+
+        Those that a quarantined request explains count only for a part that
+        was in all of them, and in another one that nothing explains.
+        """
+        crashes = self.crashes.without(self.shared_quarantines)
+        by_part: dict[str, set[CrashKey]] = defaultdict(set)
+        for key, crash in crashes.items():
+            for part_id in crash.part_ids:
+                by_part[part_id].add(key)
+        explained_by = [
+            by_part.pop(part_id)
+            for part_id in self.quarantines
+            if part_id in by_part
+        ]
+        explained = set().union(*explained_by)
+        counted: dict[str, dict[CrashKey, Crash]] = {}
+        for part_id, keys in by_part.items():
+            fresh = keys - explained
+            if fresh:
+                fresh = fresh.union(
+                    *(each for each in explained_by if each <= keys)
+                )
+                counted[part_id] = {
+                    key: crash for key, crash in crashes.items() if key in fresh
+                }
+        return counted
+
     def _quarantine_worst(self, now_s: float) -> QuarantineChange | None:
         """Quarantine the part that explains most crashes, if one is proven.
 
-        Of two with as many crashes, the identity of a request, which refuses
-        no other request, or else the one that was not answered for longer.
         Parts that are in the same crashes wait for one that distinguishes
-        them, and so do identities.
+        them. If none has when there are enough crashes for any part, a part of
+        prompts comes before the identity of a request, and the one that was
+        not answered for longer before the other.
         """
         proven = {
-            part_id: tuple(crashes)
-            for part_id, crashes in self.suspects().items()
+            part_id: crashes
+            for part_id, crashes in self._counted().items()
             if self._is_proven(part_id, crashes, now_s)
         }
-        rivals = Counter(
-            (is_request(part_id), crashes)
-            for part_id, crashes in proven.items()
-        )
+        rivals = Counter(map(tuple, proven.values()))
         ranked = [
             (
                 len(crashes),
-                is_request(part_id),
+                not is_request(part_id),
                 -self.answered.last_s(part_id),
                 part_id,
             )
             for part_id, crashes in proven.items()
-            if rivals[is_request(part_id), crashes] == 1
+            if rivals[tuple(crashes)] == 1
             or len(crashes) >= PROVEN_CRASHES_IF_ANSWERED
         ]
         if not ranked:
             return None
         part_id = max(ranked)[-1]
-        explained = {
-            key: crash.at_s
-            for key, crash in self.crashes.unexplained(self.quarantines).items()
-            if part_id in crash.part_ids
-        }
+        explained = proven[part_id]
         self.quarantines[part_id] = Quarantine(
-            min(explained.values()), now_s + QUARANTINE_S
+            min(crash.at_s for crash in explained.values()),
+            now_s + QUARANTINE_S,
         )
         targets = tuple(sorted(name for name, _ in explained))
         return QuarantineChange(part_id, targets, QUARANTINE_S)
 
     def _is_proven(
-        self, part_id: str, crashes: list[Crash], now_s: float
+        self, part_id: str, crashes: Mapping[CrashKey, Crash], now_s: float
     ) -> bool:
         """Return whether the crashes with a part are enough."""
-        first_s = min(crash.at_s for crash in crashes)
+        first_s = min(crash.at_s for crash in crashes.values())
         last_s = self.answered.last_s(part_id)
         required = PROVEN_CRASHES
         if last_s > first_s - ANSWERED_BEFORE_S:
@@ -274,14 +265,15 @@
             len(crashes) >= required
             and now_s - first_s >= SETTLE_S
             and not self._is_sound(part_id, first_s)
+            and not self._is_of_one_request(part_id, crashes.values(), first_s)
         )
 
+    def _is_of_one_request(
+        self, part_id: str, crashes: Iterable[Crash], first_s: float
+    ) -> bool:
+        """Return whether one request with a part may have caused all crashes.
 
-def is_request(part_id: str) -> bool:
-    """Return whether an id is the identity of a request."""
-    return part_id.startswith(REQUEST_PREFIX)
-
-
-def _is_valid(part_id: str) -> bool:
-    """Return whether an id is short enough to be held and sent."""
-    return len(part_id) <= MAX_PART_ID_LENGTH
+        :param first_s: monotonic time of the first one
+        """
+        common = set.intersection(*(each.carriers(part_id) for each in crashes))
+        return not all(self._is_sound(identity, first_s) for identity in common)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -8,9 +8,6 @@
 from dandelionplank.routing.crashes import (
     ANSWERED_BEFORE_S,
     CLOCK_MARGIN_S,
-    CRASH_TTL_S,
-    MAX_ANSWERED_PARTS,
-    MAX_CRASHES,
     PROVEN_CRASHES,
     PROVEN_CRASHES_IF_ANSWERED,
     QUARANTINE_S,
@@ -18,6 +15,11 @@
     CrashEvidence,
     Quarantine,
 )
+from dandelionplank.routing.crashlog import (
+    CRASH_TTL_S,
+    MAX_ANSWERED_PARTS,
+    MAX_CRASHES,
+)
 
 START_S = 1000.0
 TIMES = st.floats(START_S, START_S + CRASH_TTL_S / 2)
