Find crashing parts with long ids

Cause: the evidence leaves out ids of more than 64 characters, so that messages and store keys stay short. The platform states no length.

Change: a long id, or one that is not made of ASCII letters and digits, is known by a digest in the evidence, in messages and in the store.

Evidence: the new test, a fleet whose engines crash on an id of 128 digits, failed on (no part in quarantine after 13 s) and passes; 30 tests of the evidence and of one more fleet pass.

--- a/src/dandelionplank/delivery/crashwatch.py
+++ b/src/dandelionplank/delivery/crashwatch.py
@@ -23,7 +23,7 @@
 from dandelionplank.events import Event
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
-from dandelionplank.routing.crashlog import CrashKey
+from dandelionplank.routing.crashlog import CrashKey, evidence_id
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.targets import Target
 
@@ -225,7 +225,7 @@
 def _shared_parts(request: CallerRequest) -> tuple[str, ...]:
     """Return the parts of a prompt that other prompts may share."""
     work = request.metadata.work
-    return work.shared_part_ids if work else ()
+    return tuple(map(evidence_id, work.shared_part_ids)) if work else ()
 
 
 def _is_refused(error: TargetError) -> bool:
--- a/src/dandelionplank/routing/crashlog.py
+++ b/src/dandelionplank/routing/crashlog.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import hashlib
 import itertools
 import math
 from collections import OrderedDict
@@ -16,9 +17,11 @@
 MAX_ANSWERED_PARTS = 8192
 MAX_SUSPECTS = 128
 MAX_PART_ID_LENGTH = 64
-# Prefix of the identities of requests; the id of a part of a prompt contains
-# no colon.
+# Prefixes of the identities of requests, and of digests of long ids; the id of
+# a part of a prompt contains no colon.
 REQUEST_PREFIX = 'r:'
+DIGEST_PREFIX = 'd:'
+DIGEST_BYTES = 10
 
 # Name of a target and the Unix time of its start in milliseconds.
 CrashKey = tuple[str, int]
@@ -159,6 +162,20 @@
     return len(part_id) <= MAX_PART_ID_LENGTH
 
 
+def evidence_id(part_id: str) -> str:
+    """Return the id by which a part of a prompt is known in the evidence.
+
+    It appears in messages, log lines and keys of the store. A long id, or one
+    that is not made of ASCII letters and digits, is replaced by a digest.
+    """
+    is_plain = part_id.isascii() and part_id.isalnum()
+    if is_plain and is_valid(part_id):
+        return part_id
+    encoded = part_id.encode('utf-8', 'surrogateescape')
+    digest = hashlib.blake2b(encoded, digest_size=DIGEST_BYTES)
+    return DIGEST_PREFIX + digest.hexdigest()
+
+
 def _carried_parts(listed: Iterable[str]) -> Iterator[CarriedPart]:
     """Yield the parts of each request that is listed."""
     identity = ''
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -14,7 +14,7 @@
     PROVEN_CRASHES_IF_ANSWERED,
     Quarantine,
 )
-from tests.fixtures import run_async, running, wait_until
+from tests.fixtures import only, run_async, running, wait_until
 from tests.platformfleet import platform_fleet, stop
 
 GATEWAYS = 3
@@ -22,6 +22,7 @@
 ENGINES = 8
 TOPICS = 13
 CRASHING_PART = 'dead'
+LONG_PART = 'dead' * 32
 # Bounds that the platform states, counted from the fifth crash.
 CONTAINED_AFTER_S = 3.0
 SERVED_AFTER_S = 2 * CONTAINED_AFTER_S
@@ -48,6 +49,7 @@
         self.crashes = []
         self.restarts = set()
         self.sound_period_s = SOUND_PERIOD_S
+        self.crashing_part = CRASHING_PART
 
     @property
     def engines(self):
@@ -97,7 +99,7 @@
         async with asyncio.TaskGroup() as calls:
             for gateway in itertools.cycle(gateways):
                 topic = f'c{next(self.numbers) % TOPICS}'
-                parts = self.parts('ab', topic, CRASHING_PART)
+                parts = self.parts('ab', topic, self.crashing_part)
                 calls.create_task(self.call(parts, gateway))
                 await asyncio.sleep(CRASHING_PERIOD_S)
 
@@ -137,7 +139,7 @@
         return [
             run.started_at_s
             for run in self.fleet.runs()
-            if CRASHING_PART in run.headers['Dandelionplank-Prefix-Hash']
+            if self.crashing_part in run.headers['Dandelionplank-Prefix-Hash']
         ]
 
     def late_runs(self):
@@ -213,6 +215,18 @@
     assert after >= before / 2, (before, after)
 
 
+@run_async
+async def test_a_crashing_part_with_a_long_id_is_contained():
+    """The platform states no length; this id has 128 digits."""
+    async with crash_scene(LONG_PART) as scene:
+        scene.crashing_part = LONG_PART
+        await scene.crash_for(CRASHING_S)
+        part = only(tuple(scene.quarantined_parts()))
+        entries = scene.fleet.store.entries
+        await wait_until(lambda: f'quarantine/{part}' in entries)
+    assert len(scene.late_runs()) <= MAX_LATE_REQUESTS
+
+
 @run_async
 async def test_a_part_that_was_sound_before_is_contained():
     """Answers from before the first crash do not delay it beyond the bound."""
