Bound the counts that callers state

Cause: the counts of a prompt's parts go into the reports to other instances, and an integer above 64 bits cannot be encoded. Logs of the case on: twelve times task_failed of PeerExchange.run with that OverflowError, then "leaving"; no other task failed.

Change: counts are ASCII digits and are cut to 2**31 - 1 where they are made. Larger parts are not recorded as cached. Ids and models that are no UTF-8 are escaped where they go into messages and logs; headers are forwarded unchanged.

--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -66,6 +66,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'the request, or a part of its prompt, has crashed targets',
     )
+    PROMPT_TOO_LARGE = (
+        3007,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'the prompt is larger than the memory of any target',
+    )
     TARGET_UNREACHABLE = (
         4001,
         HTTPStatus.BAD_GATEWAY,
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: routing, authentication, delivery, response."""
 
 import asyncio
+import dataclasses
 import functools
 import time
 from http import HTTPStatus
@@ -28,12 +29,19 @@
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
-from dandelionplank.routing.routes import RequestKind, Route, RouteTable
+from dandelionplank.routing.routes import (
+    RequestKind,
+    Route,
+    RouteService,
+    RouteTable,
+)
 from dandelionplank.routing.work import RequestMetadata
 
 STEP = 'ingress'
 NOT_READY_RETRY_S = 0.5
 STALE_RETRY_S = 1.0
+# A prompt that is too large does not fit later either.
+TOO_LARGE_RETRY_S = 3600.0
 # Callers disconnect from a stream that is silent for the longest of these: a
 # time, a multiple of the objective, a multiple of the gap target.
 MIN_FIRST_EVENT_TIMEOUT_S = 2.0
@@ -98,11 +106,13 @@
         body = await self.grace.limit(self._read_body(request, table), Trace())
         self.grace.check_admission()
         self._check_key_confirmed(route, metadata)
+        service = route.pick_service(_split_point(metadata.request_id))
         caller = self._caller_request(
             request,
             body,
-            metadata,
+            _fit_memory(metadata, table.services.get(service)),
             route,
+            service,
             account,
             started_s,
         )
@@ -251,6 +261,7 @@
         body: bytes,
         metadata: RequestMetadata,
         route: Route,
+        service: str,
         account: str,
         started_s: float,
     ) -> CallerRequest:
@@ -268,7 +279,7 @@
             body,
             metadata,
             route,
-            route.pick_service(_split_point(metadata.request_id)),
+            service,
             account,
             started_s,
             started_s + time_left_s,
@@ -397,6 +408,32 @@
     return status
 
 
+def _fit_memory(
+    metadata: RequestMetadata, service: RouteService | None
+) -> RequestMetadata:
+    """Return a request's metadata with at most the output that can be produced.
+
+    :param service: None if the configuration does not describe it
+    :raises RefusalError: the prompt fits into the memory of no target
+    """
+    work = metadata.work
+    if work is None or service is None or service.memory is None:
+        return metadata
+    most = service.memory.tokens
+    if work.size_tokens > most:
+        raise RefusalError(
+            f'{work.size_tokens} of {most} tokens',
+            step=STEP,
+            peer=service.name,
+            code=ErrorCode.PROMPT_TOO_LARGE,
+            retry_after_s=TOO_LARGE_RETRY_S,
+        )
+    if work.output_tokens <= most:
+        return metadata
+    limited = dataclasses.replace(work, output_tokens=most)
+    return dataclasses.replace(metadata, work=limited)
+
+
 def _decode_header(raw: bytes) -> str:
     """Decode a header to text that encodes to the same bytes."""
     return raw.decode('utf-8', 'surrogateescape')
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -8,10 +8,16 @@
 
 from multidict import CIMultiDict
 
+from dandelionplank.decoding import escape_bytes, parse_count
 from dandelionplank.delivery.responses import ResponseMetadata, TargetReport
 from dandelionplank.platform import names
 from dandelionplank.routing.ratelimit import UNLIMITED
-from dandelionplank.routing.work import PromptPart, RequestMetadata, TokenWork
+from dandelionplank.routing.work import (
+    MAX_TOKENS,
+    PromptPart,
+    RequestMetadata,
+    TokenWork,
+)
 
 HOP_BY_HOP = frozenset(
     (
@@ -38,7 +44,7 @@
 def request_metadata(headers: Mapping[str, str]) -> RequestMetadata:
     """Decode the request metadata that a caller sends."""
     return RequestMetadata(
-        request_id=headers.get(names.REQUEST_ID, ''),
+        request_id=escape_bytes(headers.get(names.REQUEST_ID, '')),
         key=headers.get(names.API_KEY, ''),
         time_left_s=_parse_milliseconds(headers.get(names.DEADLINE, '')),
         work=_token_work(headers),
@@ -64,12 +70,14 @@
 def _token_work(headers: Mapping[str, str]) -> TokenWork | None:
     """Decode the token counts; ``None`` for requests to plain services."""
     prompt, _, output = headers.get(names.TOKENS, '').partition(',')
-    if not (prompt.strip().isdecimal() and output.strip().isdecimal()):
+    prompt_tokens = parse_count(prompt, MAX_TOKENS)
+    output_tokens = parse_count(output, MAX_TOKENS)
+    if prompt_tokens is None or output_tokens is None:
         return None
     return TokenWork(
-        model=headers.get(names.MODEL, ''),
-        prompt_tokens=int(prompt),
-        output_tokens=int(output),
+        model=escape_bytes(headers.get(names.MODEL, '')),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         parts=tuple(_prompt_parts(headers.get(names.PROMPT_PARTS, ''))),
     )
 
@@ -77,10 +85,12 @@
 def _prompt_parts(text: str) -> Iterable[PromptPart]:
     """Decode the parts of a prompt up to the first malformed entry."""
     for entry in text.split(','):
-        part_id, _, tokens = entry.strip().partition(':')
-        if not part_id or not tokens.isdecimal():
+        part_id, _, count = entry.strip().partition(':')
+        tokens = parse_count(count, MAX_TOKENS)
+        is_id = part_id.isascii() and part_id.isalnum()
+        if not is_id or tokens is None:
             return
-        yield PromptPart(part_id, int(tokens))
+        yield PromptPart(part_id, tokens)
 
 
 def target_headers(
@@ -164,7 +174,7 @@
 ) -> ResponseMetadata:
     """Decode the metadata of a target's response."""
     return ResponseMetadata(
-        request_id=headers.get(names.REQUEST_ID, ''),
+        request_id=escape_bytes(headers.get(names.REQUEST_ID, '')),
         is_stamped=bool(headers.get(names.STAMP)),
         is_not_executed=(
             names.NOT_EXECUTED in headers or status in NOT_EXECUTED_STATUSES
--- a/src/dandelionplank/routing/prefix_cache.py
+++ b/src/dandelionplank/routing/prefix_cache.py
@@ -37,8 +37,13 @@
         return min(cached, work.prompt_tokens)
 
     def record_prefill(self, parts: Iterable[PromptPart]) -> None:
-        """Record that the target prefills parts of a prompt."""
+        """Record that the target prefills parts of a prompt.
+
+        One that does not fit would evict all others and is left out.
+        """
         for part in parts:
+            if not 0 <= part.tokens <= self.capacity:
+                continue
             known_tokens = self.parts.pop(part.part_id, 0)
             self.parts[part.part_id] = part.tokens
             self.tokens += part.tokens - known_tokens
--- a/src/dandelionplank/routing/work.py
+++ b/src/dandelionplank/routing/work.py
@@ -5,11 +5,18 @@
 # Cost of a prompt token and of an output token.
 PROMPT_TOKEN_COST = 1
 OUTPUT_TOKEN_COST = 2
+# Largest count of tokens; a larger one that a caller states is cut to it, so
+# that counts and their sums fit the integers of messages.
+MAX_TOKENS = 2_147_483_647
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
-    """A part of a prompt; equal ids mean equal text."""
+    """A part of a prompt; equal ids mean equal text.
+
+    :param part_id: ASCII letters and digits
+    :param tokens: at most :data:`MAX_TOKENS`
+    """
 
     part_id: str
     tokens: int
@@ -19,8 +26,8 @@
 class TokenWork:
     """Work of a model engine.
 
-    :param prompt_tokens: tokens of the prompt
-    :param output_tokens: maximum number of output tokens
+    :param prompt_tokens: tokens of the prompt, at most :data:`MAX_TOKENS`
+    :param output_tokens: maximum number of output tokens, likewise
     :param parts: parts of the prompt in order, the last one not shared
     """
 
@@ -40,6 +47,11 @@
         """Ids of the parts that other requests may share."""
         return tuple(part.part_id for part in self.parts[:-1])
 
+    @property
+    def size_tokens(self) -> int:
+        """Size of the prompt, by its total or by its parts."""
+        return max(self.prompt_tokens, sum(part.tokens for part in self.parts))
+
     @property
     def cost(self) -> float:
         """Cost as if no part were cached."""
--- /dev/null
+++ b/tests/test_stated_numbers.py
@@ -0,0 +1,160 @@
+"""Tests of numbers and texts that callers and targets state in headers."""
+
+import asyncio
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bench.platform import HOST, MODEL_HEADERS
+from dandelionplank.decoding import parse_count
+from dandelionplank.events import Event
+from dandelionplank.fleet.tickets import Ticket
+from dandelionplank.platform import headers
+from dandelionplank.routing.prefix_cache import PrefixCache
+from dandelionplank.routing.work import MAX_TOKENS, PromptPart
+from tests.fixtures import (
+    count_events,
+    only,
+    run_async,
+    run_on_both_loops,
+    wait_until,
+)
+from tests.platformfleet import platform_fleet
+
+HUGE = '9' * 24
+# Bytes of a header, decoded as the HTTP library does.
+HEADER_TEXTS = st.binary(max_size=40).map(
+    lambda raw: raw.decode('utf-8', 'surrogateescape')
+)
+
+
+def metadata(**stated):
+    """Decode the metadata of a request to a model."""
+    return headers.request_metadata(
+        {
+            'Dandelionplank-Request-Id': stated.get('request_id', 'q1'),
+            'Dandelionplank-Model': stated.get('model', 'm'),
+            'Dandelionplank-Token-Usage': stated.get('tokens', '10,20'),
+            'Dandelionplank-Prefix-Hash': stated.get('parts', 'ab:5,cd:5'),
+        },
+    )
+
+
+def parts_of(text):
+    """Return the ids and tokens of the parts that a header states."""
+    work = metadata(parts=text).work
+    return [(part.part_id, part.tokens) for part in work.parts]
+
+
+def test_counts_are_digits_and_bounded():
+    """Signs, other digits and texts are no counts; large ones are cut."""
+    assert [parse_count(text, 100) for text in ('0', ' 7 ', '099', '101')] == [
+        0,
+        7,
+        99,
+        100,
+    ]
+    assert parse_count('9' * 5000, 100) == 100
+    assert parse_count('0' * 5000, 100) == 0
+    for text in ('', ' ', '-1', '+1', '1.5', '1e3', '1_0', '٣', '²', 'x'):
+        assert parse_count(text, 100) is None
+
+
+def test_parts_of_prompts_end_at_the_first_malformed_one():
+    """What follows cannot be in the cache without it."""
+    assert parts_of(f'ab:0, cd:{HUGE}') == [('ab', 0), ('cd', MAX_TOKENS)]
+    for entry in ('', 'cd', 'cd:', ':5', 'cd:-5', 'cd:٣', 'c\udcff:5', 'c d:5'):
+        assert parts_of(f'ab:5,{entry},ef:5') == [('ab', 5)]
+
+
+@given(HEADER_TEXTS, HEADER_TEXTS, HEADER_TEXTS, HEADER_TEXTS)
+def test_what_a_caller_states_can_be_sent_to_other_instances(
+    request_id, model, tokens, parts
+):
+    """No header makes a message that cannot be encoded."""
+    stated = metadata(
+        request_id=request_id,
+        model=model,
+        tokens=f'{tokens},{HUGE}',
+        parts=f'{parts}:{HUGE},{parts}:{tokens}',
+    )
+    work = stated.work or metadata(parts=parts).work
+    ticket = Ticket(
+        'a',
+        1,
+        'q',
+        stated.request_id,
+        'account',
+        1,
+        1,
+        work.cost,
+        work.model,
+        work.prompt_tokens,
+        work.output_tokens,
+        tuple((part.part_id, part.tokens) for part in work.parts),
+        (),
+        is_overflow=False,
+    )
+    encoded = msgspec.msgpack.encode(ticket)
+    assert msgspec.msgpack.decode(encoded, type=Ticket) == ticket
+    msgspec.json.encode(stated.request_id)
+
+
+@run_on_both_loops
+async def test_a_very_large_count_ends_no_gateway():
+    """It is refused at once; the reports to peers go on, and other callers."""
+    failed_before = count_events(Event.TASK_FAILED)
+    async with platform_fleet(gateways=2) as fleet:
+        second = fleet.gateways[1]
+        for name, stated in (
+            ('Dandelionplank-Prefix-Hash', f'ab:{HUGE},cd:100'),
+            ('Dandelionplank-Token-Usage', f'{HUGE},20'),
+        ):
+            status, body, answered = await fleet.call(
+                '/chat/x', headers={**MODEL_HEADERS, name: stated}
+            )
+            assert (status, body[:7]) == (503, b'DP-3007')
+            assert float(answered['Retry-After']) > 0
+        assert not fleet.runs()
+        usage = {'Dandelionplank-Token-Usage': f'300,{HUGE}'}
+        status, _, _ = await fleet.call(
+            '/chat/x', headers={**MODEL_HEADERS, **usage}
+        )
+        assert status == 200
+        run = only(fleet.runs())
+        assert run.headers['Dandelionplank-Token-Usage'] == f'300,{HUGE}'
+        await wait_until(lambda: 'front-0' in second.peer_loads.reports)
+        sequence = second.peer_loads.reports['front-0'].report.sequence
+        await wait_until(
+            lambda: (
+                second.peer_loads.reports['front-0'].report.sequence
+                > sequence + 2
+            )
+        )
+        assert (await fleet.call('/chat/x', headers=MODEL_HEADERS))[0] == 200
+    assert count_events(Event.TASK_FAILED) == failed_before
+
+
+@run_async
+async def test_a_request_id_that_is_no_text_gets_a_response():
+    """Its bytes appear escaped in logs, and reach the target as they are."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        host, _, port = gateway.settings.listen.callers.partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b'GET /nowhere HTTP/1.1\r\nHost: %b\r\n'
+            b'Dandelionplank-Request-Id: \xff\xfe\r\n\r\n' % HOST.encode()
+        )
+        assert b' 404 ' in await reader.readline()
+        writer.close()
+
+
+def test_a_part_larger_than_the_memory_is_not_taken_for_cached():
+    """It would evict all others from the estimate of a cache."""
+    cache = PrefixCache(1000)
+    cache.record_prefill([PromptPart('ab', 100)])
+    for tokens in (MAX_TOKENS, 10**30, -1):
+        cache.record_prefill([PromptPart('cd', tokens)])
+    assert dict(cache.parts) == {'ab': 100}
