Bound the numbers that targets and the store state

Callers would see: requests that fail with 500 at an instance whose target states a load of 1e308, a Retry-After with a year that no clock holds, or a Keep-Alive of 400 digits.

Cause: these numbers were checked for their form and not for their range. The sum of two loads cannot be multiplied by a float, and the error came out of the placement of all requests to the service.

Change: loads are cut to limits where a report is made, the date parser's errors are those of any malformed date, idle limits, eras and revisions are bounded.

Evidence: the three new tests failed before (AssertionError, OverflowError twice); nine tests of the file pass.

--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -12,6 +12,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from dandelionplank.decoding import parse_count
 from dandelionplank.delivery.bounds import (
     MAX_INTERIM_RESPONSES,
     MAX_PARSED_HEADS,
@@ -32,6 +33,7 @@
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Share of the target's stated idle limit within which a connection is reused.
 IDLE_LIMIT_SHARE = 0.6
+LONGEST_IDLE_LIMIT_S = 3600
 # Idle limit for requests that are not idempotent: short enough that the target
 # cannot have closed the connection meanwhile.
 NON_IDEMPOTENT_IDLE_LIMIT_S = 0.4
@@ -197,9 +199,9 @@
         self.keep_alive = not message.should_close
         stated = message.headers.get('Keep-Alive', '')
         _, _, seconds = stated.partition('timeout=')
-        digits = seconds.partition(',')[0].strip()
-        if digits.isdecimal():
-            self.idle_limit_s = int(digits) * IDLE_LIMIT_SHARE
+        stated_s = parse_count(seconds.partition(',')[0], LONGEST_IDLE_LIMIT_S)
+        if stated_s is not None:
+            self.idle_limit_s = stated_s * IDLE_LIMIT_SHARE
         return TargetResponse(
             message.code,
             message.reason or '',
--- a/src/dandelionplank/delivery/responses.py
+++ b/src/dandelionplank/delivery/responses.py
@@ -1,6 +1,12 @@
 """What the head of a target's response reports."""
 
 import dataclasses
+from typing import Self
+
+# Largest numbers that a report can hold; larger ones tell targets apart no
+# better.
+MAX_REQUESTS = 1_000_000
+MAX_SLOWNESS = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,6 +22,15 @@
     waiting: int
     slowness: float
 
+    @classmethod
+    def from_load(cls, running: float, waiting: float, slowness: float) -> Self:
+        """Build a report from finite numbers, cut to the limits."""
+        return cls(
+            int(min(MAX_REQUESTS, max(0, running))),
+            int(min(MAX_REQUESTS, max(0, waiting))),
+            min(MAX_SLOWNESS, max(1, slowness)),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseMetadata:
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -8,7 +8,11 @@
 
 from multidict import CIMultiDict
 
-from dandelionplank.decoding import escape_bytes, parse_count
+from dandelionplank.decoding import (
+    DECODE_ERRORS,
+    escape_bytes,
+    parse_count,
+)
 from dandelionplank.delivery.responses import ResponseMetadata, TargetReport
 from dandelionplank.platform import names
 from dandelionplank.routing.ratelimit import UNLIMITED
@@ -223,7 +227,7 @@
     """Parse the date of a header; ``None`` if malformed."""
     try:
         parsed = parsedate_to_datetime(text)
-    except ValueError:
+    except DECODE_ERRORS:
         return None
     return parsed if parsed.tzinfo else parsed.replace(tzinfo=UTC)
 
@@ -243,15 +247,9 @@
     numbers = _parse_numbers(text)
     if len(numbers) < REQUIRED_LOAD_FIELDS:
         return None
-    slowness = (
-        numbers[REQUIRED_LOAD_FIELDS]
-        if len(numbers) > REQUIRED_LOAD_FIELDS
-        else 0
-    )
-    return TargetReport(
-        running=int(numbers[0]),
-        waiting=int(numbers[1]),
-        slowness=max(PERCENT, slowness) / PERCENT,
+    slowness = numbers[REQUIRED_LOAD_FIELDS : REQUIRED_LOAD_FIELDS + 1]
+    return TargetReport.from_load(
+        numbers[0], numbers[1], max((PERCENT, *slowness)) / PERCENT
     )
 
 
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -4,12 +4,12 @@
 import dataclasses
 import types
 from http import HTTPStatus
-from typing import Any, Generic, Self, TypeVar
+from typing import Annotated, Any, Generic, Self, TypeVar
 
 import aiohttp
 import msgspec
 
-from dandelionplank.decoding import DECODE_ERRORS
+from dandelionplank.decoding import DECODE_ERRORS, parse_count
 from dandelionplank.errors import (
     ErrorCode,
     StoreConflictError,
@@ -25,6 +25,9 @@
 _ENCODER = msgspec.json.Encoder()
 
 Body = TypeVar('Body')
+# Revisions and eras are sent to other instances.
+MAX_REVISION = 9_223_372_036_854_775_807
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
 
 class RevisionCompactedError(StoreError):
@@ -75,7 +78,7 @@
     """
 
     key: str
-    rev: int
+    rev: Revision
     text: str | None = msgspec.field(name='Value', default=None)
     tombstone: bool = False
 
@@ -98,14 +101,14 @@
     """Response to the read of a range."""
 
     entries: tuple[_StoredItem, ...] = msgspec.field(name='Items')
-    as_of: int
+    as_of: Revision
     has_more: bool = False
 
 
 class _Changes(msgspec.Struct, frozen=True, rename='pascal'):
     """Response to a watch."""
 
-    as_of: int
+    as_of: Revision
     events: tuple[_StoredItem, ...] = msgspec.field(name='events')
 
 
@@ -325,8 +328,9 @@
 
     def _record_era(self, text: str | None) -> int:
         """Return the era of a response, the last one if it states none."""
-        if text and text.isdecimal():
-            self.era = int(text)
+        era = parse_count(text or '', MAX_REVISION)
+        if era is not None:
+            self.era = era
         return self.era
 
     def _raise_for_status(self, status: int, path: str) -> None:
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -1,18 +1,25 @@
 """Tests of numbers and texts that callers and targets state in headers."""
 
 import asyncio
+from http import HTTPStatus
+from unittest import mock
 
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
+from multidict import CIMultiDict
 
 from bench.platform import HOST, MODEL_HEADERS
 from dandelionplank.decoding import parse_count
+from dandelionplank.delivery.connections import TargetConnection
 from dandelionplank.events import Event
 from dandelionplank.fleet.tickets import Ticket
 from dandelionplank.platform import headers
+from dandelionplank.routing.load import TargetLoad
 from dandelionplank.routing.prefix_cache import PrefixCache
 from dandelionplank.routing.work import MAX_TOKENS, PromptPart
+from dandelionplank.settings import Address
+from dandelionplank.targets import Target
 from tests.fixtures import (
     count_events,
     only,
@@ -158,3 +165,38 @@
     for tokens in (MAX_TOKENS, 10**30, -1):
         cache.record_prefill([PromptPart('cd', tokens)])
     assert dict(cache.parts) == {'ab': 100}
+
+
+@given(st.lists(st.floats(allow_nan=False, allow_infinity=False), min_size=3))
+def test_any_load_that_a_target_states_can_be_compared(numbers):
+    """Numbers beyond those of any load are cut, not multiplied."""
+    text = ','.join(map(repr, numbers))
+    stated = {'Dandelionplank-Engine-Load': text, 'Retry-After': text}
+    marks = headers.response_metadata(
+        HTTPStatus.SERVICE_UNAVAILABLE, CIMultiDict(stated)
+    )
+    target = Target('t', 's', Address('10.0.0.1', 80), 'a')
+    load = TargetLoad(target, None)
+    load.record_report(marks.report, 0)
+    assert 1 <= load.plain_load(load.share, 0) < 10**10
+
+
+def test_dates_far_away_are_no_dates():
+    """A year that no clock can hold is ignored like any malformed date."""
+    for text in ('1 Jan 99999999999999999999 0:0:0 GMT', '1 Jan 0 0:0:0 +9'):
+        marks = headers.response_metadata(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            CIMultiDict({'Retry-After': text, 'Date': text}),
+        )
+        assert marks.closed_s == 0
+
+
+def test_any_idle_limit_that_a_target_states_is_bounded():
+    """A limit of 400 digits is longer than any connection lives."""
+    for digits in ('9' * 400, '9' * 5000):
+        connection = TargetConnection(mock.Mock())
+        message = mock.Mock(
+            headers={'Keep-Alive': f'timeout={digits}'}, code=200
+        )
+        connection._to_response(message, mock.Mock())
+        assert connection.idle_limit_s < 4000
