Keep the reports to other instances within a datagram

Callers would see: an instance that its peers take for silent, with its load and its service to accounts missing in their decisions, while callers send prompts of many parts.

Cause: a report holds all prompts since the last one, and those before again. Above 65,507 bytes the socket refuses it (EMSGSIZE), and the whole report is lost.

Change: the newest prompts whose parts fit into 24,576 bytes are reported; the others are missing in the peers' estimates of caches, as if a datagram was lost.

Evidence: the new test, 256 prompts of 100 parts, failed before and passes; ten tests of the file pass.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Protocol
 
 import msgspec
@@ -41,6 +41,10 @@
 RANDOM_ID_BITS = 48
 # Reports that include the same prompt, so that one may be lost.
 REPORTS_PER_PREFILL = 2
+# Limit on the parts of prompts in a report, so that it fits into a datagram.
+MAX_PREFILL_BYTES = 24_576
+# Bytes of a part besides its id.
+PART_OVERHEAD_BYTES = 8
 RENEWALS_PER_TTL = 3
 FAILED_RENEWAL_PAUSE_S = 1.0
 # Random factor on the pause between renewals, so that instances that start
@@ -299,7 +303,21 @@
         fresh = tuple(self.scheduler.prefill_reports)
         self.scheduler.prefill_reports.clear()
         self.recent_prefills.append(fresh)
-        return tuple(itertools.chain.from_iterable(self.recent_prefills))
+        prefills = itertools.chain.from_iterable(reversed(self.recent_prefills))
+        return tuple(_take_bytes(prefills, MAX_PREFILL_BYTES))
+
+
+def _take_bytes(
+    prefills: Iterable[PrefillReport], limit_bytes: int
+) -> Iterator[PrefillReport]:
+    """Yield the first prompts whose parts fit into a part of a report."""
+    for prefill in prefills:
+        limit_bytes -= sum(
+            len(part_id) + PART_OVERHEAD_BYTES for part_id, _ in prefill.parts
+        )
+        if limit_bytes < 0:
+            return
+        yield prefill
 
 
 async def keep_presence(presence: Presence, ttl_s: float) -> None:
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -13,10 +13,12 @@
 from dandelionplank.decoding import parse_count
 from dandelionplank.delivery.connections import TargetConnection
 from dandelionplank.events import Event
+from dandelionplank.fleet.peers import PrefillReport
 from dandelionplank.fleet.tickets import Ticket
 from dandelionplank.platform import headers
 from dandelionplank.routing.load import TargetLoad
 from dandelionplank.routing.prefix_cache import PrefixCache
+from dandelionplank.routing.scheduler import MAX_PREFILL_REPORTS
 from dandelionplank.routing.work import MAX_TOKENS, PromptPart
 from dandelionplank.settings import Address
 from dandelionplank.targets import Target
@@ -30,6 +32,7 @@
 from tests.platformfleet import platform_fleet
 
 HUGE = '9' * 24
+MAX_DATAGRAM_BYTES = 65_507
 # Bytes of a header, decoded as the HTTP library does.
 HEADER_TEXTS = st.binary(max_size=40).map(
     lambda raw: raw.decode('utf-8', 'surrogateescape')
@@ -167,6 +170,23 @@
     assert dict(cache.parts) == {'ab': 100}
 
 
+@run_async
+async def test_a_report_fits_into_a_datagram():
+    """Prompts with many parts must not cost peers the rest of a report."""
+    async with platform_fleet() as fleet:
+        gateway = only(fleet.gateways)
+        parts = tuple((f'{number:064x}', 1) for number in range(100))
+        reports = [
+            PrefillReport('llm-0', parts) for _ in range(MAX_PREFILL_REPORTS)
+        ]
+        gateway.view.peers['other'] = '127.0.0.1:9'
+        for _ in range(2):
+            gateway.scheduler.prefill_reports.extend(reports)
+            with mock.patch.object(gateway.exchange, '_send_listed') as send:
+                gateway.exchange.send_report()
+            assert 1000 < len(send.call_args.args[1]) <= MAX_DATAGRAM_BYTES
+
+
 @given(st.lists(st.floats(allow_nan=False, allow_infinity=False), min_size=3))
 def test_any_load_that_a_target_states_can_be_compared(numbers):
     """Numbers beyond those of any load are cut, not multiplied."""
