Answer a request that fails unexpectedly with 502

Callers would see: 500 with a page of the HTTP library, without the request's id, and nothing in the log but a traceback outside the numbered events.

Cause: only the package's own errors were turned into refusals.

A stream that has begun is broken off as for any error.

--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -82,6 +82,15 @@
             return await self._serve(request, metadata, started_s)
         except DandelionplankError as error:
             return self._refuse(metadata, error, started_s)
+        except Exception as error:
+            # One request must not end otherwise than with a response.
+            failure = RefusalError(
+                repr(error),
+                step=STEP,
+                code=ErrorCode.INTERNAL,
+                outcome=Outcome.UNKNOWN,
+            )
+            return self._refuse(metadata, failure, started_s)
         except asyncio.CancelledError:
             log_event(
                 Event.CALLER_GONE,
@@ -153,11 +162,12 @@
             response = await self.grace.limit(
                 self.delivery.relay(caller, sink), caller.trace
             )
-        except DandelionplankError as error:
+        except Exception as error:
             if sink.response is None:
                 raise
             sink.abort()
-            self._log(Event.BROKEN, caller, why=str(error), peer=error.peer)
+            peer = getattr(error, 'peer', '')
+            self._log(Event.BROKEN, caller, why=str(error), peer=peer)
             return sink.response
         if response is not None:
             return self._respond(caller, response)
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -220,3 +220,18 @@
         )
         connection._to_response(message, mock.Mock())
         assert connection.idle_limit_s < 4000
+
+
+@run_async
+async def test_an_unexpected_error_in_a_request_promises_nothing():
+    """Its caller gets 502, since the request may have been executed."""
+    async with platform_fleet() as fleet:
+        delivery = only(fleet.gateways).gateway.delivery
+        with mock.patch.object(
+            delivery.dispatcher, 'acquire', side_effect=OverflowError('large')
+        ):
+            for path in ('/look/x', '/book/x', '/chat/x'):
+                status, _, answered = await fleet.call(path)
+                assert status == 502
+                assert 'Retry-After' not in answered
+        assert (await fleet.call('/look/x'))[0] == 200
