Start with any figures that the platform may state

Reproduced by a script with real processes and the deploy file's template, each on its own on, 6 to 10 s: RevokeMs 4500.5, HeartbeatMs 1200.5, BudgetRatio 1e-05 or 0, BudgetExtra 0, GraceS 0, figures that are missing, a zone with a capital.

Change: '!ms' before a number converts milliseconds, numbers of JSON are numbers, an empty field has its default, retries and the grace may be zero, names may be any text. A RevokeMs of zero, which cannot be kept, is still refused.

--- a/bench/platform.py
+++ b/bench/platform.py
@@ -8,11 +8,11 @@
 from bench.fleet import reserve_ports
 from dandelionplank.fleet.settings import (
     GatewayBounds,
+    GatewayInstance,
     GatewayListen,
     GatewaySettings,
     GatewayStore,
 )
-from dandelionplank.settings import InstanceSettings
 
 HOST = 'shop.example'
 ROUTES: tuple[tuple[str, str, str, dict[str, Any]], ...] = (
@@ -104,7 +104,7 @@
     """Return the settings of a gateway."""
     ports = reserve_ports(4)
     return GatewaySettings(
-        InstanceSettings(f'front-{number}', 'a', 'r'),
+        GatewayInstance(f'front-{number}', 'a', 'r'),
         GatewayListen(
             address,
             f'127.0.0.1:{ports[0]}',
--- a/src/dandelionplank/fleet/settings.py
+++ b/src/dandelionplank/fleet/settings.py
@@ -4,10 +4,28 @@
 
 import msgspec
 
-from dandelionplank.settings import Frozen, InstanceSettings, Port, Positive
+from dandelionplank.settings import Frozen, Port
 
 AddressText = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:\d{1,5}$')]
-Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
+# A name that the platform gives; it is part of a key of its store.
+MAX_PLATFORM_NAME_LENGTH = 150
+PlatformName = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=MAX_PLATFORM_NAME_LENGTH)
+]
+# Numbers up to which sums and timers are exact enough.
+MAX_BOUND = 1e9
+Limit = Annotated[float, msgspec.Meta(ge=0, le=MAX_BOUND)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_BOUND)]
+
+
+class GatewayInstance(Frozen, frozen=True):
+    """Identity and location of a gateway."""
+
+    id: PlatformName
+    data_center: PlatformName
+    region: PlatformName
 
 
 class GatewayListen(Frozen, frozen=True):
@@ -32,9 +50,9 @@
     """
 
     address: AddressText
-    call_timeout_s: Positive = 0.5
-    presence_ttl_s: Positive = 10.0
-    target_report_s: Positive = 1.2
+    call_timeout_s: Seconds = 0.5
+    presence_ttl_s: Seconds = 10.0
+    target_report_s: Seconds = 1.2
 
 
 class GatewayBounds(Frozen, frozen=True):
@@ -47,17 +65,17 @@
     :param repeat_window_s: length of the window
     """
 
-    revoked_after_s: Positive = 5.0
-    grace_s: Positive = 8.0
-    repeat_ratio: Positive = 0.2
-    repeat_extra: Positive = 56.0
-    repeat_window_s: Positive = 10.0
+    revoked_after_s: Seconds = 5.0
+    grace_s: Limit = 8.0
+    repeat_ratio: Limit = 0.2
+    repeat_extra: Limit = 56.0
+    repeat_window_s: Seconds = 10.0
 
 
 class GatewaySettings(Frozen, frozen=True):
     """All settings of a gateway."""
 
-    instance: InstanceSettings
+    instance: GatewayInstance
     listen: GatewayListen
     store: GatewayStore
     bounds: GatewayBounds = GatewayBounds()
--- a/src/dandelionplank/settings.py
+++ b/src/dandelionplank/settings.py
@@ -11,6 +11,7 @@
 
 from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, SettingsError
+from dandelionplank.yamlloader import load_document
 
 STEP = 'settings'
 MAX_PORT = 65_535
@@ -196,13 +197,16 @@
 def parse_yaml(text: str, model: type[Model], *, origin: str) -> Model:
     """Parse and validate a YAML text.
 
+    An empty field has its default. A number after ``!ms`` is converted from
+    milliseconds to seconds.
+
     :param text: the document
     :param model: frozen type that the document must match
     :param origin: file name for error messages
     :raises SettingsError: with file, line, path of the key, and reason
     """
     try:
-        document = yaml.safe_load(text)
+        document = load_document(text)
     except YAML_ERRORS as error:
         raise SettingsError(
             f'{origin}: not valid YAML: {error}',
