Wait for sockets that cannot be opened yet

Callers saw, in the users' record: the system didn't start, or its processes ended by themselves (FAULT); whether it is this is only suspected.

Reproduced by a script with real processes on: with another process on the port of the metrics, which is fixed and not among those that the platform keeps free, the gateway is never ready and ends 7 times in 8 s (status 1); with the port of callers, readiness or peers in use for 4 s it ends 4 times.

Cause: an error while a socket is opened ended the process.

Change: it is opened again five times a second, with event 109 once in ten seconds, until it is open or the process is told to stop. The page of the metrics opens in a task of its own, so that a gateway serves without it.

Evidence: the three new tests of tests.test_start (both loops; a real process for SIGTERM) need a started gateway or its log line, which do not exist before.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -31,6 +31,11 @@
         Level.ERROR,
         'a task fails again and again; it is started again once a second',
     )
+    SOCKET_UNAVAILABLE = (
+        109,
+        Level.ERROR,
+        'a socket could not be opened; it is tried again',
+    )
     TASK_RECOVERED = (108, Level.INFO, 'a failing task runs without an error')
     ROUTED = (200, Level.INFO, 'a ticket was granted a target')
     REFUSED = (201, Level.INFO, 'a call was refused')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -9,8 +9,6 @@
 from pathlib import Path
 from typing import Any, Self
 
-from aiohttp import web
-
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.delivery import Delivery
@@ -26,6 +24,11 @@
 from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
+from dandelionplank.fleet.sockets import (
+    Page,
+    PageServer,
+    open_when_possible,
+)
 from dandelionplank.fleet.supervision import Supervisor, TaskFactory
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.fleet.warmup import CachedPartsReader, CacheWarmup
@@ -157,7 +160,7 @@
         self.server = CallerServer(self.gateway, self.view)
         self.stopping = asyncio.Event()
         self.supervisor = Supervisor()
-        self.runners: list[web.AppRunner] = []
+        self.pages = PageServer()
 
     @property
     def settings(self) -> GatewaySettings:
@@ -191,7 +194,7 @@
             signal.SIGHUP, self.settings_follower.signalled.set
         )
         signal.pthread_sigmask(signal.SIG_UNBLOCK, held_signals)
-        await self.start()
+        await self._start_or_stop()
         await self.stopping.wait()
         self.gateway.grace.begin(
             self.settings.bounds.grace_s - CLOSE_RESERVE_S - LAST_RESPONSE_S
@@ -199,7 +202,10 @@
         await self.shut_down()
 
     async def start(self) -> None:
-        """Open all sockets and start all tasks."""
+        """Start all tasks and open all sockets, as soon as they can be opened.
+
+        The page of the metrics may open later; no caller depends on it.
+        """
         listen = self.settings.listen
         callers = Address.from_text(listen.callers)
         for run in (
@@ -213,27 +219,33 @@
             self.settings_follower.run,
             self._sweep,
             self._log_demand,
+            self._serve_metrics,
         ):
             self._spawn(run)
-        await self.server.listen(callers)
-        readiness = Address.from_text(listen.readiness)
-        await self._serve_page(readiness, self.parts.ready_path, self._ready)
-        await self._serve_page(
-            Address(callers.ip, listen.metrics_port),
-            '/metrics',
-            self._metrics,
+        await open_when_possible(
+            'callers',
+            listen.callers,
+            functools.partial(self.server.listen, callers),
         )
-        await self.exchange.listen(Address.from_text(listen.peers))
-        self._spawn(self.exchange.run)
-        self._spawn(self.crashes.run)
-        self._spawn(
+        await self.pages.serve(
+            Address.from_text(listen.readiness),
+            self.parts.ready_path,
+            self._readiness,
+        )
+        await open_when_possible(
+            'peers',
+            listen.peers,
             functools.partial(
-                keep_presence,
-                self.parts.presence,
-                self.settings.store.presence_ttl_s,
+                self.exchange.listen, Address.from_text(listen.peers)
             ),
         )
-        self._spawn(self.server.idle.run)
+        for run_open in (
+            self.exchange.run,
+            self.crashes.run,
+            self._keep_presence,
+            self.server.idle.run,
+        ):
+            self._spawn(run_open)
         log_event(
             Event.STARTED,
             instance=self.settings.instance.id,
@@ -270,6 +282,20 @@
             took_s=round(time.monotonic() - start_s, 2),
         )
 
+    async def _start_or_stop(self) -> None:
+        """Start, unless a signal requests a shutdown meanwhile."""
+        starting = asyncio.ensure_future(self.start())
+        stopping = asyncio.ensure_future(self.stopping.wait())
+        await asyncio.wait(
+            (starting, stopping), return_when=asyncio.FIRST_COMPLETED
+        )
+        stopping.cancel()
+        if self.stopping.is_set():
+            starting.cancel()
+            await asyncio.gather(starting, return_exceptions=True)
+        else:
+            await starting
+
     async def _leave(self) -> None:
         """Remove the presence entry, stop all tasks and close connections."""
         try:
@@ -283,25 +309,24 @@
 
     def _spawn(self, run: TaskFactory) -> None:
         """Start a supervised task."""
-        name = getattr(run, '__qualname__', keep_presence.__qualname__)
-        self.supervisor.spawn(name, run)
+        self.supervisor.spawn(run.__qualname__, run)
 
-    async def _serve_page(
-        self,
-        address: Address,
-        path: str,
-        page_handler: Any,
-    ) -> None:
-        """Serve one page on a separate address."""
-        application = web.Application()
-        application.router.add_get(path, page_handler)
-        runner = web.AppRunner(application, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, address.ip, address.port).start()
-        self.runners.append(runner)
-
-    async def _ready(self, request: web.Request) -> web.Response:
-        """Report to the balancer whether this instance is ready."""
+    async def _keep_presence(self) -> None:
+        """Keep this instance's entry in the store."""
+        await keep_presence(
+            self.parts.presence, self.settings.store.presence_ttl_s
+        )
+
+    async def _serve_metrics(self) -> None:
+        """Serve the page of the metrics as soon as its port is free."""
+        listen = self.settings.listen
+        ip = Address.from_text(listen.callers).ip
+        await self.pages.serve(
+            Address(ip, listen.metrics_port), '/metrics', self._metrics
+        )
+
+    def _is_ready(self) -> bool:
+        """Return whether the balancer is to send callers to this instance."""
         is_ready = (
             self.view.is_loaded
             and not self.gateway.is_leaving
@@ -311,18 +336,22 @@
             peers_age_s = self.peer_loads.min_view_age_s(time.monotonic())
             is_ready = peers_age_s > self.view.age_s
         METRICS.set_gauge('ready', float(is_ready))
-        return web.Response(
-            status=HTTPStatus.OK
-            if is_ready
-            else HTTPStatus.SERVICE_UNAVAILABLE,
+        return is_ready
+
+    def _readiness(self) -> Page:
+        """Report to the balancer whether this instance is ready."""
+        return Page(
+            HTTPStatus.OK
+            if self._is_ready()
+            else HTTPStatus.SERVICE_UNAVAILABLE
         )
 
-    async def _metrics(self, request: web.Request) -> web.Response:
+    def _metrics(self) -> Page:
         """Return the metrics as text."""
         METRICS.set_gauge('open_requests', self.gateway.open_requests)
         METRICS.set_gauge('view_age_seconds', self.view.capped_age_s)
         METRICS.set_gauge('peers', len(self.peer_loads.reports))
-        return web.Response(text=METRICS.render())
+        return Page(HTTPStatus.OK, METRICS.render())
 
     async def _sweep(self) -> None:
         """Close idle connections to targets periodically."""
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -163,8 +163,7 @@
     """Stop a gateway without completing its open requests."""
     await daemon.supervisor.cancel()
     daemon.server.stop_accepting()
-    for runner in daemon.runners:
-        await runner.cleanup()
+    await daemon.pages.close()
     if daemon.exchange.transport:
         daemon.exchange.transport.close()
     daemon.pool.close()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,13 +1,25 @@
 """Tests of what may keep a gateway from starting, or end it at once."""
 
+import asyncio
+import contextlib
+import functools
 import math
+import signal
+import socket
 from pathlib import Path
 
 from nose2.tools import params
 
+from bench.fleet import reserve_ports
+from bench.gatewayprocess import GatewayProcess
+from bench.platform import gateway_settings
+from dandelionplank.commands.assembly import build_daemon
 from dandelionplank.errors import SettingsError
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
-from dandelionplank.settings import parse_yaml
+from dandelionplank.fleet.sockets import RETRY_S
+from dandelionplank.settings import Address, parse_yaml
+from tests.fixtures import run_async, run_on_both_loops, wait_until
+from tests.platformfleet import platform_fleet, stop
 
 TEMPLATE = Path(__file__).parent.parent / 'deploy' / 'settings.yaml'
 FIELDS = {
@@ -102,3 +114,87 @@
             assert 'settings' in error.reason
         else:
             raise AssertionError(name)
+
+
+@contextlib.contextmanager
+def port_in_use(ip, port, kind=socket.SOCK_STREAM):
+    """Use a port as another process does while the context is open."""
+    with socket.socket(socket.AF_INET, kind) as held:
+        if kind == socket.SOCK_STREAM:
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind((ip, port))
+        if kind == socket.SOCK_STREAM:
+            held.listen()
+        yield
+
+
+def build_gateway(fleet):
+    """Build a gateway of a fleet that is not started."""
+    address = f'127.0.0.1:{reserve_ports(1)[0]}'
+    number = len(fleet.gateways) + 7
+    settings = gateway_settings(number, address, fleet.store_address)
+    daemon = build_daemon(settings, fleet.settings_directory / 'none.yaml')
+    fleet.resources.push_async_callback(stop, daemon)
+    fleet.gateways.append(daemon)
+    fleet.urls.append(f'http://{address}')
+    return daemon
+
+
+@run_on_both_loops
+async def test_a_gateway_serves_without_its_metrics_port():
+    """Another process that uses the port kept each gateway from starting."""
+    async with platform_fleet(gateways=0) as fleet:
+        daemon = build_gateway(fleet)
+        port = daemon.settings.listen.metrics_port
+        url = f'http://127.0.0.1:{port}/metrics'
+        with port_in_use('127.0.0.1', port):
+            await daemon.start()
+            await wait_until(lambda: daemon.view.is_loaded)
+            assert (await fleet.call('/look/x'))[0] == 200
+        await asyncio.sleep(RETRY_S * 2)
+        async with fleet.session.get(url) as page:
+            assert 'dandelionplank_peers' in await page.text()
+
+
+@run_on_both_loops
+async def test_a_gateway_waits_for_the_ports_of_its_predecessor():
+    """It does not end, and serves as soon as they are free."""
+    for name, kind in (
+        ('callers', socket.SOCK_STREAM),
+        ('readiness', socket.SOCK_STREAM),
+        ('peers', socket.SOCK_DGRAM),
+    ):
+        async with platform_fleet(gateways=0) as fleet:
+            daemon = build_gateway(fleet)
+            listen = daemon.settings.listen
+            address = Address.from_text(getattr(listen, name))
+            with port_in_use(address.ip, address.port, kind):
+                starting = asyncio.ensure_future(daemon.start())
+                await asyncio.sleep(RETRY_S * 2)
+                assert not starting.done()
+            await starting
+            is_loaded = functools.partial(getattr, daemon.view, 'is_loaded')
+            await wait_until(is_loaded)
+            assert (await fleet.call('/look/x'))[0] == 200
+            async with fleet.session.get(
+                f'http://{listen.readiness}/v1/ready'
+            ) as page:
+                assert page.status == 200
+
+
+@run_async
+async def test_a_gateway_that_waits_for_a_port_can_be_stopped():
+    """SIGTERM ends it although its sockets are not open."""
+    async with platform_fleet(gateways=0) as fleet:
+        directory = fleet.settings_directory
+        store = Address.from_text(fleet.store_address)
+        gateway = GatewayProcess(0, directory, store)
+        address = Address.from_text(gateway.address)
+        with port_in_use(address.ip, address.port):
+            gateway.start()
+            await wait_until(
+                lambda: 'socket_unavailable' in gateway.log_path.read_text()
+            )
+            gateway.signal(signal.SIGTERM)
+            assert await gateway.wait() == 0
+        assert 'stopped' in gateway.log_path.read_text()
