Hold SIGHUP back before the package is loaded

Callers saw, in the users' record: processes that ended by themselves (FAULT); whether it is this one is only suspected.

Cause: 'python -m' loads the package before its program, and the package loaded its settings, with msgspec and YAML, at once.

Change: the package loads its public names on first use.

The new test, that no such module is loaded before the signal is held back, failed before.

--- a/src/dandelionplank/__init__.py
+++ b/src/dandelionplank/__init__.py
@@ -1,22 +1,25 @@
-"""A fleet of routers that share model and application capacity fairly."""
+"""A fleet of routers that share model and application capacity fairly.
+
+The public names are loaded on first use: a program of this package holds
+signals back before it loads anything that takes time.
+"""
 
 import importlib
 import types
 from typing import TYPE_CHECKING, Any
 
-from dandelionplank.errors import (
-    DandelionplankError,
-    RefusalError,
-    SettingsError,
-    StatementError,
-    StoreError,
-    TargetError,
-)
-from dandelionplank.settings import Settings, load_settings
-
 if TYPE_CHECKING:
     from dandelionplank.configuration.model import Configuration
+    from dandelionplank.errors import (
+        DandelionplankError,
+        RefusalError,
+        SettingsError,
+        StatementError,
+        StoreError,
+        TargetError,
+    )
     from dandelionplank.operators.language import parse_statement
+    from dandelionplank.settings import Settings, load_settings
 
 __all__ = (
     'Configuration',
@@ -31,19 +34,19 @@
     'parse_statement',
 )
 
-# Imported on first use: the grammar and the configuration model would double
-# the start-up time of a gateway.
-_LAZY_MODULES = types.MappingProxyType(
+_MODULES = types.MappingProxyType(
     {
-        'Configuration': 'dandelionplank.configuration.model',
-        'parse_statement': 'dandelionplank.operators.language',
+        'Configuration': 'configuration.model',
+        'Settings': 'settings',
+        'load_settings': 'settings',
+        'parse_statement': 'operators.language',
     },
 )
 
 
 def __getattr__(name: str) -> Any:  # noqa: WPS413 (lazy imports)
-    """Import a public name that is loaded lazily."""
-    module = _LAZY_MODULES.get(name)
-    if module is None:
+    """Load a public name; most are errors."""
+    if name not in __all__:
         raise AttributeError(name)
-    return getattr(importlib.import_module(module), name)
+    module = _MODULES.get(name, 'errors')
+    return getattr(importlib.import_module(f'{__name__}.{module}'), name)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,6 +6,8 @@
 import math
 import signal
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 from nose2.tools import params
@@ -198,3 +200,16 @@
             gateway.signal(signal.SIGTERM)
             assert await gateway.wait() == 0
         assert 'stopped' in gateway.log_path.read_text()
+
+
+def test_signals_are_held_back_before_other_modules_are_loaded():
+    """SIGHUP ends a gateway that has not come so far."""
+    program = 'import sys, dandelionplank.commands.hangup; print(*sys.modules)'
+    loaded = subprocess.run(
+        (sys.executable, '-c', program),
+        capture_output=True,
+        check=True,
+        encoding='utf-8',
+    ).stdout.split()
+    assert 'dandelionplank.commands.hangup' in loaded
+    assert not {'asyncio', 'msgspec', 'yaml'}.intersection(loaded)
