Read lists of cached parts and answers of the store within limits

It can happen here: each gateway that starts asks the engines for their cached parts, and kept whatever one sent for a second.

Answers to requests were bounded before: at most 75 MB for 16 such requests at once.

Cause: the call used an HTTP client without limits, beside the connections to targets that have them; so do the calls to the store.

Change: the list is read over a connection to a target, up to 1 MiB; answers of the store up to 32 MiB. Neither is compressed, and redirects of the store are not followed.

--- a/docs/generate.py
+++ b/docs/generate.py
@@ -9,6 +9,7 @@
 from dandelionplank.delivery import bounds, connections, streams
 from dandelionplank.errors import ErrorCode
 from dandelionplank.events import Event
+from dandelionplank.platform import engines
 from dandelionplank.settings import Settings
 
 BOUNDS = (
@@ -51,6 +52,11 @@
         'may be resumed elsewhere',
         'it is resumed; otherwise it goes on until the timeout',
     ),
+    (
+        'list of cached parts',
+        f'{engines.MAX_LIST_BYTES} bytes, {engines.TIMEOUT_S} s',
+        'the cache of the target counts as unknown',
+    ),
     (
         'between responses',
         'no byte',
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -18,10 +18,13 @@
 )
 from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.platform import names
+from dandelionplank.platform.bodies import NOT_ENCODED, read_bounded
 
 STEP = 'store'
 CONNECT_TIMEOUT_S = 1.0
 NO_BODY = b'{}'
+# A page of items, or the changes since the last call, with values in base64.
+MAX_RESPONSE_BYTES = 33_554_432
 _ENCODER = msgspec.json.Encoder()
 
 Body = TypeVar('Body')
@@ -287,20 +290,21 @@
         :raises StoreError: the call failed, or its response is malformed
         """
         if self.session is None:
-            self.session = aiohttp.ClientSession()
+            self.session = aiohttp.ClientSession(auto_decompress=False)
         try:
             async with self.session.request(
                 method,
                 self.base_url + path,
                 params=query,
                 data=None if body is None else _ENCODER.encode(body),
-                headers={'Content-Type': 'application/json'},
+                headers={'Content-Type': 'application/json', **NOT_ENCODED},
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=wait_s + self.timeout_s,
                     sock_connect=CONNECT_TIMEOUT_S,
                 ),
             ) as response:
-                raw = await response.read()
+                raw = await read_bounded(response.content, MAX_RESPONSE_BYTES)
                 era = self._record_era(response.headers.get(names.STORE_ERA))
                 self._raise_for_status(response.status, path)
                 return StoreResponse(_decode_body(raw, form, path), era)
--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -20,9 +20,12 @@
 )
 from dandelionplank.delivery import bounds
 from dandelionplank.delivery.events import EventFramer
+from dandelionplank.errors import StoreError, TargetError
+from dandelionplank.platform.engines import fetch_cached_parts
+from dandelionplank.platform.store import MAX_RESPONSE_BYTES
 from dandelionplank.routing.scheduler import Rejection
-from tests.fixtures import run_async, wait_until
-from tests.platformfleet import hostile_fleet
+from tests.fixtures import run_async, running, wait_until
+from tests.platformfleet import hostile_fleet, platform_fleet
 
 PAGE_BYTES = 4096
 ENDLESS_CALLS = 100
@@ -45,6 +48,21 @@
     return int(statm.split()[1]) * PAGE_BYTES
 
 
+@contextlib.asynccontextmanager
+async def watched_memory():
+    """Sample by how much the resident memory has grown; yield the samples."""
+    before = resident_bytes()
+    growth = [0]
+
+    async def sample():
+        while True:
+            growth.append(resident_bytes() - before)
+            await asyncio.sleep(0.01)
+
+    async with running(sample()):
+        yield growth
+
+
 async def endless_body(exchange):
     """Send a success without a length whose body never ends."""
     await exchange.write(exchange.head())
@@ -154,6 +172,40 @@
     check()
 
 
+@run_async
+async def test_endless_lists_of_cached_parts_take_bounded_memory():
+    """One such engine took 750 MB of each gateway that started beside it."""
+    for behaviour in (*ENDLESS, endless_chunks):
+        async with hostile_fleet(behaviour, 'llm') as (fleet, _):
+            view = fleet.gateways[0].view
+            target = view.registry.targets['hostile']
+            async with watched_memory() as growth:
+                try:
+                    await fetch_cached_parts(target)
+                except TargetError as error:
+                    assert error.peer == 'hostile'
+                else:
+                    raise AssertionError(behaviour.__name__)
+            grown = max(growth)
+            assert grown < FEW_CALLS_BYTES, (behaviour.__name__, grown)
+
+
+@run_async
+async def test_endless_answers_of_the_store_take_bounded_memory():
+    """They are failed calls, and the store is asked again."""
+    async with platform_fleet() as fleet:
+        fleet.store.faults.body = b' ' * (MAX_RESPONSE_BYTES + 1)
+        store = fleet.gateways[0].parts.source.store
+        before = resident_bytes()
+        try:
+            await store.read_range('')
+        except StoreError as error:
+            assert 'longer' in error.reason
+        else:
+            raise AssertionError('read')
+        assert resident_bytes() - before < MAX_RESPONSE_BYTES * 3
+
+
 @run_async
 async def test_a_hundred_endless_bodies_leave_other_calls_alone():
     """Memory stays within the stated limits; sound targets still answer."""
