Parse blocks of many events in linear time, and bound floods without progress

In the test, eight such streams blocked the loop for 6.7 s.

Cause: for each event in a block, both kinds of blank line were searched, the one that does not occur up to the end of the block; 17,000 short events took over a second. And events that the caller has already, and comments, cost a stream nothing unless another target could resume it.

Change: one expression finds both kinds, in one pass. A stream that sends 256 KiB of repeated events and comments without progress is broken off, or resumed elsewhere.

Evidence: the new test failed before (a sound request got 504) and passes; the first sound request beside the floods takes 0.87 s in its process, which sends the floods as well, and the next ones 10 ms or less. 17,000 events in one block take 83 ms.

--- a/docs/generate.py
+++ b/docs/generate.py
@@ -52,6 +52,11 @@
         'may be resumed elsewhere',
         'it is resumed; otherwise it goes on until the timeout',
     ),
+    (
+        'events without progress',
+        f'{bounds.MAX_IDLE_BYTES} bytes of repeated events and comments',
+        'the stream is resumed elsewhere or truncated',
+    ),
     (
         'list of cached parts',
         f'{engines.MAX_LIST_BYTES} bytes, {engines.TIMEOUT_S} s',
--- a/src/dandelionplank/delivery/bounds.py
+++ b/src/dandelionplank/delivery/bounds.py
@@ -23,6 +23,8 @@
 READ_BUFFER_BYTES = 65_536
 # Longest event of a stream.
 MAX_EVENT_BYTES = 262_144
+# Events without progress in a stream: repeated ones and comments.
+MAX_IDLE_BYTES = 262_144
 # Heads of responses parsed ahead of the reader of a connection.
 MAX_PARSED_HEADS = 16
 # Bytes parsed before the number of parsed heads is checked.
--- a/src/dandelionplank/delivery/events.py
+++ b/src/dandelionplank/delivery/events.py
@@ -1,10 +1,11 @@
 """Splits a server-sent event stream into complete events."""
 
 import dataclasses
+import re
 
 from dandelionplank.delivery.bounds import MAX_EVENT_BYTES
 
-BLANK_LINES = (b'\n\n', b'\r\n\r\n')
+BLANK_LINE = re.compile(rb'\n\n|\r\n\r\n')
 # Bytes of a blank line that may have arrived with the chunk before.
 MAX_SPLIT_BYTES = 3
 ID_FIELD = b'id:'
@@ -31,8 +32,8 @@
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are complete now.
 
-        Only the new bytes are searched, so that the time for an event grows
-        linearly with its length.
+        Only the new bytes are searched, and once, so that the time grows
+        linearly with the length and the number of the events.
 
         :raises ValueError: the incomplete event is too long
         """
@@ -40,7 +41,8 @@
         self.remainder += chunk
         events: list[StreamEvent] = []
         start = 0
-        while end := _end_of_event(self.remainder, max(start, searched)):
+        for blank in BLANK_LINE.finditer(self.remainder, searched):
+            end = blank.end()
             events.append(_parse_event(bytes(self.remainder[start:end])))
             start = end
         self.remainder = self.remainder[start:]
@@ -49,16 +51,6 @@
         return events
 
 
-def _end_of_event(pending: bytearray, start: int) -> int:
-    """Return the end of the first event after a position, zero if none."""
-    ends = []
-    for blank in BLANK_LINES:
-        position = pending.find(blank, start)
-        if position >= 0:
-            ends.append(position + len(blank))
-    return min(ends, default=0)
-
-
 def _parse_event(raw: bytes) -> StreamEvent:
     """Return an event with its id."""
     for line in raw.splitlines():
--- a/src/dandelionplank/delivery/streams.py
+++ b/src/dandelionplank/delivery/streams.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from dandelionplank.delivery.attempt import Attempt
+from dandelionplank.delivery.bounds import MAX_IDLE_BYTES
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.events import StreamEvent
 from dandelionplank.delivery.progress import (
@@ -68,17 +69,22 @@
         Events that the caller has already, and comments, are no progress: a
         stalled stream may send them for ever.
 
-        :raises TargetError: the stream is truncated, or makes no progress and
-            another target may resume it
+        :raises TargetError: the stream is truncated, makes no progress and
+            another target may resume it, or sends many bytes without progress
         """
         last_passed_s = 0.0
         progress_s = time.monotonic()
+        idle_bytes = 0
         while events := await self._next_events(attempt, progress_s):
             self.on_events()
             last_passed_s = record_pause(self.request, last_passed_s)
             block = new_events(events, self.progress)
+            idle_bytes += sum(len(event.raw) for event in events)
             if DATA_FIELD in block:
                 progress_s = last_passed_s
+                idle_bytes = 0
+            elif idle_bytes > MAX_IDLE_BYTES:
+                raise attempt.stream_error(f'no progress in {idle_bytes} bytes')
             if block:
                 await self._send_head(attempt)
                 await self.sink.write(block)
--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from pathlib import Path
 from unittest import mock
@@ -239,6 +240,43 @@
         assert time.monotonic() - start_s < AT_ONCE_S
 
 
+async def endless_repetition(exchange):
+    """Send the same event without end."""
+    await exchange.write(exchange.head(EVENT_STREAM))
+    await exchange.flood(b'id: 1\ndata: x\n\n')
+
+
+async def endless_comments(exchange):
+    """Send comments without end."""
+    await exchange.write(exchange.head(EVENT_STREAM))
+    await exchange.flood(b': still here\n\n')
+
+
+@run_async
+async def test_a_flood_of_events_without_progress_leaves_other_calls_alone():
+    """Eight such streams kept a gateway too busy to serve other callers."""
+    for behaviour in (endless_repetition, endless_comments):
+        async with hostile_fleet(behaviour, 'llm') as (fleet, target):
+            start_s = time.monotonic()
+            floods = [
+                asyncio.ensure_future(
+                    fleet.call('/chat/x', headers=MODEL_HEADERS)
+                )
+                for _ in range(8)
+            ]
+            for _ in range(10):
+                assert (await fleet.call('/look/x'))[0] == 200
+            ended = await asyncio.gather(*floods, return_exceptions=True)
+            assert all(isinstance(end, aiohttp.ClientError) for end in ended)
+            assert time.monotonic() - start_s < AT_ONCE_S
+            await wait_until(functools.partial(_has_no_connection, target))
+
+
+def _has_no_connection(target):
+    """Return whether no connection to a hostile target is open."""
+    return not target.connections
+
+
 def test_the_time_for_a_long_event_grows_linearly():
     """Each byte is searched once, however the event is cut."""
     chunk = b'x' * 64
