Bound the values of entries that other writers make

In an event loop of asyncio, one peer with port 70000 closes the socket to all others ('Fatal write error'); in uvloop, each report fails at a peer whose address is of another family.

Cause: the fields of an entry were checked for their type at most. The types that hold them have no bounds where they are built.

Change: the entry of a target has a type with bounds, like figures of the configuration; an address has a port from 1 to 65535, a peer's one is of IPv4, an id is made of printable ASCII. A send that fails costs no other peer its message.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -274,9 +274,14 @@
 
     def _send_block(self, address: tuple[str, int], block: bytes) -> None:
         """Send an encoded message once the socket is open."""
-        if self.transport is not None:
-            METRICS.add('peer_bytes_total', len(block))
+        if self.transport is None:
+            return
+        METRICS.add('peer_bytes_total', len(block))
+        try:
             self.transport.sendto(block, address)
+        except (OSError, ValueError) as error:
+            # One address must not cost the other instances their message.
+            self.error_received(error)
 
     def _report(self, prefills: tuple[PrefillReport, ...]) -> PeerReport:
         """Build the next report of this instance's load."""
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -4,6 +4,8 @@
 are ignored.
 """
 
+import ipaddress
+import math
 import types
 from typing import Annotated, Any
 
@@ -22,11 +24,19 @@
     WeightedService,
 )
 from dandelionplank.settings import Address
-from dandelionplank.targets import Target, TargetState
+from dandelionplank.targets import (
+    MAX_TARGET_LIMIT,
+    Target,
+    TargetState,
+    UnixMs,
+)
 
 STEP = 'decode'
-DEFAULT_TIMEOUT_MS = 30_000
-MAX_UNIX_MS = 9_007_199_254_740_991
+DEFAULT_TIMEOUT_S = 30.0
+MAX_NAME_LENGTH = 150
+MAX_VERSION = 9_223_372_036_854_775_807
+# Figures of a configuration up to this one stay exact as floats.
+MAX_FIGURE = 1_000_000_000_000
 
 _KINDS = types.MappingProxyType(
     {
@@ -35,8 +45,6 @@
         'streaming': RequestKind.STREAM,
     },
 )
-# Any time of the present era; sums of such times stay exact as floats.
-UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 _STATES = types.MappingProxyType(
     {'ready': TargetState.ACTIVE, 'draining': TargetState.DRAINING},
 )
@@ -48,6 +56,26 @@
     default_code = ErrorCode.CONFIGURATION_INVALID
 
 
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+# The id is sent in a header.
+TargetId = Annotated[
+    str, msgspec.Meta(pattern=r'^[!-~]+\Z', max_length=MAX_NAME_LENGTH)
+]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_TARGET_LIMIT)]
+
+
+class _TargetEntry(msgspec.Struct, frozen=True, rename='pascal'):
+    """Entry of a target, as it describes itself."""
+
+    service: Text
+    addr: Text
+    zone: Text
+    state: Text
+    slots: Slots
+    version: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)] = ''
+    born: UnixMs = msgspec.field(name='born', default=0)
+
+
 def decode_target(target_id: str, document: bytes) -> Target:
     """Decode the entry of one target.
 
@@ -55,16 +83,16 @@
     :raises MalformedDocumentError: the entry describes no valid target
     """
     try:
-        entry = msgspec.json.decode(document)
+        entry = msgspec.json.decode(document, type=_TargetEntry)
         return Target(
-            name=target_id,
-            service=_text(entry, 'Service'),
-            address=Address.from_text(_text(entry, 'Addr')),
-            data_center=_text(entry, 'Zone'),
-            state=_STATES[_text(entry, 'State')],
-            limit=_positive_integer(entry, 'Slots'),
-            started_ms=int(entry.get('born', 0)),
-            version=str(entry.get('Version', '')),
+            name=msgspec.convert(target_id, TargetId),
+            service=entry.service,
+            address=Address.from_text(entry.addr),
+            data_center=entry.zone,
+            state=_STATES[entry.state],
+            limit=entry.slots,
+            started_ms=entry.born,
+            version=entry.version,
         )
     except DECODE_ERRORS as error:
         raise MalformedDocumentError(
@@ -77,11 +105,12 @@
 def decode_peer_address(document: bytes) -> str:
     """Decode the entry of another instance into its address.
 
-    :return: ``ip:port``
+    :return: ``ip:port``, of IPv4
     :raises MalformedDocumentError: the entry is no address
     """
     try:
-        return msgspec.json.decode(document, type=str)
+        address = Address.from_text(msgspec.json.decode(document, type=str))
+        return f'{ipaddress.IPv4Address(address.ip)}:{address.port}'
     except DECODE_ERRORS as error:
         raise MalformedDocumentError(f'peer: {error!r}', step=STEP) from error
 
@@ -118,11 +147,17 @@
     return found
 
 
-def _positive_integer(entry: Any, name: str) -> int:
-    """Return a field that must be a positive integer."""
-    found = entry[name]
-    if not isinstance(found, int) or isinstance(found, bool) or found <= 0:
+def _figure(
+    entry: Any, name: str, default: float, most: float = MAX_FIGURE
+) -> float:
+    """Return a field that must be a number from zero to a limit."""
+    found = entry.get(name)
+    if found is None:
+        return default
+    if isinstance(found, bool) or not isinstance(found, int | float):
         raise TypeError(name)
+    if not 0 <= found <= most:
+        raise ValueError(name)
     return found
 
 
@@ -134,7 +169,7 @@
     try:
         entry = msgspec.json.decode(document)
         return RouteTable.from_routes(
-            int(entry['Version']),
+            int(_figure(entry, 'Version', math.nan, MAX_VERSION)),
             tuple(_route(each) for each in entry.get('Routes', ())),
             _accounts(entry.get('Tenants')),
             tuple(_service(each) for each in entry.get('Services', ())),
@@ -174,21 +209,21 @@
 def _route(entry: dict[str, Any]) -> Route:
     """Decode one route."""
     choices = tuple(
-        WeightedService(each['Service'], float(each['Weight']))
+        WeightedService(_text(each, 'Service'), _figure(each, 'Weight', 0))
         for each in entry.get('Split') or ()
     )
     return Route(
-        name=entry['Name'],
-        host=entry['Host'].lower(),
-        prefix=entry['Prefix'],
+        name=_text(entry, 'Name'),
+        host=_text(entry, 'Host').lower(),
+        prefix=_text(entry, 'Prefix'),
         kind=_KINDS[entry['Kind']],
-        choices=choices or (WeightedService(entry['Service'], 1),),
-        timeout_s=entry.get('TimeoutMs', DEFAULT_TIMEOUT_MS) / MS_PER_SECOND,
-        objective_s=entry.get('GoalMs', DEFAULT_TIMEOUT_MS) / MS_PER_SECOND,
-        attempts=int(entry.get('Attempts', 1)),
+        choices=choices or (WeightedService(_text(entry, 'Service'), 1),),
+        timeout_s=_seconds(entry, 'TimeoutMs', DEFAULT_TIMEOUT_S),
+        objective_s=_seconds(entry, 'GoalMs', DEFAULT_TIMEOUT_S),
+        attempts=int(_figure(entry, 'Attempts', 1)),
         is_public=bool(entry.get('Public')),
         can_resume=bool(entry.get('CanResume')),
-        gap_target_s=entry.get('GapTargetMs', 0) / MS_PER_SECOND,
+        gap_target_s=_seconds(entry, 'GapTargetMs', 0),
     )
 
 
@@ -197,9 +232,12 @@
     engine = entry.get('Engine')
     memory = None
     if engine and engine.get('KvTokens'):
-        memory = ModelMemory(int(engine['Slots']), int(engine['KvTokens']))
+        memory = ModelMemory(
+            int(_figure(engine, 'Slots', 1)),
+            int(_figure(engine, 'KvTokens', 0)),
+        )
     return RouteService(
-        name=entry['Name'],
+        name=_text(entry, 'Name'),
         memory=memory,
     )
 
@@ -208,8 +246,10 @@
     """Decode the request limits; a missing field has its default."""
     defaults = RequestLimits()
     return RequestLimits(
-        header_bytes=int(entry.get('MaxHeaderBytes', defaults.header_bytes)),
-        body_bytes=int(entry.get('MaxBodyBytes', defaults.body_bytes)),
+        header_bytes=int(
+            _figure(entry, 'MaxHeaderBytes', defaults.header_bytes)
+        ),
+        body_bytes=int(_figure(entry, 'MaxBodyBytes', defaults.body_bytes)),
         header_timeout_s=_seconds(
             entry,
             'HeaderTimeoutMs',
@@ -223,5 +263,4 @@
 
 def _seconds(entry: dict[str, Any], name: str, default_s: float) -> float:
     """Convert a field in milliseconds to seconds, or return the default."""
-    found = entry.get(name)
-    return default_s if found is None else float(found) / MS_PER_SECOND
+    return _figure(entry, name, default_s * MS_PER_SECOND) / MS_PER_SECOND
--- a/src/dandelionplank/settings.py
+++ b/src/dandelionplank/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 import yaml
 
-from dandelionplank.decoding import DECODE_ERRORS
+from dandelionplank.decoding import DECODE_ERRORS, parse_count
 from dandelionplank.errors import ErrorCode, SettingsError
 from dandelionplank.yamlloader import load_document
 
@@ -47,8 +47,13 @@
     port: Port
 
     def __post_init__(self) -> None:
-        """Reject host names: the fleet uses IP addresses only."""
+        """Reject host names: the fleet uses IP addresses only.
+
+        :raises ValueError: the IP address or the port is not valid
+        """
         ipaddress.ip_address(self.ip)
+        if not 0 < self.port <= MAX_PORT:
+            raise ValueError(f'port {self.port}')
 
     @property
     def text(self) -> str:
@@ -57,9 +62,12 @@
 
     @classmethod
     def from_text(cls, text: str) -> Self:
-        """Parse ``ip:port``."""
+        """Parse ``ip:port``.
+
+        :raises ValueError: the text is no address
+        """
         ip, _, port = text.rpartition(':')
-        return cls(ip, int(port))
+        return cls(ip, parse_count(port, MAX_PORT + 1) or 0)
 
 
 class InstanceSettings(Frozen, frozen=True):
--- a/src/dandelionplank/targets.py
+++ b/src/dandelionplank/targets.py
@@ -1,9 +1,19 @@
 """Targets: the model engines and plain services that execute calls."""
 
 import enum
+from typing import Annotated
+
+import msgspec
 
 from dandelionplank.settings import Address, Frozen, Name
 
+# Largest numbers that messages between instances and sums can hold.
+MAX_TARGET_LIMIT = 1_000_000
+MAX_UNIX_MS = 9_007_199_254_740_991
+
+TargetLimit = Annotated[int, msgspec.Meta(ge=0, le=MAX_TARGET_LIMIT)]
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+
 
 class TargetState(enum.StrEnum):
     """Whether a target may be given new work."""
@@ -27,8 +37,8 @@
     data_center: Name
     state: TargetState = TargetState.ACTIVE
     checks_fencing: bool = False
-    limit: int = 0
-    started_ms: int = 0
+    limit: TargetLimit = 0
+    started_ms: UnixMs = 0
     version: str = ''
 
     @property
