Log the load of an instance whose event loop is late

Event 213 gives the longest delay of the event loop in a second, with open requests, open connections and processor time, if it is 0.1 s or more; the metric loop_delay_seconds holds it in any case.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -62,6 +62,11 @@
         Level.INFO,
         'what accounts asked for and got in a period with late requests',
     )
+    LOOP_DELAYED = (
+        213,
+        Level.INFO,
+        'the event loop was late; fields show the load of this instance',
+    )
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -18,6 +18,7 @@
 from dandelionplank.fleet.crashreports import CrashReporter, QuarantineStore
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
+from dandelionplank.fleet.loopdelay import LoopDelayMeter
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.peers import PeerLoadTable
 from dandelionplank.fleet.poolclient import PoolClient
@@ -52,7 +53,9 @@
 LAST_RESPONSE_S = 0.2
 DRAIN_POLL_S = 0.05
 SWEEP_PERIOD_S = 0.5
-DEMAND_PERIOD_S = 1.0
+LOAD_PERIOD_S = 1.0
+# Shorter delays of the event loop are not logged.
+LOGGED_LOOP_DELAY_S = 0.1
 # While one of these fails, other instances serve callers better.
 SERVING_TASKS = frozenset((Dispatcher.run.__qualname__,))
 LEAVE_TIMEOUT_S = 0.3
@@ -161,6 +164,7 @@
         self.stopping = asyncio.Event()
         self.supervisor = Supervisor()
         self.pages = PageServer()
+        self.loop_delay = LoopDelayMeter()
 
     @property
     def settings(self) -> GatewaySettings:
@@ -218,7 +222,8 @@
             self.crashes.run_storing,
             self.settings_follower.run,
             self._sweep,
-            self._log_demand,
+            self.loop_delay.run,
+            self._log_load,
             self._serve_metrics,
         ):
             self._spawn(run)
@@ -359,11 +364,21 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.pool.close_expired()
 
-    async def _log_demand(self) -> None:
-        """Log what the accounts asked for and got, once a second."""
+    async def _log_load(self) -> None:
+        """Log once a second what limits the service of the accounts."""
         while True:
-            await asyncio.sleep(DEMAND_PERIOD_S)
+            await asyncio.sleep(LOAD_PERIOD_S)
             self.gateway.delivery.log_demand(self.scheduler.service_levels)
+            delay_s = self.loop_delay.take_longest_s()
+            METRICS.observe_s('loop_delay_seconds', delay_s)
+            if delay_s >= LOGGED_LOOP_DELAY_S:
+                log_event(
+                    Event.LOOP_DELAYED,
+                    delay_s=round(delay_s, 3),
+                    open_requests=self.gateway.open_requests,
+                    open_connections=self.server.connection_count,
+                    processor_s=round(time.process_time(), 2),
+                )
 
     def _forget_targets(self, names: tuple[str, ...]) -> None:
         """Drop connections and state of removed targets."""
