Reproduce two ways in which an account gets less than half of its share

The check is the rule's: six seconds with a refused or late request in each, the lesser of what was asked and what the best account got, second by second, half of it less three of the largest requests; runs count where they begin.

--- a/tests/fleetsimulation.py
+++ b/tests/fleetsimulation.py
@@ -29,6 +29,9 @@
 OWN_TOKENS = 2000
 OUTPUT_TOKENS = 200
 CONNECT_S = 0.001
+# Parts of the processor time of a request: reading it, asking for a target,
+# passing on the request, and passing on its response.
+PROCESSOR_SHARES = (0.25, 0.25, 0.25, 0.25)
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -93,6 +96,26 @@
         self.lost.set()
 
 
+@dataclasses.dataclass
+class SimulatedProcessor:
+    """Does the work of one instance in the order in which it arrives.
+
+    :param request_s: processor time of a request
+    """
+
+    request_s: float = 0
+    busy_until_s: float = 0
+
+    async def run(self, share):
+        """Do a part of the work of a request."""
+        if not self.request_s:
+            return
+        now_s = time.monotonic()
+        begin_s = max(now_s, self.busy_until_s)
+        self.busy_until_s = begin_s + share * self.request_s
+        await asyncio.sleep(self.busy_until_s - now_s)
+
+
 @dataclasses.dataclass
 class RequestRecord:
     """What became of one request.
@@ -120,10 +143,17 @@
 class FleetSimulation:
     """Engines that crash, and accounts that send through given entries."""
 
-    def __init__(self, network, engine_count):
-        """Add engines to the views of all instances."""
+    def __init__(self, network, engine_count, request_processor_s=0):
+        """Add engines to the views of all instances.
+
+        :param request_processor_s: processor time of a request at its entry
+        """
         self.network = network
         self.instances = list(network.instances.values())
+        self.processors = {
+            instance.name: SimulatedProcessor(request_processor_s)
+            for instance in self.instances
+        }
         self.engines = {}
         self.records = []
         self.numbers = itertools.count()
@@ -237,6 +267,9 @@
         )
         record = RequestRecord(account, work.cost, self.now_s)
         self.records.append(record)
+        processor = self.processors[entry.name]
+        read, ask, pass_on, respond = PROCESSOR_SHARES
+        await processor.run(read)
         arrived_s = time.monotonic()
         avoided = ()
         for _ in range(MAX_TRIES):
@@ -251,14 +284,17 @@
                 work.cost,
                 avoided=avoided,
             )
+            await processor.run(ask)
             try:
                 grant = await entry.client.acquire(waiting)
             except RefusalError:
                 record.refused_s = self.now_s
                 return
             avoided = (*avoided, grant.load.target.name)
+            await processor.run(pass_on)
             try:
                 if await self._run(entry, grant, record):
+                    await processor.run(respond)
                     return
             finally:
                 entry.client.release(grant)
@@ -305,13 +341,14 @@
         return totals
 
 
-async def simulate(plan, engine_count, instance_count):
+async def simulate(plan, engine_count, instance_count, request_processor_s=0):
     """Run a plan against a fleet and return the simulation afterwards.
 
     :param plan: coroutine function that takes the simulation
+    :param request_processor_s: processor time of a request at its entry
     """
     async with pooled_fleet(instance_count) as network:
-        simulation = FleetSimulation(network, engine_count)
+        simulation = FleetSimulation(network, engine_count, request_processor_s)
         async with running(simulation.report()):
             await plan(simulation)
             await asyncio.gather(*simulation.tasks)
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -28,6 +28,10 @@
 CRASHED = 7
 SECONDS = 11
 BUSY_INSTANCE = 1
+FEW_ENGINES = 6
+FEW_INSTANCES = 8
+# Processor time of a request at the instance of its caller.
+PROCESSOR_S = 0.016
 # Shares are guaranteed over this many seconds.
 WINDOW_S = 6
 SEED = 2
@@ -124,6 +128,43 @@
     assert not fleet.shortfalls(SECONDS, WINDOW_S)
 
 
+@params(1, 2, 3)
+def test_an_account_gets_its_share_at_an_overloaded_entry(seed):
+    """An account whose callers use one instance got less than half its share.
+
+    The instance took more requests than its processor could handle.
+    """
+
+    async def plan(fleet):
+        await asyncio.gather(
+            fleet.send('large', (BUSY_INSTANCE,), 10, 150, SECONDS),
+            fleet.send('middle', (2, 4, 6), 5, 75, SECONDS),
+            fleet.send('light', (BUSY_INSTANCE, 7), 2, 6, SECONDS),
+        )
+
+    fleet = run_in_virtual_time(
+        simulate(plan, FEW_ENGINES, FEW_INSTANCES, PROCESSOR_S), seed
+    )
+    assert not fleet.shortfalls(SECONDS, WINDOW_S)
+
+
+@params(1, 2)
+def test_an_account_bound_to_one_pool_gets_its_share_of_all(seed):
+    """An account with one shared prefix got a third of what another one got.
+
+    Its pool was full, and the others served accounts ahead of it.
+    """
+
+    async def plan(fleet):
+        await asyncio.gather(
+            fleet.send('narrow', (1, 2, 3, 4, 5, 6), 1, 300, WINDOW_S + 1),
+            fleet.send('wide', range(INSTANCES), 100, 500, WINDOW_S + 1),
+        )
+
+    fleet = run_in_virtual_time(simulate(plan, ENGINES, INSTANCES), seed)
+    assert not fleet.shortfalls(WINDOW_S + 1, WINDOW_S)
+
+
 def test_the_time_out_follows_the_replies():
     """It is short on an idle instance and never longer than its limit."""
     times = ReplyTimes()
