Refuse requests early at an instance whose event loop is late

Cause, shown in the simulation: nothing limited what one instance takes. With more requests than its processor can handle, each step of each request waits behind those of all others; their time is over before a target is asked for, so that the account gets nothing while others are served.

Change: the delay of the event loop is measured every 50 ms. While it is late (smoothed, 50 ms), requests of accounts with 20 or more recent ones and no less than an even share of this instance are refused before their bodies are read: 503 with Retry-After 0.1 s, as retries reach other instances. The others are taken.

A first form refused single requests during a flood from a target; tests.test_hostile_targets showed it, hence the 20 requests.

--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -71,6 +71,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'the prompt is larger than the memory of any target',
     )
+    OVERLOADED = (
+        3008,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'the instance has more requests than it can handle',
+    )
     TARGET_UNREACHABLE = (
         4001,
         HTTPStatus.BAD_GATEWAY,
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -18,7 +18,6 @@
 from dandelionplank.fleet.crashreports import CrashReporter, QuarantineStore
 from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
 from dandelionplank.fleet.follower import ChangeSource, StoreFollower
-from dandelionplank.fleet.loopdelay import LoopDelayMeter
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.peers import PeerLoadTable
 from dandelionplank.fleet.poolclient import PoolClient
@@ -164,7 +163,6 @@
         self.stopping = asyncio.Event()
         self.supervisor = Supervisor()
         self.pages = PageServer()
-        self.loop_delay = LoopDelayMeter()
 
     @property
     def settings(self) -> GatewaySettings:
@@ -222,7 +220,7 @@
             self.crashes.run_storing,
             self.settings_follower.run,
             self._sweep,
-            self.loop_delay.run,
+            self.gateway.loop_delay.run,
             self._log_load,
             self._serve_metrics,
         ):
@@ -369,7 +367,7 @@
         while True:
             await asyncio.sleep(LOAD_PERIOD_S)
             self.gateway.delivery.log_demand(self.scheduler.service_levels)
-            delay_s = self.loop_delay.take_longest_s()
+            delay_s = self.gateway.loop_delay.take_longest_s()
             METRICS.observe_s('loop_delay_seconds', delay_s)
             if delay_s >= LOGGED_LOOP_DELAY_S:
                 log_event(
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -26,6 +26,8 @@
 from dandelionplank.events import Event
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.grace import GracePeriod
+from dandelionplank.ingress.loopdelay import LoopDelayMeter
+from dandelionplank.ingress.overload import OverloadControl
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
@@ -40,6 +42,8 @@
 STEP = 'ingress'
 NOT_READY_RETRY_S = 0.5
 STALE_RETRY_S = 1.0
+# Callers reach another instance when they retry.
+OVERLOADED_RETRY_S = 0.1
 # A prompt that is too large does not fit later either.
 TOO_LARGE_RETRY_S = 3600.0
 # Callers disconnect from a stream that is silent for the longest of these: a
@@ -70,6 +74,8 @@
         self.is_leaving = False
         self.open_requests = 0
         self.grace = GracePeriod()
+        self.overload = OverloadControl()
+        self.loop_delay = LoopDelayMeter(self.overload)
 
     async def handle_request(
         self, request: web.BaseRequest
@@ -112,6 +118,7 @@
         table = self._current_table()
         route = self._route(table, request)
         account = self._account(table, route, metadata)
+        self._check_overload(account)
         body = await self.grace.limit(self._read_body(request, table), Trace())
         self.grace.check_admission()
         self._check_key_confirmed(route, metadata)
@@ -220,6 +227,21 @@
             retry_after_s=STALE_RETRY_S,
         )
 
+    def _check_overload(self, account: str) -> None:
+        """Refuse a request that this instance could only serve late.
+
+        :raises RefusalError: the account has had its share of this instance
+        """
+        if self.overload.admit(account):
+            return
+        self.delivery.demand.record_refusal(account)
+        raise RefusalError(
+            f'event loop is {self.overload.delay_s:.2f} s late',
+            step=STEP,
+            code=ErrorCode.OVERLOADED,
+            retry_after_s=OVERLOADED_RETRY_S,
+        )
+
     def _check_key_confirmed(
         self, route: Route, metadata: RequestMetadata
     ) -> None:
--- /dev/null
+++ b/src/dandelionplank/ingress/overload.py
@@ -0,0 +1,71 @@
+"""Refuses requests while the event loop is late: pure state, no I/O.
+
+An instance that works on more requests than its processor can handle answers
+all of them late. Callers that are refused at once come back at another
+instance.
+"""
+
+import math
+from collections import Counter
+
+# Weight of the last delay in the smoothed one: a single short delay, as from
+# reading a large configuration, refuses nothing.
+DELAY_WEIGHT = 0.5
+# A request passes through the loop several times before its first event.
+LATE_LOOP_S = 0.05
+# Time constant of the decay of the accounts' requests.
+DECAY_S = 1.0
+# Fewer recent requests of an account are forgotten.
+FEWEST_REQUESTS = 0.1
+# Refusing fewer recent requests of an account relieves no loop: something else
+# delays it.
+RELIEVING_REQUESTS = 20
+
+
+class OverloadControl:
+    """Decides which requests an instance takes while its loop is late."""
+
+    def __init__(self) -> None:
+        """Hold the delay of the loop and the accounts' recent requests."""
+        self.delay_s = 0.0
+        self.updated_s = 0.0
+        self.recent: Counter[str] = Counter()
+        self.recent_total = 0.0
+
+    @property
+    def is_late(self) -> bool:
+        """Whether this instance has more work than it can handle."""
+        return self.delay_s > LATE_LOOP_S
+
+    def record_delay(self, delay_s: float, now_s: float) -> None:
+        """Record by how much the event loop is late."""
+        self.delay_s += DELAY_WEIGHT * (delay_s - self.delay_s)
+        factor = math.exp((self.updated_s - now_s) / DECAY_S)
+        self.updated_s = now_s
+        self.recent = Counter(
+            {
+                account: count * factor
+                for account, count in self.recent.items()
+                if count * factor > FEWEST_REQUESTS
+            }
+        )
+        self.recent_total = sum(self.recent.values())
+
+    def admit(self, account: str) -> bool:
+        """Return whether a request is taken, and count it if it is.
+
+        While the loop is late, those of accounts are refused that have had
+        many, and no less than an even share of all.
+        """
+        if self.is_late and self._has_even_share(account):
+            return False
+        self.recent[account] += 1
+        self.recent_total += 1
+        return True
+
+    def _has_even_share(self, account: str) -> bool:
+        """Return whether an account has had its share of this instance."""
+        recent = self.recent[account]
+        if recent < RELIEVING_REQUESTS:
+            return False
+        return recent * len(self.recent) >= self.recent_total
--- a/tests/fleetsimulation.py
+++ b/tests/fleetsimulation.py
@@ -11,6 +11,8 @@
 from dandelionplank.errors import RefusalError
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet.peers import PeerReport
+from dandelionplank.ingress.loopdelay import SAMPLE_PERIOD_S
+from dandelionplank.ingress.overload import OverloadControl
 from dandelionplank.routing.work import PromptPart, TokenWork
 from dandelionplank.settings import Address
 from dandelionplank.targets import Target
@@ -105,6 +107,17 @@
 
     request_s: float = 0
     busy_until_s: float = 0
+    overload: OverloadControl = dataclasses.field(
+        default_factory=OverloadControl
+    )
+
+    async def measure_delay(self):
+        """Record by how much new work is late, until cancelled."""
+        while True:
+            await asyncio.sleep(SAMPLE_PERIOD_S)
+            now_s = time.monotonic()
+            delay_s = max(0, self.busy_until_s - now_s)
+            self.overload.record_delay(delay_s, now_s)
 
     async def run(self, share):
         """Do a part of the work of a request."""
@@ -270,6 +283,9 @@
         processor = self.processors[entry.name]
         read, ask, pass_on, respond = PROCESSOR_SHARES
         await processor.run(read)
+        if not processor.overload.admit(account):
+            record.refused_s = self.now_s
+            return
         arrived_s = time.monotonic()
         avoided = ()
         for _ in range(MAX_TRIES):
@@ -349,7 +365,10 @@
     """
     async with pooled_fleet(instance_count) as network:
         simulation = FleetSimulation(network, engine_count, request_processor_s)
-        async with running(simulation.report()):
+        processors = simulation.processors.values()
+        async with running(
+            simulation.report(), *(each.measure_delay() for each in processors)
+        ):
             await plan(simulation)
             await asyncio.gather(*simulation.tasks)
         return simulation
