--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -77,7 +77,7 @@
         await wait_until(lambda: gateway.overload.updated_s)
         status, _, _ = await fleet.call('/book/x')
         assert status == 200
-        admit_many(gateway.overload, only(gateway.overload.recent))
+        admit_many(gateway.overload, only(list(gateway.overload.recent)))
         gateway.overload.record_delay(LATE_S, time.monotonic())
         status, _, headers = await fleet.call('/book/x', data=b'1' * 9000)
         assert status == 503
