Place the prompts of an account that is behind by the fair order

Cause, shown in the simulation: fair order decides who is next at a target, but where a prompt waits was decided without regard to it. Its account's prompts counted the queues of all accounts as ahead of them, also of those served later, so that they waited for the few engines that cache their prefix while the other engines of the pool, and of all other pools, served accounts ahead. And help from other pools began below a quarter of the highest level, although half is due, and reached two pools in a fleet of any size.

Change: one order, AccountPrecedence, for both. A request that its own pool refused waits in the fair order of up to three others, chosen from a part of them that grows as its account is further behind.

--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import itertools
+import math
 import random
 import time
 from collections import defaultdict
@@ -16,6 +17,7 @@
 
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.fairness.precedence import BEHIND_RANK
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.replytimes import ReplyTimes
@@ -46,8 +48,9 @@
 SENDS_PER_OWNER = 2
 # Period at which the owner of a queued ticket is asked whether it still waits.
 QUEUED_CHECK_S = 0.1
-# Pools besides its own in which a request of an account far behind may wait.
-POOLS_IF_BEHIND = 2
+# Pools besides its own in which a request of an account that is behind may
+# wait, one after the other.
+POOLS_IF_BEHIND = 3
 # Period at which open grants are listed to their owners.
 LISTING_PERIOD_S = 0.5
 RANDOM_NUMBER_BITS = 48
@@ -265,14 +268,14 @@
     ) -> Grant | None:
         """Return a target of a pool that is not the preferred one.
 
-        Only an idle target, unless the account is far behind: then the
-        request waits in the fair order of the other pools, because its own
-        may have lost its targets while others serve the accounts ahead.
+        Only an idle target, unless the account is behind: then the request
+        waits in the fair order of other pools, because its own may be full or
+        have lost its targets while others serve the accounts ahead.
         """
-        is_behind = self.dispatcher.scheduler.is_behind(
-            waiting.account, time.monotonic()
-        )
-        for queue in queues[: POOLS_IF_BEHIND if is_behind else 1]:
+        rank = self.dispatcher.scheduler.rank(waiting.account, time.monotonic())
+        is_behind = rank < BEHIND_RANK
+        chosen = _spread(queues, rank) if is_behind else queues[:1]
+        for queue in chosen:
             with contextlib.suppress(RefusalError):
                 return await self._acquire_in(
                     queue, waiting, is_overflow=not is_behind
@@ -459,6 +462,21 @@
             self.send(owner, TicketEvents(self.name, tuple(events)))
 
 
+def _spread(queues: Sequence[str], rank: float) -> list[str]:
+    """Choose pools besides its own for a request of an account behind.
+
+    The further behind, the larger the part of the pools that they are chosen
+    from, so that an account whose prompts all prefer one pool reaches its share
+    of a fleet of any size, and its prefixes are cached in no more pools than
+    that takes.
+
+    :param queues: in order of preference
+    :param rank: service level of the account relative to the highest one
+    """
+    count = math.ceil((1 - rank) * len(queues))
+    return random.sample(queues[:count], min(count, POOLS_IF_BEHIND))
+
+
 async def _decision(replies: 'asyncio.Queue[TicketReply]') -> TicketReply:
     """Return the next reply that is a decision."""
     while True:
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -96,6 +96,7 @@
         self.pending_prefill_tokens = 0.0
         self.running = 0
         self.queued_tokens = 0.0
+        self.queued_by_account: dict[str, float] = {}
         self.waiting = 0
         self.speed = PrefillSpeed()
         self.slowness = 1.0
@@ -159,6 +160,24 @@
         )
         return self.prefill_s(pending) + own_s <= queue_limit_s
 
+    def start_waiting(self, account: str, tokens: float) -> None:
+        """Record that a request is queued for the target.
+
+        :param tokens: its uncached prompt tokens
+        """
+        self.waiting += 1
+        self.queued_tokens += tokens
+        queued = self.queued_by_account.get(account, 0)
+        self.queued_by_account[account] = queued + tokens
+
+    def stop_waiting(self, account: str, tokens: float) -> None:
+        """Record that a request is no longer queued for the target."""
+        self.waiting = max(0, self.waiting - 1)
+        self.queued_tokens = max(0.0, self.queued_tokens - tokens)
+        queued = self.queued_by_account.pop(account, 0) - tokens
+        if queued > 0:
+            self.queued_by_account[account] = queued
+
     def send(
         self,
         work: TokenWork | None,
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Mapping, Sequence, Set
 from types import MappingProxyType
 
+from dandelionplank.fairness.precedence import AccountPrecedence
 from dandelionplank.fleet.peers import PeerLoadTable, TargetShare
 from dandelionplank.routing.load import TARGET_QUEUE_S, TargetLoad
 from dandelionplank.routing.rendezvous import pick_instance
@@ -146,16 +147,26 @@
             self.limit_wait_s - self.own_limit_wait_s,
         )
 
-    def cost_s(self, tokens: float) -> float:
-        """Return the expected prefill time, with failures and advantages."""
-        start_s = max(self.load.prefill_s(self.ahead_tokens), self.limit_wait_s)
+    def cost_s(self, tokens: float, yielding_tokens: float = 0) -> float:
+        """Return the expected prefill time, with failures and advantages.
+
+        :param yielding_tokens: queued tokens that are prefilled later
+        """
+        ahead_tokens = self.ahead_tokens - yielding_tokens
+        start_s = max(self.load.prefill_s(ahead_tokens), self.limit_wait_s)
         prefill_s = self.load.prefill_s(tokens)
         failure_s = self.failure_odds * FAILURE_COST_S
         return start_s + prefill_s + failure_s - self.advantage_s
 
-    def idle_cost_s(self) -> float:
-        """Return the expected time until a new request's prefill starts."""
-        return self.cost_s(0)
+    def account_cost_s(
+        self, tokens: float, precedence: AccountPrecedence
+    ) -> float:
+        """Return the expected prefill time of an account's request.
+
+        Requests of accounts that it precedes are not ahead of it.
+        """
+        yielding = precedence.yielding_tokens(self.load.queued_by_account)
+        return self.cost_s(tokens, yielding)
 
     def plain_cost(self, now_s: float) -> float:
         """Return the expected cost of one more plain request."""
@@ -213,6 +224,7 @@
         work: TokenWork | None,
         now_s: float,
         queue_limit_s: float,
+        precedence: AccountPrecedence,
         avoided: Sequence[str] = (),
     ) -> Placement | None:
         """Return the cheapest target, or None if there is no usable one.
@@ -220,6 +232,7 @@
         :param snapshots: healthy targets of the service
         :param work: size of a model's work, none for plain requests
         :param queue_limit_s: work that may be queued inside the target
+        :param precedence: accounts that are served later
         :param avoided: targets that have failed this request
         """
         usable = snapshots
@@ -234,23 +247,26 @@
         is_model = next(iter(usable.values())).load.prefix_cache is not None
         if work is None or not is_model:
             return _least_loaded(usable, now_s)
-        return self._cheapest(usable, work, queue_limit_s)
+        return self._cheapest(usable, work, queue_limit_s, precedence)
 
     def _cheapest(
         self,
         snapshots: TargetSnapshots,
         work: TokenWork,
         queue_limit_s: float,
+        precedence: AccountPrecedence,
     ) -> Placement:
         """Return the engine with the lowest cost of waiting and prefill."""
-        candidates = _candidates(snapshots, work.prefix_id)
+        candidates = _candidates(snapshots, work.prefix_id, precedence)
         uncached = {
             name: snapshot.load.uncached_tokens(work)
             for name, snapshot in candidates.items()
         }
         fewest = min(uncached.values())
         costs = {
-            name: snapshot.cost_s(_weighted_tokens(uncached[name], fewest))
+            name: snapshot.account_cost_s(
+                _weighted_tokens(uncached[name], fewest), precedence
+            )
             for name, snapshot in candidates.items()
         }
         if fewest >= work.prompt_tokens - COLD_CACHED_TOKENS:
@@ -260,7 +276,7 @@
             )
             weighted_tokens = _weighted_tokens(uncached[preferred], fewest)
             costs[preferred] = (
-                snapshots[preferred].cost_s(weighted_tokens)
+                snapshots[preferred].account_cost_s(weighted_tokens, precedence)
                 - PREFERRED_ADVANTAGE_S
             )
         best = min(costs, key=costs.__getitem__)
@@ -286,7 +302,7 @@
 
 
 def _candidates(
-    snapshots: TargetSnapshots, prefix_id: str
+    snapshots: TargetSnapshots, prefix_id: str, precedence: AccountPrecedence
 ) -> dict[str, TargetSnapshot]:
     """Return the targets that cache a prefix, and the least loaded ones.
 
@@ -296,7 +312,7 @@
     idlest = heapq.nsmallest(
         IDLEST_CANDIDATES,
         snapshots.values(),
-        key=TargetSnapshot.idle_cost_s,
+        key=lambda snapshot: snapshot.account_cost_s(0, precedence),
     )
     candidates = {snapshot.load.target.name: snapshot for snapshot in idlest}
     candidates.update(
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 
+from dandelionplank.fairness.precedence import AccountPrecedence
 from dandelionplank.fairness.waiting import WaitingQueue, WaitingRequest
 from dandelionplank.fleet.peers import (
     PeerLoadTable,
@@ -56,9 +57,6 @@
 # Extra work that a target may hold before a request of an account that has
 # received no service lately, as a fraction of the usual limit.
 FAIRNESS_QUEUE_BONUS = 1.0
-# An account is far behind if its service level is below this share of the
-# highest one.
-BEHIND_RANK = 0.25
 # The service levels of the accounts are summed again after this time.
 SERVICE_LEVELS_MAX_AGE_S = 0.05
 # Maximum number of prefills held for the next reports to the other instances.
@@ -186,10 +184,13 @@
         placement = self._place(waiting, snapshots, TARGET_QUEUE_S, now_s)
         return placement is not None and placement.has_capacity
 
-    def is_behind(self, account: str, now_s: float) -> bool:
-        """Return whether an account is far behind the one that got most."""
+    def rank(self, account: str, now_s: float) -> float:
+        """Return an account's service level relative to the highest one.
+
+        :return: from zero to one; one for requests without an account
+        """
         self._refresh_service_levels(now_s)
-        return bool(account) and self._rank(account) < BEHIND_RANK
+        return self._rank(account) if account else 1.0
 
     def withdraw(self, waiting: WaitingRequest) -> None:
         """Remove a request from its queue."""
@@ -411,6 +412,7 @@
             waiting.work,
             now_s,
             queue_limit_s,
+            AccountPrecedence.from_levels(waiting.account, self.service_levels),
             waiting.avoided + closed,
         )
 
@@ -474,17 +476,14 @@
         waiting.placed_s = now_s
         waiting.assigned_target = placement.load.target.name
         waiting.uncached_tokens = placement.uncached_tokens
-        placement.load.queued_tokens += placement.uncached_tokens
-        placement.load.waiting += 1
+        placement.load.start_waiting(waiting.account, placement.uncached_tokens)
 
     def _stop_waiting(self, waiting: WaitingRequest) -> None:
         """Remove a request from the load of the target it waited for."""
         load = self.loads.get(waiting.assigned_target)
         waiting.assigned_target = ''
         if load:
-            left = load.queued_tokens - waiting.uncached_tokens
-            load.queued_tokens = max(0.0, left)
-            load.waiting = max(0, load.waiting - 1)
+            load.stop_waiting(waiting.account, waiting.uncached_tokens)
 
 
 def _reject_without_target(
