Keep a cancellation that meets a refusal

Cause: a request that was cancelled in the turn in which it was refused raised the refusal from the handler of the cancellation, so that its task ended with an error that nobody awaited.

Change: only a grant is released there. Evidence: the new test failed before and passes.

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -74,9 +74,8 @@
             self._run_pass(waiting.service, now_s)
             return await future
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                grant = future.result()
-                self.release(grant)
+            if _has_grant(future):
+                self.release(future.result())
             raise
         finally:
             self.futures.pop(id(waiting), None)
@@ -164,6 +163,13 @@
             future.set_result(grant)
 
 
+def _has_grant(future: 'asyncio.Future[Grant]') -> bool:
+    """Return whether a future holds a grant, and no error."""
+    if not future.done() or future.cancelled():
+        return False
+    return future.exception() is None
+
+
 def _refusal(rejection: Rejection) -> RefusalError:
     """Return the error for a rejected request."""
     return RefusalError(
