Ask the next preferred pool first for an account that is behind

Cause, suspected: most accounts are small, thus behind the largest one, and each of their refused prompts went to three pools drawn from nearly all, where its shared parts had to be read again.

Change: the next pool in the order of preference comes first, the two others are drawn.

--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -465,16 +465,17 @@
 def _spread(queues: Sequence[str], rank: float) -> list[str]:
     """Choose pools besides its own for a request of an account behind.
 
-    The further behind, the larger the part of the pools that they are chosen
-    from, so that an account whose prompts all prefer one pool reaches its share
-    of a fleet of any size, and its prefixes are cached in no more pools than
-    that takes.
+    The next one in its order of preference, where its prefix may be cached,
+    then others. The further behind the account, the larger the part of the
+    pools that these are chosen from, so that an account whose prompts all
+    prefer one pool reaches its share of a fleet of any size.
 
     :param queues: in order of preference
     :param rank: service level of the account relative to the highest one
     """
-    count = math.ceil((1 - rank) * len(queues))
-    return random.sample(queues[:count], min(count, POOLS_IF_BEHIND))
+    part = queues[1 : math.ceil((1 - rank) * len(queues))]
+    others = random.sample(part, min(len(part), POOLS_IF_BEHIND - 1))
+    return [*queues[:1], *others]
 
 
 async def _decision(replies: 'asyncio.Queue[TicketReply]') -> TicketReply:
