--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -50,6 +50,8 @@
             request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
+            # Targets get the body as the caller encoded it.
+            auto_decompress=False,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
