--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -38,7 +38,10 @@
         return self.delay_s > LATE_LOOP_S
 
     def record_delay(self, delay_s: float, now_s: float) -> None:
-        """Record by how much the event loop is late."""
+        """Record by how much the event loop is late.
+
+        :param now_s: monotonic time at which it was measured
+        """
         self.delay_s += DELAY_WEIGHT * (delay_s - self.delay_s)
         factor = math.exp((self.updated_s - now_s) / DECAY_S)
         self.updated_s = now_s
@@ -54,8 +57,8 @@
     def admit(self, account: str) -> bool:
         """Return whether a request is taken, and count it if it is.
 
-        While the loop is late, those of accounts are refused that have had
-        many, and no less than an even share of all.
+        While the loop is late, an account that has had many requests, and no
+        less than an even share of all, gets no more taken.
         """
         if self.is_late and self._has_even_share(account):
             return False
