Expect the owner of a pool to count a request, not its entry

Traced: with owners in fleets of two, the request through the second gateway is counted by the owner of the engines' pool, here the first one, so that the first got no report of it. The test was wrong to name the instance that counts.

It now finds the one instance that counts the request, checks that no other does, and that the other one gets its report, with the same check of cached parts.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -326,29 +326,43 @@
 async def test_instances_receive_the_load_of_their_peers():
     """Reports carry the requests and the cached prompt parts of targets."""
     async with platform_fleet(gateways=2) as fleet:
-        first, second = fleet.gateways
-        await wait_until(lambda: len(first.peer_loads.reports) == 1)
+        for gateway in fleet.gateways:
+            await wait_until(functools.partial(_has_reports, gateway))
         for target in fleet.targets.values():
             target.events = 60
         stream = asyncio.ensure_future(
             fleet.call('/chat/x', gateway=1, headers=MODEL_HEADERS),
         )
+        await wait_until(lambda: any(map(_count_running, fleet.gateways)))
+        # One of them owns the pool of the targets and counts the request.
+        other, owner = sorted(fleet.gateways, key=_count_running)
+        assert (_count_running(other), _count_running(owner)) == (0, 1)
 
         def is_reported():
             return any(
-                first.peer_loads.share_of(name).running
+                other.peer_loads.share_of(name).running
                 for name in fleet.targets
             )
 
         await wait_until(is_reported)
         cached = [
             load.prefix_cache.parts
-            for load in first.scheduler.loads.values()
+            for load in other.scheduler.loads.values()
             if load.prefix_cache and load.prefix_cache.parts
         ]
         assert cached in ([], [{'ab': 200}])
         assert (await stream)[0] == 200
-        assert second.exchange.instance_count == 2
+        assert other.exchange.instance_count == 2
+
+
+def _has_reports(gateway):
+    """Return whether a gateway has the report of another one."""
+    return len(gateway.peer_loads.reports) == 1
+
+
+def _count_running(gateway):
+    """Return how many requests a gateway counts at targets itself."""
+    return sum(load.running for load in gateway.scheduler.loads.values())
 
 
 @run_async
