--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -147,27 +147,19 @@
             self.limit_wait_s - self.own_limit_wait_s,
         )
 
-    def cost_s(self, tokens: float, yielding_tokens: float = 0) -> float:
+    def cost_s(self, tokens: float, precedence: AccountPrecedence) -> float:
         """Return the expected prefill time, with failures and advantages.
 
-        :param yielding_tokens: queued tokens that are prefilled later
+        :param precedence: accounts whose queued requests are not ahead
         """
-        ahead_tokens = self.ahead_tokens - yielding_tokens
+        ahead_tokens = self.ahead_tokens - precedence.yielding_tokens(
+            self.load.queued_by_account
+        )
         start_s = max(self.load.prefill_s(ahead_tokens), self.limit_wait_s)
         prefill_s = self.load.prefill_s(tokens)
         failure_s = self.failure_odds * FAILURE_COST_S
         return start_s + prefill_s + failure_s - self.advantage_s
 
-    def account_cost_s(
-        self, tokens: float, precedence: AccountPrecedence
-    ) -> float:
-        """Return the expected prefill time of an account's request.
-
-        Requests of accounts that it precedes are not ahead of it.
-        """
-        yielding = precedence.yielding_tokens(self.load.queued_by_account)
-        return self.cost_s(tokens, yielding)
-
     def plain_cost(self, now_s: float) -> float:
         """Return the expected cost of one more plain request."""
         ahead = self.load.plain_load(self.others, now_s)
@@ -264,7 +256,7 @@
         }
         fewest = min(uncached.values())
         costs = {
-            name: snapshot.account_cost_s(
+            name: snapshot.cost_s(
                 _weighted_tokens(uncached[name], fewest), precedence
             )
             for name, snapshot in candidates.items()
@@ -276,7 +268,7 @@
             )
             weighted_tokens = _weighted_tokens(uncached[preferred], fewest)
             costs[preferred] = (
-                snapshots[preferred].account_cost_s(weighted_tokens, precedence)
+                snapshots[preferred].cost_s(weighted_tokens, precedence)
                 - PREFERRED_ADVANTAGE_S
             )
         best = min(costs, key=costs.__getitem__)
@@ -312,7 +304,7 @@
     idlest = heapq.nsmallest(
         IDLEST_CANDIDATES,
         snapshots.values(),
-        key=lambda snapshot: snapshot.account_cost_s(0, precedence),
+        key=lambda snapshot: snapshot.cost_s(0, precedence),
     )
     candidates = {snapshot.load.target.name: snapshot for snapshot in idlest}
     candidates.update(
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -187,24 +187,30 @@
     ]
 
 
-@params(1, 3, 4, 5)
-def test_random_accounts_get_their_shares(seed):
-    """Accounts of any shape got 0.55 to 0.62 of what was due.
-
-    Their prompts share few prefixes, or their callers use one instance.
-    """
+def simulate_random_accounts(seed, engines, instances, processor_s=0):
+    """Return a fleet after accounts of random shape have sent to it."""
 
     async def plan(fleet):
         await asyncio.gather(
             *(
                 fleet.send(*account, WINDOW_S + 2)
-                for account in draw_accounts(seed, FEW_INSTANCES)
+                for account in draw_accounts(seed, instances)
             )
         )
 
-    fleet = run_in_virtual_time(
-        simulate(plan, MANY_ENGINES, FEW_INSTANCES, SHORT_PROCESSOR_S),
-        seed,
+    return run_in_virtual_time(
+        simulate(plan, engines, instances, processor_s), seed
+    )
+
+
+@params(1, 3, 4, 5)
+def test_random_accounts_get_their_shares(seed):
+    """Accounts of any shape got 0.55 to 0.62 of what was due.
+
+    Their prompts share few prefixes, or their callers use one instance.
+    """
+    fleet = simulate_random_accounts(
+        seed, MANY_ENGINES, FEW_INSTANCES, SHORT_PROCESSOR_S
     )
     assert not fleet.shortfalls(WINDOW_S + 2, WINDOW_S)
 
@@ -215,18 +221,7 @@
 
     Each instance decided alone, and served its own callers.
     """
-
-    async def plan(fleet):
-        await asyncio.gather(
-            *(
-                fleet.send(*account, WINDOW_S + 2)
-                for account in draw_accounts(seed, SMALL_FLEET)
-            )
-        )
-
-    fleet = run_in_virtual_time(
-        simulate(plan, SMALL_FLEET_ENGINES, SMALL_FLEET), seed
-    )
+    fleet = simulate_random_accounts(seed, SMALL_FLEET_ENGINES, SMALL_FLEET)
     assert not fleet.shortfalls(WINDOW_S + 2, WINDOW_S)
 
 
