Accept all waiting connections in one turn of the event loop

Cause, one of two: uvloop's server accepts a single connection in each turn of the loop.

Evidence: tests.test_acceptor.test_waiting_connections_are_accepted_in_a_few_turns failed before (5 of 64 connections accepted after six turns on uvloop).

Change: the callers' listening socket is read by a reader of the loop that accepts up to 256 connections in a turn, pauses 0.1 s after an error that lasts and accepts what waits before the socket closes.

Nothing bounds an instance's connections yet.

--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -9,6 +9,7 @@
 from aiohttp.streams import StreamReader
 
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress.acceptor import ConnectionAcceptor
 from dandelionplank.ingress.gateway import Gateway
 from dandelionplank.router.idle import IdleConnectionTask, run_turns
 from dandelionplank.routing.routes import RequestLimits, RouteTable
@@ -31,7 +32,7 @@
         self.idle = IdleConnectionTask(_caller_settings(self.limits))
         view.listeners.append(self._configure)
         self.server: web.Server | None = None
-        self.listener: asyncio.Server | None = None
+        self.acceptor: ConnectionAcceptor | None = None
 
     @property
     def connections(self) -> list[Any]:
@@ -56,17 +57,14 @@
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
         self.idle.server = self.server
-        self.listener = await asyncio.get_running_loop().create_server(
-            self.server,
-            address.ip,
-            address.port,
-            backlog=BACKLOG_CONNECTIONS,
-        )
+        acceptor = ConnectionAcceptor(self.server, BACKLOG_CONNECTIONS)
+        acceptor.listen(address)
+        self.acceptor = acceptor
 
     def stop_accepting(self) -> None:
         """Accept no new connections; open ones continue."""
-        if self.listener:
-            self.listener.close()
+        if self.acceptor:
+            self.acceptor.close()
 
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
