Send nothing to the targets of an evacuated data centre

Cause: an operator orders by the key op/evacuate/ZONE that nothing more is sent to the targets of a data centre. An instance whose own store calls fail could not have learnt it either: it called only the store until that answered.

Change: the view keeps the orders (fleet/evacuations.py) and the registry leaves the targets there out of its index, which is rebuilt at a change only. Waiting requests are placed again; those of a service or pool without targets are rejected within one poll, and the entry ranks the pools again. An entry checks a grant when it gets it and once more before it sends. After a failed store call an instance queries others for changes; this does not confirm its view. A response to a query goes to the address that the query came from, since the store drops the entry of an instance that it does not serve. A listing without the key ends an order.

The expressions for waits of a watch moved from fleet/follower.py to fleet/confirmation.py without a change of their values; one import in tests/test_platform_decisions.py follows. The instances of tests/test_pool_owners.py are wired as the daemon is; no assertion changed.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 
 import aiohttp
@@ -60,16 +61,20 @@
         pool: ConnectionPool,
         codec: RequestCodec,
         held: HeldBytes,
+        is_excluded: Callable[[Grant], bool],
     ) -> None:
         """Hold the request and its grant; nothing is sent before ``open``.
 
         :param held: limit on the bodies that are being read
+        :param is_excluded: returns whether an order forbids requests to a
+            granted target
         """
         self.request = request
         self.grant = grant
         self.pool = pool
         self.codec = codec
         self.held = held
+        self.is_excluded = is_excluded
         self.framer = EventFramer()
         self.has_events = False
         self.state = AttemptState.NOT_SENT
@@ -102,7 +107,7 @@
             request_id=self.request.metadata.request_id,
             is_retryable=route.is_retryable,
         )
-        if not self.is_target_open:
+        if not self.is_target_open or self.is_excluded(self.grant):
             raise self._error(
                 'the target takes no requests',
                 Outcome.NOT_RUN,
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -254,7 +254,14 @@
         """Acquire a target for an attempt and always release it afterwards."""
         self.crashes.check_request(request)
         grant = await self._acquire(request, progress)
-        attempt = Attempt(request, grant, self.pool, self.codec, self.held)
+        attempt = Attempt(
+            request,
+            grant,
+            self.pool,
+            self.codec,
+            self.held,
+            self.dispatcher.is_excluded,
+        )
         progress.tries += 1
         record_grant(request, grant)
         progress.avoided = (*progress.avoided, attempt.target_name)
@@ -281,7 +288,8 @@
         """Return a target that takes requests, reserved or newly assigned.
 
         A target may turn this instance away while the request waits, or while
-        another instance that does not know assigns it.
+        another instance that does not know assigns it. So may an order exclude
+        it, which another instance may learn later.
 
         :raises RefusalError: there is none
         """
@@ -289,7 +297,9 @@
             request, progress
         )
         for _ in range(MAX_TRIES):
-            if grant.load.availability.is_open(time.monotonic()):
+            if self.dispatcher.is_excluded(grant):
+                self.dispatcher.record_excluded(grant)
+            elif grant.load.availability.is_open(time.monotonic()):
                 return grant
             self.dispatcher.release(grant)
             closed = grant.load.target.name
@@ -456,8 +466,11 @@
                 )
         except (RefusalError, TimeoutError):
             return False
-        is_other = grant.load.target.name not in progress.avoided
-        if not is_other or not self._may_resume(request, progress):
+        is_usable = (
+            grant.load.target.name not in progress.avoided
+            and not self.dispatcher.is_excluded(grant)
+        )
+        if not is_usable or not self._may_resume(request, progress):
             self.dispatcher.release(grant)
             return False
         progress.reserved = grant
--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -43,6 +43,15 @@
     def record_closed(self, grant: Grant) -> None:
         """Record that a target has turned this instance away."""
 
+    def is_excluded(self, grant: Grant) -> bool:
+        """Return whether an order forbids requests to a granted target."""
+
+    def record_excluded(self, grant: Grant) -> None:
+        """Record that a target was granted against an order.
+
+        The instance that granted it may not know the order yet.
+        """
+
     def release(self, grant: Grant) -> None:
         """Record that a request has left its target."""
 
@@ -114,6 +123,12 @@
         grant.load.record_end(grant.sent)
         self.wake(grant.waiting.service)
 
+    def exclude_targets(self) -> None:
+        """Place all waiting requests without the targets excluded now."""
+        self.scheduler.snapshots.clear()
+        for service in self.scheduler.queues:
+            self.wake(service)
+
     def wake(self, service: str) -> None:
         """Schedule a pass over a service's waiting requests."""
         self.due_services.add(service)
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -123,6 +123,16 @@
         Level.INFO,
         'a target is leaving, or wants no requests for a time',
     )
+    DATA_CENTER_EVACUATED = (
+        322,
+        Level.WARNING,
+        'the targets of a data centre are sent no more requests',
+    )
+    DATA_CENTER_RESTORED = (
+        323,
+        Level.INFO,
+        'the targets of a data centre are used again',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- a/src/dandelionplank/fleet/confirmation.py
+++ b/src/dandelionplank/fleet/confirmation.py
@@ -7,6 +7,8 @@
 """
 
 import dataclasses
+import random
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
@@ -21,13 +23,19 @@
 # Smallest fleet in which shared watches save store calls: a watcher renews
 # its watch more often than an instance that watches only for itself.
 MIN_SHARED_WATCH_FLEET = 8
-# Maximum wait of a shared watch, as a share of revoked_after_s.
+# Maximum wait of an unshared watch, as a share of the view's change_bound_s.
+# After a watch that hangs there is time for several short calls before keyed
+# requests are refused.
+WATCH_WAIT_SHARE = 0.25
+# Maximum wait of a shared watch, as a share of the view's change_bound_s.
 WATCHER_WAIT_SHARE = 0.1
-# Age, as a share of revoked_after_s, from which a confirmation by a watcher
-# is too old to replace a call to the store.
+# Age, as a share of change_bound_s, from which a confirmation by a watcher is
+# too old to replace a call to the store.
 CONFIRMED_AGE_SHARE = 0.4
 QUERY_PERIOD_S = 0.5
 QUERY_TIMEOUT_S = 0.1
+# Watchers, and other instances, that are queried after a store call failed.
+SUBSTITUTES_ASKED = 2
 
 
 class ViewQuery(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -75,11 +83,13 @@
 
     :param name: this instance
     :param is_shared: other instances rely on the watchers
+    :param others: the other instances that do not watch for this one
     """
 
     name: str
     watchers: tuple[str, ...]
     is_shared: bool
+    others: tuple[str, ...] = dataclasses.field(default=(), compare=False)
 
     @classmethod
     def from_fleet(
@@ -92,15 +102,48 @@
             if peer == name or peer in peer_loads.reports
         ]
         if len(present) < MIN_SHARED_WATCH_FLEET:
-            return cls(name, (name,), is_shared=False)
+            # Nobody reports to an instance whose entry the store has dropped.
+            others = _without(present, (name,)) or _without(
+                tuple(view.peers), (name,)
+            )
+            return cls(name, (name,), False, others)
         watchers = rank_instances('watch', present)[:WATCHER_COUNT]
-        return cls(name, tuple(watchers), is_shared=True)
+        others = _without(present, (name, *watchers))
+        return cls(name, tuple(watchers), True, others)
 
     @property
     def is_watcher(self) -> bool:
         """Return whether this instance watches the store itself."""
         return self.name in self.watchers
 
+    @property
+    def wait_share(self) -> float:
+        """Return the maximum wait of a watch, as a share of change_bound_s."""
+        if not self.is_watcher:
+            # The watchers are at another revision, or they do not respond.
+            return 0
+        return WATCHER_WAIT_SHARE if self.is_shared else WATCH_WAIT_SHARE
+
     def watcher_to_query(self, number: int) -> str:
         """Return the watcher to send a query to, chosen round robin."""
         return self.watchers[number % len(self.watchers)]
+
+    def substitutes(self) -> list['WatcherRole']:
+        """Return a role for each instance to query in place of the store.
+
+        Watchers have the latest changes, but all of them may have lost the
+        store while it still serves others.
+        """
+        watchers = _without(self.watchers, (self.name,))
+        names = _sample(watchers) + _sample(self.others)
+        return [WatcherRole(self.name, (name,), True) for name in names]
+
+
+def _without(names: Sequence[str], left_out: Sequence[str]) -> tuple[str, ...]:
+    """Return the names that are not left out."""
+    return tuple(name for name in names if name not in left_out)
+
+
+def _sample(names: Sequence[str]) -> list[str]:
+    """Return a few of some names in random order."""
+    return random.sample(names, min(len(names), SUBSTITUTES_ASKED))
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -93,15 +93,19 @@
         bounds = settings.bounds
         self.view = FleetView(bounds.revoked_after_s)
         self.peer_loads = PeerLoadTable()
-        pools = TargetPools(self.view.targets_of)
+        pools = TargetPools(
+            self.view.targets_of, self.view.registry.is_withdrawn
+        )
         self.scheduler = Scheduler(
             settings.instance.data_center,
             pools.targets_in,
             self.peer_loads,
             has_other_pools=pools.has_other_pools,
+            is_withdrawn=pools.is_withdrawn,
         )
         self.view.listeners.append(self.scheduler.configure)
         self.dispatcher = Dispatcher(self.scheduler)
+        self.view.exclusion_listeners.append(self.dispatcher.exclude_targets)
         self.pool = ConnectionPool()
         self.exchange = PeerExchange(
             settings.instance.id,
@@ -354,6 +358,7 @@
         METRICS.set_gauge('open_requests', self.gateway.open_requests)
         METRICS.set_gauge('view_age_seconds', self.view.capped_age_s)
         METRICS.set_gauge('peers', len(self.peer_loads.reports))
+        METRICS.set_gauge('excluded_targets', self.view.excluded_targets)
         return Page(HTTPStatus.OK, METRICS.render())
 
     async def _sweep(self) -> None:
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -93,6 +93,8 @@
         self.query_number = random.getrandbits(RANDOM_ID_BITS)
         self.pending_response: asyncio.Future[ViewResponse] | None = None
         self.transport: asyncio.DatagramTransport | None = None
+        # Where the message that is being handled has come from.
+        self.source_address = ('', 0)
         self.receivers: dict[type, Callable[[Any], None]] = {
             PeerReport: self._receive_report,
             ViewQuery: self._respond,
@@ -131,6 +133,7 @@
             METRICS.add('peer_reports_malformed_total')
             return
         receive = self.receivers[type(message)]
+        self.source_address = addr
         is_start = self._is_first_of_process(message)
         try:
             receive(message)
@@ -202,7 +205,11 @@
         self._send_listed(name, _ENCODER.encode(message))
 
     def _respond(self, query: ViewQuery) -> None:
-        """Send the revision, age and changes of the view to an instance."""
+        """Send the revision, age and changes of the view to an instance.
+
+        The response goes to where the query has come from: the store drops the
+        entry of an instance that it does not serve for a while.
+        """
         if self.view.revision is None:
             return
         reached, changes = self.view.changes.since(query.revision) or (
@@ -216,7 +223,7 @@
             reached,
             changes,
         )
-        self.send(query.sender, response)
+        self._send_block(self.source_address, _ENCODER.encode(response))
 
     def _receive_response(self, response: ViewResponse) -> None:
         """Complete the pending query if this is its response."""
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -13,7 +13,6 @@
 from dandelionplank.fleet.confirmation import (
     CONFIRMED_AGE_SHARE,
     QUERY_PERIOD_S,
-    WATCHER_WAIT_SHARE,
     ViewConfirmer,
     ViewResponse,
 )
@@ -24,10 +23,6 @@
 from dandelionplank.routing.routes import RouteTable
 from dandelionplank.targets import Target
 
-# Maximum wait of an unshared watch, as a share of revoked_after_s. After a
-# watch that hangs there is time for several short calls before keyed requests
-# are refused.
-WATCH_WAIT_SHARE = 0.25
 # Minimum time between the starts of two watches. Targets that start together
 # change the store one by one; reading each change separately would cost one
 # call per change and instance.
@@ -67,6 +62,15 @@
     def peer_removed(self, name: str) -> None:
         """Record that another instance's entry was removed."""
 
+    def data_center_evacuated(self, name: str, revision: int) -> None:
+        """Record that nothing may be sent to the targets of a data centre.
+
+        :param revision: number of the change that set the order
+        """
+
+    def data_center_restored(self, name: str) -> None:
+        """Record that the targets of a data centre may be used again."""
+
     def part_quarantined(
         self, part_id: str, age_s: float, left_s: float
     ) -> None:
@@ -159,6 +163,7 @@
 
         Targets may need some time to list themselves again.
         """
+        self.view.evacuations.begin_listing()
         self.is_older_copy = self.era not in {None, revision.era}
         if self.is_older_copy:
             self.store_back_s = time.monotonic()
@@ -213,6 +218,14 @@
         """Record that another instance's entry was removed."""
         self.view.peers.pop(name, None)
 
+    def data_center_evacuated(self, name: str, revision: int) -> None:
+        """Give no more work to the targets of a data centre."""
+        self.view.evacuate(name, revision)
+
+    def data_center_restored(self, name: str) -> None:
+        """Use the targets of a data centre again."""
+        self.view.restore(name, 'key removed')
+
     def part_quarantined(
         self, part_id: str, age_s: float, left_s: float
     ) -> None:
@@ -246,7 +259,7 @@
         elif self.view.revision and response.revision > self.view.revision:
             # The watcher cannot pass on all that it has.
             return False
-        limit_s = self.view.revoked_after_s * CONFIRMED_AGE_SHARE
+        limit_s = self.view.change_bound_s * CONFIRMED_AGE_SHARE
         is_recent = self.view.age_s < limit_s
         self._log_confirmation('' if is_recent else 'confirmation too old')
         return is_recent
@@ -298,9 +311,20 @@
         start_s = time.monotonic()
         try:
             # A call without a wait confirms the view sooner than a watch.
-            await self._step(0 if self.failures else self._wait_s())
+            await self._step(
+                0
+                if self.failures
+                else self.view.change_bound_s * self.watcher_role.wait_share
+            )
         except StoreError as error:
-            self._record_failure(error)
+            self.failures += 1
+            if self.failures == 1:
+                log_event(
+                    Event.STORE_DOWN,
+                    why=error.reason,
+                    view_age_s=round(self.view.age_s, 2),
+                )
+            await self._learn_from_others()
             pause_s = min(MAX_PAUSE_S, PAUSE_STEP_S * self.failures)
             await asyncio.sleep(pause_s * (0.5 + random.random()))
             return
@@ -308,17 +332,22 @@
         if self.view.table:
             await asyncio.sleep(max(0.0, pause_s))
 
-    def _wait_s(self) -> float:
-        """Return the maximum time that a watch waits for a change."""
-        if not self.watcher_role.is_watcher:
-            # The watchers are at another revision, or they do not respond.
-            return 0
-        share = (
-            WATCHER_WAIT_SHARE
-            if self.watcher_role.is_shared
-            else WATCH_WAIT_SHARE
-        )
-        return self.view.revoked_after_s * share
+    async def _learn_from_others(self) -> None:
+        """Apply the changes that other instances have while the store fails.
+
+        The store may serve them and turn this instance away. What they have
+        does not confirm the view: an instance without the store stays one.
+        """
+        for role in self.confirmer.watcher_role.substitutes():
+            response = await self.confirmer.query(role)
+            if response is None:
+                continue
+            silent_s = time.monotonic() - self.last_response_s
+            if silent_s > self.entry_lapse_s:
+                # The store may have been down for all; entries that lapsed
+                # meanwhile are removed before their targets list them again.
+                self.store_back_s = time.monotonic()
+            self._apply_changes(response)
 
     async def _step(self, wait_s: float) -> None:
         """Read all documents, or wait for the next changes."""
@@ -332,6 +361,8 @@
             self._record_contact()
             self.view.confirm(queried_at_s)
             self._drop_unlisted(listed)
+            for name in self.view.evacuations.take_unlisted():
+                self.view.restore(name, 'not listed')
             self.view.revision = revision
             await self._use_view()
             return
@@ -382,16 +413,6 @@
         self.failures = 0
         self.last_response_s = now_s
 
-    def _record_failure(self, error: StoreError) -> None:
-        """Record that the store did not respond."""
-        self.failures += 1
-        if self.failures == 1:
-            log_event(
-                Event.STORE_DOWN,
-                why=error.reason,
-                view_age_s=round(self.view.age_s, 2),
-            )
-
     def _drop_targets(self, names: tuple[str, ...], why: str) -> None:
         """Log removed targets and drop their state."""
         for name in names:
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -19,6 +19,7 @@
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.fairness.precedence import BEHIND_RANK
 from dandelionplank.fairness.waiting import WaitingRequest
+from dandelionplank.fleet.avoidedtargets import AvoidedTargets
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.replytimes import ReplyTimes
 from dandelionplank.fleet.tickets import (
@@ -36,7 +37,6 @@
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.load import (
     DispatchedRequest,
-    TargetLoad,
     opens_in_s,
 )
 from dandelionplank.routing.pools import TargetPools
@@ -111,7 +111,7 @@
         self.numbers = itertools.count(random.getrandbits(RANDOM_NUMBER_BITS))
         self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
         self.reply_times = ReplyTimes()
-        self.closed: dict[str, TargetLoad] = {}
+        self.avoided = AvoidedTargets(owners.view.registry)
         self.grants: dict[int, RemoteGrant] = {}
         self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
             defaultdict(list)
@@ -132,13 +132,25 @@
         :raises RefusalError: the request was rejected and not executed
         """
         queues = self._queues_of(waiting)
-        if not queues:
-            return await self.dispatcher.acquire(waiting)
-        if self._has_no_open_target(waiting.service):
+        now_s = time.monotonic()
+        self.avoided.renew(now_s)
+        if not queues or (
+            self.avoided.closed
+            and opens_in_s(
+                self.dispatcher.scheduler.loads_of(waiting.service), now_s
+            )
+            > 0
+        ):
             return await self.dispatcher.acquire(waiting)
-        # Owners do not know which targets have turned this instance away.
-        waiting.avoided = (*waiting.avoided, *self.closed)
-        return await self._acquire_in_order(queues, waiting)
+        waiting.avoided = (*waiting.avoided, *self.avoided.names)
+        try:
+            return await self._acquire_in_order(queues, waiting)
+        except RefusalError:
+            pools = self._queues_of(waiting)
+            if not pools or queues[0] in pools:
+                raise
+            # The pool lost its last targets while the request waited there.
+            return await self._acquire_in_order(pools, waiting)
 
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
@@ -175,12 +187,18 @@
 
     def record_closed(self, grant: Grant) -> None:
         """Record that a target has turned this instance away."""
-        target = grant.load.target
-        self.closed[target.name] = grant.load
-        if grant.load.availability.is_leaving:
-            self.owners.view.registry.record_leaving(target)
+        self.avoided.record_closed(grant.load)
         self.dispatcher.record_closed(grant)
 
+    def is_excluded(self, grant: Grant) -> bool:
+        """Return whether an order forbids requests to a granted target."""
+        return self.owners.view.registry.is_excluded(grant.load.target)
+
+    def record_excluded(self, grant: Grant) -> None:
+        """Keep the owner, which may not know the order, from granting it."""
+        self.avoided.record_excluded(grant.load.target)
+        self.record_not_executed(grant, is_misdirected=False)
+
     def release(self, grant: Grant) -> None:
         """Record that a request has left its target."""
         if grant.ticket_number < 0:
@@ -235,20 +253,6 @@
                 raise
             return grant
 
-    def _has_no_open_target(self, service: str) -> bool:
-        """Return whether all targets of a service turn this instance away."""
-        now_s = time.monotonic()
-        registry = self.owners.view.registry
-        self.closed = {
-            name: load
-            for name, load in self.closed.items()
-            if name in registry.targets and not load.availability.is_open(now_s)
-        }
-        if not self.closed:
-            return False
-        loads = self.dispatcher.scheduler.loads_of(service)
-        return opens_in_s(loads, now_s) > 0
-
     def _queues_of(self, waiting: WaitingRequest) -> list[str]:
         """Return the queues whose owners assign a target to a request.
 
--- a/src/dandelionplank/fleet/registry.py
+++ b/src/dandelionplank/fleet/registry.py
@@ -5,7 +5,8 @@
 that was restored from an older copy lists targets that have left, too.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Set
 
 from dandelionplank.targets import Target, TargetState
 
@@ -25,6 +26,8 @@
         self.left_incarnations: dict[str, int] = {}
         self.remove_at_s: dict[str, float] = {}
         self.by_service: dict[str, tuple[Target, ...]] = {}
+        self.excluded_data_centers: Set[str] = frozenset()
+        self.excluded_by_service: dict[str, int] = {}
 
     def put(self, target: Target) -> bool:
         """Apply a target's stored record.
@@ -66,6 +69,29 @@
         self._index()
         return True
 
+    def exclude(self, data_centers: Set[str]) -> None:
+        """Give no work to the targets of some data centres, only to others.
+
+        They stay registered, with their connections and running requests.
+        """
+        self.excluded_data_centers = data_centers
+        self._index()
+
+    def is_excluded(self, target: Target) -> bool:
+        """Return whether a target is in an excluded data centre.
+
+        The latest entry of the target counts, as it may have moved.
+        """
+        latest = self.targets.get(target.name, target)
+        return latest.data_center in self.excluded_data_centers
+
+    def is_withdrawn(self, service: str) -> bool:
+        """Return whether a service has targets, all of them excluded."""
+        return (
+            service in self.excluded_by_service
+            and service not in self.by_service
+        )
+
     def has_left(self, target: Target) -> bool:
         """Return whether this start of a target has been removed."""
         return self.left_incarnations.get(target.name) == target.started_ms
@@ -90,7 +116,7 @@
         return expired
 
     def of_service(self, service: str) -> tuple[Target, ...]:
-        """Return a service's targets, sorted by name."""
+        """Return the targets of a service that may be given work, by name."""
         return self.by_service.get(service, ())
 
     def _record_left(self, target: Target) -> None:
@@ -103,8 +129,13 @@
     def _index(self) -> None:
         """Rebuild the index of targets by service."""
         found: dict[str, list[Target]] = {}
+        excluded: Counter[str] = Counter()
         for target in _by_name(self.targets.values()):
-            found.setdefault(target.service, []).append(target)
+            if target.data_center in self.excluded_data_centers:
+                excluded[target.service] += 1
+            else:
+                found.setdefault(target.service, []).append(target)
+        self.excluded_by_service = dict(excluded)
         self.by_service = {
             service: tuple(targets) for service, targets in found.items()
         }
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -6,6 +6,7 @@
 from dandelionplank.events import Event
 from dandelionplank.fleet.changes import ChangeLog, StoreRevision
 from dandelionplank.fleet.clock import boot_time_s
+from dandelionplank.fleet.evacuations import Evacuations
 from dandelionplank.fleet.registry import TargetRegistry
 from dandelionplank.logs import log_event
 from dandelionplank.routing.routes import RouteTable
@@ -24,10 +25,14 @@
 BEHIND_LIMIT_S = 30.0
 # Age given in reports and logs for a view that was never confirmed.
 UNCONFIRMED_AGE_S = 1_000_000.0
+# Bound on the time after which the evacuation of a data centre is in force.
+EVACUATED_AFTER_S = 5.0
 
 TableListener = Callable[[RouteTable], None]
 # Takes a part, the age of its first crash and the time left, in seconds.
 QuarantineListener = Callable[[str, float, float], None]
+# Takes the name of a data centre.
+DataCenterListener = Callable[[str], None]
 
 
 class FleetView:
@@ -51,6 +56,14 @@
         self.listeners: list[TableListener] = []
         self.quarantine_listeners: list[QuarantineListener] = []
         self.restoration_listeners: list[Callable[[], None]] = []
+        self.evacuations = Evacuations()
+        self.exclusion_listeners: list[Callable[[], None]] = []
+        self.data_center_restored_listeners: list[DataCenterListener] = []
+
+    @property
+    def change_bound_s(self) -> float:
+        """Return the time within which every change must be known here."""
+        return min(self.revoked_after_s, EVACUATED_AFTER_S)
 
     @property
     def age_s(self) -> float:
@@ -125,6 +138,50 @@
         for listener in self.listeners:
             listener(table)
 
+    @property
+    def excluded_targets(self) -> int:
+        """Return the number of targets in evacuated data centres."""
+        return sum(self.registry.excluded_by_service.values())
+
+    def evacuate(self, data_center: str, revision: int) -> None:
+        """Give no more work to the targets of a data centre.
+
+        :param revision: revision of the store that set the order
+        """
+        if not self.evacuations.order(data_center, revision):
+            return
+        self._exclude()
+        log_event(
+            Event.DATA_CENTER_EVACUATED,
+            data_center=data_center,
+            revision=revision,
+            targets=sum(
+                target.data_center == data_center
+                for target in self.registry.targets.values()
+            ),
+            services_without_targets=[
+                service
+                for service in sorted(self.registry.excluded_by_service)
+                if self.registry.is_withdrawn(service)
+            ],
+        )
+
+    def restore(self, data_center: str, why: str) -> None:
+        """Use the targets of a data centre again.
+
+        :param why: cause, for the log
+        """
+        if not self.evacuations.end(data_center):
+            return
+        self._exclude()
+        log_event(
+            Event.DATA_CENTER_RESTORED,
+            data_center=data_center,
+            why=why,
+        )
+        for listener in self.data_center_restored_listeners:
+            listener(data_center)
+
     def targets_of(self, service: str) -> tuple[Target, ...]:
         """Return the targets of a service that may be given work."""
         return self.registry.of_service(service)
@@ -132,3 +189,9 @@
     def versions_of(self, service: str) -> set[str]:
         """Return the software versions of these targets."""
         return {target.version for target in self.targets_of(service)}
+
+    def _exclude(self) -> None:
+        """Apply the evacuations in force to the registry."""
+        self.registry.exclude(frozenset(self.evacuations.orders))
+        for listener in self.exclusion_listeners:
+            listener()
--- a/src/dandelionplank/fleet/warmup.py
+++ b/src/dandelionplank/fleet/warmup.py
@@ -48,13 +48,16 @@
         engines = [
             target
             for target in self.view.registry.targets.values()
-            if self.scheduler.load_of(target).prefix_cache
+            if not self.view.registry.is_excluded(target)
+            and self.scheduler.load_of(target).prefix_cache
         ]
         await asyncio.gather(*map(self._query, engines[:MAX_ENGINES]))
 
     async def _query(self, target: Target) -> None:
         """Record the prompt parts that one engine caches."""
         await asyncio.sleep(random.uniform(0, MAX_DELAY_S))
+        if self.view.registry.is_excluded(target):
+            return
         try:
             parts = await self.fetch_cached_parts(target)
         except TargetError as error:
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -102,6 +102,19 @@
         ) from error
 
 
+def decode_data_center(text: str) -> str:
+    """Check the name of a data centre, as the entries of targets state it.
+
+    :raises MalformedDocumentError: no target can state this name
+    """
+    try:
+        return msgspec.convert(text, Text)
+    except DECODE_ERRORS as error:
+        raise MalformedDocumentError(
+            f'data centre: {error!r}', step=STEP
+        ) from error
+
+
 def decode_peer_address(document: bytes) -> str:
     """Decode the entry of another instance into its address.
 
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -14,6 +14,7 @@
     MalformedDocumentError,
     QuarantineDocument,
     decode_configuration,
+    decode_data_center,
     decode_peer_address,
     decode_quarantine,
     decode_target,
@@ -74,17 +75,9 @@
         """Decode one change and pass it to the sink by its kind."""
         sink.changed(change)
         try:
-            if (
-                change.key == names.CONFIGURATION_KEY
-                and change.document is not None
-            ):
-                sink.configured(decode_configuration(change.document))
-            elif change.key.startswith(names.TARGET_PREFIX):
-                _apply_target(change, sink)
-            elif change.key.startswith(names.PEER_PREFIX):
-                _apply_peer(change, sink)
-            elif change.key.startswith(names.QUARANTINE_PREFIX):
-                _apply_quarantine(change, sink)
+            for prefix, apply in _APPLIED_BY_PREFIX:
+                if change.key.startswith(prefix):
+                    apply(change, sink)
         except MalformedDocumentError as error:
             self._log_malformed(change.key, error.reason)
         except Exception as error:
@@ -104,6 +97,13 @@
             )
 
 
+def _apply_configuration(change: StoredChange, sink: ChangeSink) -> None:
+    """Pass on a configuration; the last one outlives its entry."""
+    is_configuration = change.key == names.CONFIGURATION_KEY
+    if is_configuration and change.document is not None:
+        sink.configured(decode_configuration(change.document))
+
+
 def _apply_target(change: StoredChange, sink: ChangeSink) -> None:
     """Pass on a change of a target's entry; a malformed one names no target.
 
@@ -146,6 +146,30 @@
     )
 
 
+def _apply_evacuation(change: StoredChange, sink: ChangeSink) -> None:
+    """Pass on an order to evacuate a data centre, or the end of one.
+
+    The key is the order: its value is not read, so that no value can make an
+    order ineffective.
+
+    :raises MalformedDocumentError: the key names no data centre
+    """
+    name = decode_data_center(change.key.removeprefix(names.EVACUATION_PREFIX))
+    if change.document is None:
+        sink.data_center_restored(name)
+    else:
+        sink.data_center_evacuated(name, change.revision)
+
+
+_APPLIED_BY_PREFIX = (
+    (names.CONFIGURATION_KEY, _apply_configuration),
+    (names.TARGET_PREFIX, _apply_target),
+    (names.PEER_PREFIX, _apply_peer),
+    (names.QUARANTINE_PREFIX, _apply_quarantine),
+    (names.EVACUATION_PREFIX, _apply_evacuation),
+)
+
+
 class StoreQuarantines:
     """Entries of the quarantined parts in the store, each under a lease."""
 
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -51,6 +51,8 @@
 TARGET_PREFIX = 'servers/'
 PEER_PREFIX = 'fleet/'
 QUARANTINE_PREFIX = 'quarantine/'
+# Followed by the name of a data centre whose targets may be sent nothing.
+EVACUATION_PREFIX = 'op/evacuate/'
 
 # Per second; durations on the wire are in milliseconds, internal ones in
 # seconds.
--- a/src/dandelionplank/routing/pools.py
+++ b/src/dandelionplank/routing/pools.py
@@ -26,6 +26,13 @@
 HASH_RANGE = 18_446_744_073_709_551_616
 
 TargetsOf = Callable[[str], Iterable[Target]]
+# Returns whether all targets of a service are excluded by an order.
+IsWithdrawn = Callable[[str], bool]
+
+
+def _is_never_withdrawn(_: str) -> bool:
+    """Return whether a service is withdrawn, where there are no orders."""
+    return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,12 +83,17 @@
 class TargetPools:
     """The pools of all services, renewed when the targets change."""
 
-    def __init__(self, targets_of: TargetsOf) -> None:
+    def __init__(
+        self,
+        targets_of: TargetsOf,
+        is_withdrawn: IsWithdrawn = _is_never_withdrawn,
+    ) -> None:
         """Hold the source of the targets.
 
         :param targets_of: returns the targets of a service that accept work
         """
         self.targets_of = targets_of
+        self.is_service_withdrawn = is_withdrawn
         self.by_service: dict[str, ServicePools] = {}
 
     def pools_of(self, service: str) -> ServicePools:
@@ -102,9 +114,21 @@
         return self.pools_of(service).by_queue.get(queue, ())
 
     def has_other_pools(self, queue: str) -> bool:
-        """Return whether a queue is that of one of several pools."""
+        """Return whether a queue is that of a pool, and there are others.
+
+        The pool of the queue may have lost its targets or exist no more.
+        """
         service, separator, _ = queue.rpartition('#')
-        return bool(separator) and len(self.pools_of(service).by_queue) > 1
+        if not separator:
+            return False
+        return any(each != queue for each in self.pools_of(service).by_queue)
+
+    def is_withdrawn(self, queue: str) -> bool:
+        """Return whether an order excludes all targets of a queue's service."""
+        service, separator, _ = queue.rpartition('#')
+        return self.is_service_withdrawn(queue) or (
+            bool(separator) and self.is_service_withdrawn(service)
+        )
 
     def rank(self, service: str, work: TokenWork) -> list[str]:
         """Return the queues of a service in order of preference for a prompt.
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -98,8 +98,8 @@
 TargetsOf = Callable[[str], Iterable[Target]]
 
 
-def _is_never_divided(_: str) -> bool:
-    """Return whether there are other pools, for services without pools."""
+def _is_never(_: str) -> bool:
+    """Return a property of a queue that no queue has."""
     return False
 
 
@@ -112,7 +112,8 @@
         targets_of: TargetsOf,
         peers: PeerLoadTable,
         jitter: Callable[[], float] = random.random,
-        has_other_pools: Callable[[str], bool] = _is_never_divided,
+        has_other_pools: Callable[[str], bool] = _is_never,
+        is_withdrawn: Callable[[str], bool] = _is_never,
     ) -> None:
         """Hold the loads of the targets and the queues of the services.
 
@@ -121,8 +122,11 @@
         :param jitter: returns random numbers from zero to one
         :param has_other_pools: returns whether a queue is that of one of
             several pools of a service
+        :param is_withdrawn: returns whether an order excludes all targets of
+            a queue's service
         """
         self.has_other_pools = has_other_pools
+        self.is_withdrawn = is_withdrawn
         self.data_center = data_center
         self.targets_of = targets_of
         self.peers = peers
@@ -231,7 +235,7 @@
         """Reject the requests whose deadline has passed.
 
         Those of a pool that has lost its targets may be served in another one,
-        and do not wait until then.
+        and do not wait until then, nor do those of a withdrawn service.
         """
         rejections = self._reject_stranded(now_s)
         expired = [
@@ -302,7 +306,7 @@
             if names - set(self.closed[name]):
                 continue
             opens_s = opens_in_s(self.loads_of(name), now_s)
-            is_final = self.has_other_pools(name)
+            is_final = self.has_other_pools(name) or self.is_withdrawn(name)
             rejections.extend(
                 _reject_without_target(waiting, opens_s, self.jitter())
                 for waiting in queue.all_requests()
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -15,8 +15,8 @@
 from dandelionplank.errors import StoreError
 from dandelionplank.fairness.waiting import WaitingQueue, WaitingRequest
 from dandelionplank.fleet.clock import boot_time_s
-from dandelionplank.fleet.confirmation import WatcherRole
-from dandelionplank.fleet.follower import WATCH_WAIT_SHARE, StoreFollower
+from dandelionplank.fleet.confirmation import WATCH_WAIT_SHARE, WatcherRole
+from dandelionplank.fleet.follower import StoreFollower
 from dandelionplank.fleet.peers import (
     PeerLoadTable,
     PeerReport,
--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -79,15 +79,19 @@
         for number in range(ENGINE_COUNT):
             self.view.registry.put(make_engine(f'e{number}'))
         self.peer_loads = PeerLoadTable()
-        self.pools = TargetPools(self.view.targets_of)
+        self.pools = TargetPools(
+            self.view.targets_of, self.view.registry.is_withdrawn
+        )
         self.scheduler = Scheduler(
             'a',
             self.pools.targets_in,
             self.peer_loads,
             has_other_pools=self.pools.has_other_pools,
+            is_withdrawn=self.pools.is_withdrawn,
         )
         self.scheduler.engine_memory = {'llm': MEMORY}
         self.dispatcher = Dispatcher(self.scheduler)
+        self.view.exclusion_listeners.append(self.dispatcher.exclude_targets)
         self.owner = PoolOwner(name, self.dispatcher, network.sender(name))
         self.directory = OwnerDirectory(name, self.view, self.peer_loads)
         self.client = PoolClient(
