Keep the request rate of cold targets in all cases

Cause: a target that has just started, or becomes cold again, tolerates few requests a second, which its service states (ColdS, ColdPerS). Nothing read that, nor the time left that the entry of the target states (ColdLeftMs); a cold engine got 14 requests in one second.

Each such target has a token bucket that only the instance in charge of its pool uses: the first of the instances that it hears from, which are a majority, for 2 s.

Services that state no limit pay one look-up or comparison in each place.

The event 321 is reserved for the paced recovery and is not logged yet. tests.test_start fills sections of the settings template in as the platform does.

--- a/src/dandelionplank/delivery/attempt.py
+++ b/src/dandelionplank/delivery/attempt.py
@@ -102,7 +102,7 @@
             request_id=self.request.metadata.request_id,
             is_retryable=route.is_retryable,
         )
-        if not self.is_target_open:
+        if not self.is_target_open or self._is_outdated:
             raise self._error(
                 'the target takes no requests',
                 Outcome.NOT_RUN,
@@ -187,6 +187,14 @@
         if self.response.is_unframed and not self.has_events:
             raise self.stream_error('connection ends before the first event')
 
+    @property
+    def _is_outdated(self) -> bool:
+        """Whether the target is cold and its grant too old to be used."""
+        cold = self.grant.load.cold
+        return cold is not None and cold.is_outdated(
+            self.grant.sent.sent_s, time.monotonic()
+        )
+
     @property
     def _is_complete_refusal(self) -> bool:
         """Whether a refusal has arrived with its body, which nobody reads."""
--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -83,18 +83,23 @@
 
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
-        grant.load.record_first_event(grant.sent, time.monotonic())
+        now_s = time.monotonic()
+        grant.load.record_first_event(grant.sent, now_s)
+        self.scheduler.cold.record_response(grant.load.target, now_s)
         self.wake(grant.waiting.service)
 
     def record_outcome(self, grant: Grant, *, is_success: bool) -> None:
         """Record the outcome of a request in the target's health."""
-        grant.load.health.record_response(
-            time.monotonic(), is_success=is_success
-        )
+        now_s = time.monotonic()
+        grant.load.health.record_response(now_s, is_success=is_success)
+        if is_success:
+            self.scheduler.cold.record_response(grant.load.target, now_s)
 
     def record_unreachable(self, grant: Grant) -> None:
         """Record that a target accepted no connection."""
-        grant.load.health.record_unreachable(time.monotonic())
+        now_s = time.monotonic()
+        grant.load.health.record_unreachable(now_s)
+        self.scheduler.cold.record_unreachable(grant.load.target, now_s)
         self._refund(grant)
 
     def record_not_executed(
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -123,6 +123,16 @@
         Level.INFO,
         'a target is leaving, or wants no requests for a time',
     )
+    TARGET_COLD = (
+        320,
+        Level.INFO,
+        'a target has become cold, or is cold no longer',
+    )
+    TARGET_PACED = (
+        321,
+        Level.INFO,
+        'the paced recovery of a target has begun or ended',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -101,6 +101,7 @@
             has_other_pools=pools.has_other_pools,
         )
         self.view.listeners.append(self.scheduler.configure)
+        self.scheduler.cold.set_allowance(bounds.cold_over, bounds.cold_slack)
         self.dispatcher = Dispatcher(self.scheduler)
         self.pool = ConnectionPool()
         self.exchange = PeerExchange(
@@ -262,6 +263,7 @@
         start_s = time.monotonic()
         self.gateway.is_leaving = True
         self.exchange.is_leaving = True
+        self.exchange.cold_owners.is_leaving = True
         log_event(Event.LEAVING, open_requests=self.gateway.open_requests)
         grace_s = self.settings.bounds.grace_s
         deadline_s = start_s + grace_s - CLOSE_RESERVE_S
@@ -357,10 +359,13 @@
         return Page(HTTPStatus.OK, METRICS.render())
 
     async def _sweep(self) -> None:
-        """Close idle connections to targets periodically."""
+        """Close idle connections and update the cold targets periodically."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.pool.close_expired()
+            now_s = time.monotonic()
+            self.exchange.cold_owners.update(now_s)
+            self.scheduler.cold.purge(now_s)
 
     async def _log_load(self) -> None:
         """Log once a second what limits the service of the accounts."""
@@ -393,6 +398,7 @@
         bounds = settings.bounds
         self.view.revoked_after_s = bounds.revoked_after_s
         self.budgets.update_limits(_retry_limits(bounds))
+        self.scheduler.cold.set_allowance(bounds.cold_over, bounds.cold_slack)
 
 
 def _retry_limits(bounds: GatewayBounds) -> RetryLimits:
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -13,6 +13,12 @@
 from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
+from dandelionplank.fleet.coldowners import ColdOwners
+from dandelionplank.fleet.coldreports import (
+    apply_cold_reports,
+    cold_reports,
+    follow_cold_targets,
+)
 from dandelionplank.fleet.confirmation import (
     QUERY_TIMEOUT_S,
     ViewQuery,
@@ -86,6 +92,8 @@
         self.incarnation = random.getrandbits(RANDOM_ID_BITS)
         self.sequence = 0
         self.is_leaving = False
+        self.cold_owners = ColdOwners(name, view, peer_loads)
+        follow_cold_targets(view, scheduler.cold, self.cold_owners)
         self.recent_prefills: deque[tuple[PrefillReport, ...]] = deque(
             maxlen=REPORTS_PER_PREFILL,
         )
@@ -264,6 +272,13 @@
             known.report if known else None,
             now_s,
         )
+        apply_cold_reports(
+            self.scheduler.cold,
+            self.view.registry.targets,
+            report,
+            known.report if known else None,
+            now_s,
+        )
 
     def _send_listed(self, name: str, block: bytes) -> None:
         """Send an encoded message to an instance, if its address is known."""
@@ -301,6 +316,7 @@
             {account: round(level) for account, level in levels.items()},
             prefills,
             limit_reports(self.scheduler.loads, now_s),
+            cold_reports(self.scheduler.cold, now_s),
         )
 
     def _collect_prefills(self) -> tuple[PrefillReport, ...]:
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -184,6 +184,8 @@
         """Add or update a target."""
         if self.is_older_copy and self.view.registry.has_left(target):
             return
+        for listener in self.view.entry_listeners:
+            listener(target, time.monotonic())
         was_known = target.name in self.view.registry.targets
         if not self.view.registry.put(target):
             return
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -62,6 +62,20 @@
     age_s: float | None
 
 
+class ReportedCold(msgspec.Struct, frozen=True, array_like=True):
+    """A cold target, and what the sender has granted of its rate.
+
+    :param started_ms: Unix time of the target's start, zero if not known
+    :param granted: requests that the sender has granted while it was cold
+    :param left_s: time for which it stays cold as the sender read it in the
+        store, zero if the sender did not
+    """
+
+    started_ms: int
+    granted: int
+    left_s: float
+
+
 class PeerReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
     """One instance's load, sent to the other instances.
 
@@ -73,6 +87,7 @@
     :param prefills: prompts recently sent to targets, some of them
         repeated from earlier reports in case one was lost
     :param limits: request rates that targets state
+    :param cold: targets that are cold
     """
 
     sender: str
@@ -86,6 +101,7 @@
     service: dict[str, float]
     prefills: tuple[PrefillReport, ...] = ()
     limits: dict[str, ReportedLimit] = {}
+    cold: dict[str, ReportedCold] = {}
 
     def is_as_new_as(self, other: 'PeerReport') -> bool:
         """Return whether another report of the same process is no newer."""
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -257,12 +257,29 @@
 
         :return: in order of preference, none if this instance decides
         """
+        scheduler = self.dispatcher.scheduler
+        if scheduler.cold.has_cold(waiting.service, time.monotonic()):
+            return self._queues_if_cold(waiting)
         if waiting.work is not None and self.owners.is_pooled:
             return self.pools.rank(waiting.service, waiting.work)
-        if self.dispatcher.scheduler.has_limits(waiting.service):
+        if scheduler.has_limits(waiting.service):
             return [waiting.service]
         return []
 
+    def _queues_if_cold(self, waiting: WaitingRequest) -> list[str]:
+        """Return the queues whose owners may assign cold targets.
+
+        Each target is assigned in one queue only, whether a request states a
+        prompt or not; see :class:`dandelionplank.fleet.coldowners.ColdOwners`.
+        """
+        scheduler = self.dispatcher.scheduler
+        is_model = scheduler.engine_memory.get(waiting.service) is not None
+        if not (is_model and self.owners.is_pooled):
+            return [waiting.service]
+        if waiting.work is not None:
+            return self.pools.rank(waiting.service, waiting.work)
+        return self.pools.pools_of(waiting.service).rank(waiting.request_id)
+
     async def _acquire_elsewhere(
         self, queues: Sequence[str], waiting: WaitingRequest
     ) -> Grant | None:
@@ -406,9 +423,12 @@
         self.grants[reply.number] = RemoteGrant(
             owner, reply.number, queue, sent, reply.target
         )
+        scheduler = self.dispatcher.scheduler
+        load = scheduler.load_of(target)
+        load.cold = scheduler.cold.state_of(target)
         return Grant(
             waiting,
-            self.dispatcher.scheduler.load_of(target),
+            load,
             sent,
             reply.expected_s,
             reply.number,
--- a/src/dandelionplank/fleet/registry.py
+++ b/src/dandelionplank/fleet/registry.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from dandelionplank.targets import Target, TargetState
 
 # Time after an outage within which the platform lists live targets again.
@@ -43,9 +45,14 @@
             return self.remove(target.name)
         if self.drained_incarnations.get(target.name) == target.started_ms:
             return False
-        if known == target:
+        # How long a target stays cold changes with each entry, the target does
+        # not.
+        listed = target
+        if target.cold_left_s is not None:
+            listed = msgspec.structs.replace(target, cold_left_s=None)
+        if known == listed:
             return False
-        self.targets[target.name] = target
+        self.targets[target.name] = listed
         self._index()
         return True
 
--- a/src/dandelionplank/fleet/settings.py
+++ b/src/dandelionplank/fleet/settings.py
@@ -63,6 +63,9 @@
     :param repeat_ratio: retries per request that the fleet may make
     :param repeat_extra: additional retries in a window
     :param repeat_window_s: length of the window
+    :param cold_over: factor by which the requests of a cold target may exceed
+        its rate in one second
+    :param cold_slack: requests that it may get in one second besides
     """
 
     revoked_after_s: Seconds = 5.0
@@ -70,6 +73,8 @@
     repeat_ratio: Limit = 0.2
     repeat_extra: Limit = 56.0
     repeat_window_s: Seconds = 10.0
+    cold_over: Limit = 1.0
+    cold_slack: Limit = 0.0
 
 
 class GatewaySettings(Frozen, frozen=True):
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -26,6 +26,9 @@
 UNCONFIRMED_AGE_S = 1_000_000.0
 
 TableListener = Callable[[RouteTable], None]
+# Takes each entry of a target and the monotonic time at which it is read,
+# whether it has changed or not.
+EntryListener = Callable[[Target, float], None]
 # Takes a part, the age of its first crash and the time left, in seconds.
 QuarantineListener = Callable[[str, float, float], None]
 
@@ -49,6 +52,7 @@
         self.behind_since_s = -math.inf
         self.has_targets = False
         self.listeners: list[TableListener] = []
+        self.entry_listeners: list[EntryListener] = []
         self.quarantine_listeners: list[QuarantineListener] = []
         self.restoration_listeners: list[Callable[[], None]] = []
 
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -15,6 +15,7 @@
 from dandelionplank.errors import ErrorCode, StoreError
 from dandelionplank.platform.names import MS_PER_SECOND
 from dandelionplank.routing.routes import (
+    ColdLimit,
     ModelMemory,
     RequestKind,
     RequestLimits,
@@ -37,6 +38,8 @@
 MAX_VERSION = 9_223_372_036_854_775_807
 # Figures of a configuration up to this one stay exact as floats.
 MAX_FIGURE = 1_000_000_000_000
+# Longest time for which a target may be cold.
+MAX_COLD_S = 600.0
 
 _KINDS = types.MappingProxyType(
     {
@@ -74,6 +77,7 @@
     slots: Slots
     version: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)] = ''
     born: UnixMs = msgspec.field(name='born', default=0)
+    cold_left_ms: Any = None
 
 
 def decode_target(target_id: str, document: bytes) -> Target:
@@ -93,6 +97,7 @@
             limit=entry.slots,
             started_ms=entry.born,
             version=entry.version,
+            cold_left_s=_cold_s(entry.cold_left_ms, MS_PER_SECOND),
         )
     except DECODE_ERRORS as error:
         raise MalformedDocumentError(
@@ -239,9 +244,37 @@
     return RouteService(
         name=_text(entry, 'Name'),
         memory=memory,
+        cold=_cold_limit(entry),
     )
 
 
+def _cold_limit(entry: dict[str, Any]) -> ColdLimit | None:
+    """Decode the limit of cold targets; a malformed one is none.
+
+    It must not cost the rest of the configuration.
+    """
+    duration_s = _cold_s(entry.get('ColdS'))
+    rate = _number(entry.get('ColdPerS'))
+    if not duration_s or rate is None or not 0 < rate <= MAX_FIGURE:
+        return None
+    return ColdLimit(duration_s, rate)
+
+
+def _cold_s(found: Any, per_second: float = 1) -> float | None:
+    """Decode a duration of coldness, cut to its limits; None if malformed."""
+    number = _number(found)
+    if number is None or number < 0:
+        return None
+    return min(MAX_COLD_S, number / per_second)
+
+
+def _number(found: Any) -> float | None:
+    """Return a number, None if a value is none."""
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        return None
+    return max(-MAX_FIGURE, min(MAX_FIGURE, found))
+
+
 def _limits(entry: dict[str, Any]) -> RequestLimits:
     """Decode the request limits; a missing field has its default."""
     defaults = RequestLimits()
--- /dev/null
+++ b/src/dandelionplank/routing/coldstart.py
@@ -0,0 +1,413 @@
+"""Bound on the requests that a cold target gets: pure state, no I/O.
+
+A target that has just started, or has become cold again, crashes if it gets
+more requests than its service states. Each target has a token bucket that
+only the instance in charge of its pool spends from.
+"""
+
+import dataclasses
+import math
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+from dandelionplank.routing.routes import ColdLimit
+from dandelionplank.targets import Target
+
+# Requests that may be saved up besides one, in seconds of the rate. Passes over
+# the waiting requests are up to 0.02 s apart; without it a tenth of the rate
+# would be lost between them.
+SAVED_S = 0.1
+# Rate of a bound that leaves none: a target is still tried.
+LOWEST_RATE = 0.25
+# An entry that is read sooner than this after an assumption may have been
+# written before it: targets write one every 1.2 s, and it is passed on.
+ENTRY_DELAY_S = 2.4
+# A grant that is older than this is not sent to a cold target any more, so that
+# the grants of a frozen instance do not reach it together with later ones.
+LONGEST_GRANT_AGE_S = 0.5
+# Longest debt, in seconds of the rate.
+LONGEST_DEBT_S = 2.0
+# Age of the latest knowledge of the store beyond which coldness that began
+# lately may be unknown. Targets write their entries every 1.2 s.
+INFORMED_AGE_S = 2.5
+# Time for which a target counts as cold after the instance was out of contact;
+# meanwhile the reports of others and the entries arrive.
+SILENCE_S = 0.5
+# Requests of the last second that count against a target that becomes cold.
+WINDOW_S = 1.0
+MAX_RECENT = 64
+
+FROM_ENTRY = 'entry'
+FROM_PEER = 'peer'
+FROM_CRASH = 'unreachable'
+FROM_RESTORATION = 'restoration'
+FROM_SILENCE = 'silence'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdBound:
+    """What a cold target may get.
+
+    :param duration_s: longest time for which a target is taken for cold
+    :param rate: requests per second
+    :param burst: requests that may be saved up
+    :param spare: requests in one second that this leaves to the allowance
+    """
+
+    duration_s: float
+    rate: float
+    burst: float
+    spare: float
+
+    @classmethod
+    def from_limit(
+        cls, limit: ColdLimit, over: float, slack: float
+    ) -> 'ColdBound':
+        """Derive the bucket from the limit of a service.
+
+        In any second a bucket grants its rate and its burst at most.
+
+        :param over: factor on the rate that is allowed in one second
+        :param slack: requests that are allowed besides
+        """
+        rate = limit.requests_per_s
+        most = rate * max(1.0, over) + slack
+        burst = max(1.0, min(1 + rate * SAVED_S, most - rate))
+        used = max(LOWEST_RATE, min(rate, most - burst))
+        return cls(limit.duration_s, used, burst, max(0.0, most - burst - used))
+
+
+class ColdState:
+    """Coldness and bucket of one target.
+
+    :param until_s: monotonic time until which it is cold
+    :param read_until_s: the same as this instance read it in the store
+    :param is_permitted: this instance may send to the target while it is cold
+    :param granted: requests that this instance granted while it was cold
+    """
+
+    def __init__(self, bound: ColdBound) -> None:
+        """Hold a target that is not cold."""
+        self.bound = bound
+        self.started_ms = 0
+        self.until_s = -math.inf
+        self.read_until_s = -math.inf
+        self.is_lost = False
+        self.distrusted_until_s = -math.inf
+        self.is_permitted = False
+        self.granted = 0
+        self.level = 0.0
+        self.refilled_s = -math.inf
+        self.recent: deque[float] = deque(maxlen=MAX_RECENT)
+        self.is_announced = False
+
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request may be sent, as of the last refill."""
+        return not self.is_announced or (self.is_permitted and self.level >= 1)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the target counts as cold."""
+        return self.is_lost or now_s < self.until_s
+
+    def learn_entry(
+        self, started_ms: int, left_s: float | None, now_s: float
+    ) -> None:
+        """Take over what the entry of the target states.
+
+        The entry was written earlier, so that the time that is left counts
+        from now at most.
+
+        :param left_s: time for which it stays cold, None if not stated
+        """
+        if started_ms < self.started_ms:
+            return
+        is_new_start = started_ms > self.started_ms
+        self.started_ms = started_ms
+        is_trusted = is_new_start or now_s >= self.distrusted_until_s
+        if is_trusted:
+            self.is_lost = False
+        if left_s is None:
+            return
+        until_s = now_s + min(left_s, self.bound.duration_s)
+        if is_trusted:
+            self.until_s = until_s
+        else:
+            self.until_s = max(self.until_s, until_s)
+        self.read_until_s = until_s
+
+    def learn_from_peer(self, left_s: float, now_s: float) -> None:
+        """Take over what another instance read in the store."""
+        until_s = now_s + min(left_s, self.bound.duration_s)
+        self.until_s = max(self.until_s, until_s)
+
+    def assume(self, now_s: float) -> None:
+        """Count as cold until an entry that is written later differs."""
+        self.until_s = max(self.until_s, now_s + self.bound.duration_s)
+        self.distrusted_until_s = now_s + ENTRY_DELAY_S
+
+    def record_unreachable(self, now_s: float) -> None:
+        """Record that the target may have crashed."""
+        self.is_lost = True
+        self.assume(now_s)
+
+    def suppose(self, now_s: float) -> None:
+        """Count as cold for a moment: nothing is known of the target."""
+        self.until_s = max(self.until_s, now_s + SILENCE_S)
+
+    def record_response(self, now_s: float) -> None:
+        """Record that the target responds, perhaps again."""
+        if self.is_lost:
+            self.is_lost = False
+            self.assume(now_s)
+
+    def refill(self, now_s: float) -> None:
+        """Add the requests that the rate allows since the last call.
+
+        The bucket is empty when coldness begins. What this instance sent in the
+        second before counts as far as it exceeds what the allowance leaves.
+        """
+        is_cold = self.is_cold(now_s)
+        if is_cold and not self.is_announced:
+            self._begin(now_s)
+        self.is_announced = is_cold
+        if not is_cold:
+            return
+        elapsed_s = max(0.0, now_s - self.refilled_s)
+        self.refilled_s = max(self.refilled_s, now_s)
+        self.level = min(
+            self.bound.burst, self.level + self.bound.rate * elapsed_s
+        )
+
+    def permit(self, *, is_permitted: bool) -> None:
+        """Let this instance send or not; one that begins has nothing saved."""
+        if is_permitted and not self.is_permitted:
+            self.level = min(self.level, 0.0)
+        self.is_permitted = is_permitted
+
+    def grant(self, now_s: float) -> None:
+        """Count a request that this instance grants."""
+        if self.is_announced:
+            self.granted += 1
+            self.level -= 1
+        else:
+            self.recent.append(now_s)
+
+    def charge(self, requests: int) -> None:
+        """Count requests that other instances have granted."""
+        lowest = -max(1.0, self.bound.rate * LONGEST_DEBT_S)
+        if requests > 0 and self.level > lowest:
+            self.level = max(lowest, self.level - requests)
+
+    def wait_s(self, ahead: int) -> float:
+        """Return the time from the last refill until one more may be sent.
+
+        :param ahead: requests that wait for the target
+        """
+        if not self.is_announced:
+            return 0.0
+        left_s = max(0.0, self.until_s - self.refilled_s)
+        if self.is_lost:
+            left_s = self.bound.duration_s
+        if not self.is_permitted:
+            return left_s
+        return min(max(0.0, ahead + 1 - self.level) / self.bound.rate, left_s)
+
+    def is_outdated(self, granted_s: float, now_s: float) -> bool:
+        """Return whether a grant is too old to be sent to the target."""
+        return self.is_cold(now_s) and now_s - granted_s > LONGEST_GRANT_AGE_S
+
+    def clear(self) -> None:
+        """Forget the coldness; the service states no limit any more."""
+        self.until_s = -math.inf
+        self.read_until_s = -math.inf
+        self.is_lost = False
+        self.is_announced = False
+
+    def _begin(self, now_s: float) -> None:
+        """Empty the bucket as coldness begins."""
+        sent = sum(now_s - sent_s < WINDOW_S for sent_s in self.recent)
+        self.recent.clear()
+        debt = min(
+            max(0.0, sent - self.bound.spare), self.bound.rate * WINDOW_S
+        )
+        self.level = min(self.level, 0.0) - debt
+        self.refilled_s = now_s
+
+
+ColdListener = Callable[[str, ColdState, str, float], None]
+
+
+def _is_always_in_charge(queue: str, now_s: float) -> bool:
+    """Return whether an instance without a fleet is in charge of a queue."""
+    return True
+
+
+def _is_always_informed(now_s: float) -> bool:
+    """Return whether an instance without a fleet knows its targets."""
+    return True
+
+
+def _ignore_change(
+    name: str, state: ColdState, source: str, now_s: float
+) -> None:
+    """Log nothing."""
+
+
+class ColdTargets:
+    """Coldness of all targets whose service states a limit.
+
+    :param over: factor on the rate that is allowed in one second
+    :param slack: requests that are allowed in one second besides
+    :param is_in_charge: returns whether this instance assigns the cold targets
+        of a queue
+    :param is_informed: returns whether this instance would have learnt of a
+        target that has become cold lately
+    :param on_change: called with the name, the state and the source of the
+        knowledge when a target becomes cold or is no longer
+    """
+
+    def __init__(self) -> None:
+        """Hold no limit."""
+        self.limits: Mapping[str, ColdLimit] = {}
+        self.over = 1.0
+        self.slack = 0.0
+        self.states: dict[str, ColdState] = {}
+        self.services: dict[str, str] = {}
+        self.sources: dict[str, str] = {}
+        self.removed: set[str] = set()
+        self.read_s = -math.inf
+        self.is_in_charge: Callable[[str, float], bool] = _is_always_in_charge
+        self.is_informed: Callable[[float], bool] = _is_always_informed
+        self.on_change: ColdListener = _ignore_change
+
+    def configure(self, limits: Mapping[str, ColdLimit]) -> None:
+        """Set the limits by service."""
+        self.limits = limits
+        self._renew_bounds()
+
+    def set_allowance(self, over: float, slack: float) -> None:
+        """Set what is allowed in one second beyond the rate."""
+        self.over = over
+        self.slack = slack
+        self._renew_bounds()
+
+    def state_of(self, target: Target) -> ColdState | None:
+        """Return the state of a target, None if its service has no limit.
+
+        It is that of the name, so that a new start of the target does not
+        renew the bucket.
+        """
+        limit = self.limits.get(target.service)
+        if limit is None:
+            return None
+        state = self.states.get(target.name)
+        if state is None or self.services[target.name] != target.service:
+            state = ColdState(
+                ColdBound.from_limit(limit, self.over, self.slack)
+            )
+            state.started_ms = target.started_ms
+            self.states[target.name] = state
+            self.services[target.name] = target.service
+        return state
+
+    def learn_entry(self, target: Target, now_s: float) -> None:
+        """Take over what the entry of a target states."""
+        state = self.state_of(target)
+        self.removed.discard(target.name)
+        self.read_s = now_s
+        if state:
+            state.learn_entry(target.started_ms, target.cold_left_s, now_s)
+            self._announce(target.name, FROM_ENTRY, now_s)
+
+    def learn_from_peer(
+        self, target: Target, left_s: float, now_s: float
+    ) -> None:
+        """Take over what another instance has read."""
+        state = self.state_of(target)
+        if state:
+            state.learn_from_peer(left_s, now_s)
+            self._announce(target.name, FROM_PEER, now_s)
+
+    def count_as_cold(self, target: Target, now_s: float) -> None:
+        """Count a target as cold until a later entry states otherwise.
+
+        At most for the duration that its service states; without effect if it
+        states none.
+        """
+        state = self.state_of(target)
+        if state:
+            state.assume(now_s)
+            self._announce(target.name, FROM_RESTORATION, now_s)
+
+    def record_unreachable(self, target: Target, now_s: float) -> None:
+        """Record that a target accepted no connection."""
+        state = self.states.get(target.name)
+        if state and target.name not in self.removed:
+            state.record_unreachable(now_s)
+            self._announce(target.name, FROM_CRASH, now_s)
+
+    def record_response(self, target: Target, now_s: float) -> None:
+        """Record that a target responds."""
+        state = self.states.get(target.name)
+        if state:
+            state.record_response(now_s)
+
+    def has_cold(self, service: str, now_s: float) -> bool:
+        """Return whether a target of a service is cold."""
+        if service not in self.limits:
+            return False
+        return any(
+            state.is_cold(now_s)
+            for name, state in self.states.items()
+            if self.services[name] == service
+        )
+
+    def prepared(
+        self, target: Target, queue: str, now_s: float
+    ) -> ColdState | None:
+        """Return the state of a target that a queue is about to use."""
+        state = self.state_of(target)
+        if state is None:
+            return None
+        is_recent = now_s - self.read_s < INFORMED_AGE_S
+        if not is_recent and not self.is_informed(now_s):
+            state.suppose(now_s)
+        if state.is_cold(now_s):
+            state.permit(is_permitted=self.is_in_charge(queue, now_s))
+        self._announce(target.name, FROM_SILENCE, now_s)
+        return state
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Note that targets were removed; their states stay while cold."""
+        for name in names:
+            if name in self.states:
+                self.states[name].is_lost = False
+                self.removed.add(name)
+
+    def purge(self, now_s: float) -> None:
+        """Drop the states of removed targets that are cold no longer."""
+        for name in tuple(self.removed):
+            if not self.states[name].is_cold(now_s):
+                self.removed.discard(name)
+                self.states.pop(name)
+                self.services.pop(name)
+                self.sources.pop(name, None)
+
+    def _announce(self, name: str, source: str, now_s: float) -> None:
+        """Refill a bucket, and report a change of coldness."""
+        state = self.states[name]
+        was_cold = state.is_announced
+        state.refill(now_s)
+        if state.is_announced != was_cold:
+            self.sources[name] = source
+            self.on_change(name, state, source, now_s)
+
+    def _renew_bounds(self) -> None:
+        """Apply changed limits to the known targets."""
+        for name, state in self.states.items():
+            limit = self.limits.get(self.services[name])
+            if limit:
+                state.bound = ColdBound.from_limit(limit, self.over, self.slack)
+            else:
+                state.clear()
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -11,6 +11,7 @@
 from dandelionplank.delivery.responses import TargetReport
 from dandelionplank.fleet.peers import TargetShare
 from dandelionplank.routing.availability import TargetAvailability
+from dandelionplank.routing.coldstart import ColdState
 from dandelionplank.routing.health import TargetHealth
 from dandelionplank.routing.prefix_cache import PrefixCache
 from dandelionplank.routing.ratelimit import RequestRateLimit
@@ -103,6 +104,8 @@
         self.reported_running = 0
         self.reported_s = float('-inf')
         self.limit = RequestRateLimit()
+        # None if the service states no limit for cold targets.
+        self.cold: ColdState | None = None
         self.availability = TargetAvailability()
 
     @property
@@ -148,6 +151,8 @@
         """
         if not self.limit.has_request:
             return False
+        if self.cold is not None and not self.cold.has_request:
+            return False
         if self.running + others.running >= self.slots * RUNNING_SHARE:
             return False
         pending = self.pending_prefill_tokens + others.pending_prefill_tokens
@@ -196,6 +201,8 @@
         self.pending_prefill_tokens += uncached_tokens
         self.running += 1
         self.limit.grant()
+        if self.cold is not None:
+            self.cold.grant(now_s)
         return sent
 
     def adopt(self, sent: DispatchedRequest) -> None:
@@ -215,6 +222,16 @@
         elapsed_s = now_s - sent.sent_s - FIRST_EVENT_BASE_S
         self.speed.add(tokens, elapsed_s)
 
+    def rate_wait_s(self, ahead: int) -> float:
+        """Return the time until its rates allow one more request.
+
+        :param ahead: requests that wait for the target
+        """
+        wait_s = self.limit.wait_s(ahead)
+        if self.cold is None:
+            return wait_s
+        return max(wait_s, self.cold.wait_s(ahead))
+
     def record_end(self, sent: DispatchedRequest) -> None:
         """Record that a request is no longer at the target."""
         self.running -= 1
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -126,12 +126,12 @@
     def limit_wait_s(self) -> float:
         """Time until the request rate of the target allows a new request."""
         load = self.load
-        return load.limit.wait_s(load.waiting + self.others.waiting)
+        return load.rate_wait_s(load.waiting + self.others.waiting)
 
     @property
     def own_limit_wait_s(self) -> float:
         """The same time if only this instance's requests waited."""
-        return self.load.limit.wait_s(self.load.waiting)
+        return self.load.rate_wait_s(self.load.waiting)
 
     @property
     def own_wait_s(self) -> float:
--- a/src/dandelionplank/routing/routes.py
+++ b/src/dandelionplank/routing/routes.py
@@ -80,15 +80,28 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a target of a service tolerates while it is cold.
+
+    :param duration_s: time for which it is cold after its start
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteService:
     """A service of the configuration.
 
     :param memory: memory of its engines, none for plain services
+    :param cold: limit of its cold targets, none if it states none
     """
 
     name: str
     memory: ModelMemory | None = None
+    cold: ColdLimit | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -25,6 +25,7 @@
     misses_objective,
     retry_after_s,
 )
+from dandelionplank.routing.coldstart import ColdTargets
 from dandelionplank.routing.load import (
     TARGET_QUEUE_S,
     DispatchedRequest,
@@ -128,6 +129,7 @@
         self.peers = peers
         self.jitter = jitter
         self.loads: dict[str, TargetLoad] = {}
+        self.cold = ColdTargets()
         self.queues: dict[str, WaitingQueue] = {}
         self.policies: dict[str, PlacementPolicy] = {}
         self.engine_memory: Mapping[str, ModelMemory | None] = {}
@@ -146,6 +148,13 @@
         self.engine_memory = {
             name: service.memory for name, service in table.services.items()
         }
+        self.cold.configure(
+            {
+                name: service.cold
+                for name, service in table.services.items()
+                if service.cold
+            },
+        )
 
     def submit(self, waiting: WaitingRequest, now_s: float) -> Rejection | None:
         """Queue a request, or reject it at once."""
@@ -287,7 +296,9 @@
 
     def forget(self, names: Iterable[str]) -> None:
         """Drop the state of removed targets that hold no request."""
-        for name in names:
+        forgotten = tuple(names)
+        self.cold.forget(forgotten)
+        for name in forgotten:
             load = self.loads.get(name)
             if load and load.is_idle:
                 self.loads.pop(name)
@@ -366,6 +377,9 @@
             for load in self.loads_of(service)
             if not load.availability.is_leaving
         ]
+        if self.cold.limits:
+            for load in loads:
+                load.cold = self.cold.prepared(load.target, service, now_s)
         self.closed[service] = tuple(
             load.target.name
             for load in loads
--- a/src/dandelionplank/targets.py
+++ b/src/dandelionplank/targets.py
@@ -29,6 +29,8 @@
     :param limit: initial limit on calls in flight, zero for the contract's
     :param started_ms: Unix time of its start, zero if not reported
     :param version: version of its software, empty if not reported
+    :param cold_left_s: time for which it stays cold, counted from the writing
+        of its entry, None if not reported
     """
 
     name: Name
@@ -40,6 +42,7 @@
     limit: TargetLimit = 0
     started_ms: UnixMs = 0
     version: str = ''
+    cold_left_s: float | None = None
 
     @property
     def url(self) -> str:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import math
+import re
 import signal
 import socket
 import subprocess
@@ -41,11 +42,27 @@
     'Bounds.BudgetWindowS': '10',
 }
 
+SECTION = re.compile(
+    r'{{#(?P<name>[\w.]+)}}(?P<body>.*?){{/(?P=name)}}', re.DOTALL
+)
+FALSE_FIGURES = (None, '', 'null', '0')
+
+
+def fill_sections(text, fields):
+    """Keep the sections whose field is present and true, as the platform."""
+
+    def fill(section):
+        is_kept = fields.get(section['name']) not in FALSE_FIGURES
+        return section['body'] if is_kept else ''
+
+    return SECTION.sub(fill, text)
+
 
 def settings_from_template(**bounds):
     """Return the settings for some figures, as the platform fills them in."""
     text = TEMPLATE.read_text(encoding='utf-8')
     changed = {f'Bounds.{name}': figure for name, figure in bounds.items()}
+    text = fill_sections(text, {**FIELDS, **changed})
     for name, replacement in {**FIELDS, **changed}.items():
         text = text.replace(f'{{{{{name}}}}}', replacement)
     assert '{{' not in text
@@ -94,6 +111,18 @@
         assert settings.bounds == GatewayBounds()
 
 
+@params(
+    ({}, 1.0, 0.0),
+    ({'ColdOver': '1.5', 'ColdSlack': '5'}, 1.5, 5.0),
+    ({'ColdOver': '1.5', 'ColdSlack': '0'}, 1.5, 0.0),
+    ({'ColdOver': '', 'ColdSlack': '5'}, 1.0, 5.0),
+)
+def test_bounds_of_cold_targets_may_be_missing(figures, over, slack):
+    """Deployments without cold targets state none."""
+    bounds = settings_from_template(**figures).bounds
+    assert (bounds.cold_over, bounds.cold_slack) == (over, slack)
+
+
 def test_retries_and_grace_may_be_zero():
     """An installation may allow none."""
     bounds = settings_from_template(
