Tell other instances of a crash that makes a target cold

Cause: only the instance that found a target unreachable, and the owner of its pool, counted it as cold afterwards. The owner of a plain service hears of no request that was sent before, and instances that decide alone hear of none. On the other hand, one broken link made a target cold that responded to others.

Reports say what their sender assumes. An attempt that began before the latest response of the target, or an assumption of another instance while it responds here, does not count.

Evidence: tests.test_cold_targets .test_other_instances_learn_of_a_crash and .test_a_broken_link_is_no_crash.

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -99,7 +99,9 @@
         """Record that a target accepted no connection."""
         now_s = time.monotonic()
         grant.load.health.record_unreachable(now_s)
-        self.scheduler.cold.record_unreachable(grant.load.target, now_s)
+        self.scheduler.cold.record_unreachable(
+            grant.load.target, grant.sent.sent_s, now_s
+        )
         self._refund(grant)
 
     def record_not_executed(
--- a/src/dandelionplank/fleet/coldreports.py
+++ b/src/dandelionplank/fleet/coldreports.py
@@ -35,6 +35,7 @@
             state.started_ms,
             state.granted,
             max(0.0, state.read_until_s - now_s),
+            state.assumed_left_s(now_s),
         )
         for name, state in cold.states.items()
         if state.is_cold(now_s)
@@ -61,7 +62,13 @@
         if target is None or target.started_ms != reported.started_ms:
             continue
         if reported.left_s > 0:
-            cold.learn_from_peer(target, reported.left_s, now_s)
+            cold.learn_from_peer(
+                target, reported.left_s, now_s, is_assumed=False
+            )
+        if reported.assumed_s > 0:
+            cold.learn_from_peer(
+                target, reported.assumed_s, now_s, is_assumed=True
+            )
         state = cold.state_of(target)
         before = known.get(name)
         if state and before:
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -69,11 +69,14 @@
     :param granted: requests that the sender has granted while it was cold
     :param left_s: time for which it stays cold as the sender read it in the
         store, zero if the sender did not
+    :param assumed_s: time for which the sender assumes it to be cold, because
+        it was unreachable or its data centre was restored
     """
 
     started_ms: int
     granted: int
     left_s: float
+    assumed_s: float = 0
 
 
 class PeerReport(msgspec.Struct, frozen=True, array_like=True, tag=0):
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -147,6 +147,9 @@
         elif not grant.sent.is_prefilled:
             grant.sent.is_prefilled = True
             self._report(grant, TicketEvent.PREFILLED)
+            self.dispatcher.scheduler.cold.record_response(
+                grant.load.target, time.monotonic()
+            )
 
     def record_outcome(self, grant: Grant, *, is_success: bool) -> None:
         """Record the outcome of a request in the target's health."""
--- a/src/dandelionplank/routing/coldstart.py
+++ b/src/dandelionplank/routing/coldstart.py
@@ -30,6 +30,8 @@
 # Age of the latest knowledge of the store beyond which coldness that began
 # lately may be unknown. Targets write their entries every 1.2 s.
 INFORMED_AGE_S = 2.5
+# A target that responded within this time has not crashed.
+ALIVE_S = 0.5
 # Time for which a target counts as cold after the instance was out of contact;
 # meanwhile the reports of others and the entries arrive.
 SILENCE_S = 0.5
@@ -82,6 +84,8 @@
 
     :param until_s: monotonic time until which it is cold
     :param read_until_s: the same as this instance read it in the store
+    :param assumed_until_s: the same as this instance assumes it by itself
+    :param is_lost: it accepted no connection at the last attempt
     :param is_permitted: this instance may send to the target while it is cold
     :param granted: requests that this instance granted while it was cold
     """
@@ -92,8 +96,10 @@
         self.started_ms = 0
         self.until_s = -math.inf
         self.read_until_s = -math.inf
+        self.assumed_until_s = -math.inf
         self.is_lost = False
         self.distrusted_until_s = -math.inf
+        self.responded_s = -math.inf
         self.is_permitted = False
         self.granted = 0
         self.level = 0.0
@@ -127,6 +133,7 @@
         is_trusted = is_new_start or now_s >= self.distrusted_until_s
         if is_trusted:
             self.is_lost = False
+            self.assumed_until_s = -math.inf
         if left_s is None:
             return
         until_s = now_s + min(left_s, self.bound.duration_s)
@@ -136,20 +143,44 @@
             self.until_s = max(self.until_s, until_s)
         self.read_until_s = until_s
 
-    def learn_from_peer(self, left_s: float, now_s: float) -> None:
-        """Take over what another instance read in the store."""
+    def learn_from_peer(
+        self, left_s: float, now_s: float, *, is_assumed: bool
+    ) -> None:
+        """Take over what another instance read in the store, or assumes.
+
+        An assumption does not count while the target responds here: the link
+        of the other instance may be broken.
+        """
+        if is_assumed and now_s - self.responded_s < ALIVE_S:
+            return
         until_s = now_s + min(left_s, self.bound.duration_s)
         self.until_s = max(self.until_s, until_s)
+        if is_assumed:
+            self.distrusted_until_s = now_s + ENTRY_DELAY_S
+
+    def assumed_left_s(self, now_s: float) -> float:
+        """Return the time for which this instance assumes it to be cold."""
+        if self.is_lost:
+            return self.bound.duration_s
+        return max(0.0, self.assumed_until_s - now_s)
 
     def assume(self, now_s: float) -> None:
         """Count as cold until an entry that is written later differs."""
-        self.until_s = max(self.until_s, now_s + self.bound.duration_s)
+        self.assumed_until_s = now_s + self.bound.duration_s
+        self.until_s = max(self.until_s, self.assumed_until_s)
         self.distrusted_until_s = now_s + ENTRY_DELAY_S
 
-    def record_unreachable(self, now_s: float) -> None:
-        """Record that the target may have crashed."""
-        self.is_lost = True
-        self.assume(now_s)
+    def record_unreachable(self, sent_s: float, now_s: float) -> None:
+        """Record that the target may have crashed.
+
+        It has not if it responded to another request since the attempt began:
+        then a link is broken.
+
+        :param sent_s: time at which the attempt began
+        """
+        if self.responded_s < sent_s:
+            self.is_lost = True
+            self.assume(now_s)
 
     def suppose(self, now_s: float) -> None:
         """Count as cold for a moment: nothing is known of the target."""
@@ -157,6 +188,7 @@
 
     def record_response(self, now_s: float) -> None:
         """Record that the target responds, perhaps again."""
+        self.responded_s = now_s
         if self.is_lost:
             self.is_lost = False
             self.assume(now_s)
@@ -221,6 +253,7 @@
         """Forget the coldness; the service states no limit any more."""
         self.until_s = -math.inf
         self.read_until_s = -math.inf
+        self.assumed_until_s = -math.inf
         self.is_lost = False
         self.is_announced = False
 
@@ -321,12 +354,12 @@
             self._announce(target.name, FROM_ENTRY, now_s)
 
     def learn_from_peer(
-        self, target: Target, left_s: float, now_s: float
+        self, target: Target, left_s: float, now_s: float, *, is_assumed: bool
     ) -> None:
-        """Take over what another instance has read."""
+        """Take over what another instance has read, or assumes."""
         state = self.state_of(target)
         if state:
-            state.learn_from_peer(left_s, now_s)
+            state.learn_from_peer(left_s, now_s, is_assumed=is_assumed)
             self._announce(target.name, FROM_PEER, now_s)
 
     def count_as_cold(self, target: Target, now_s: float) -> None:
@@ -340,11 +373,16 @@
             state.assume(now_s)
             self._announce(target.name, FROM_RESTORATION, now_s)
 
-    def record_unreachable(self, target: Target, now_s: float) -> None:
-        """Record that a target accepted no connection."""
+    def record_unreachable(
+        self, target: Target, sent_s: float, now_s: float
+    ) -> None:
+        """Record that a target accepted no connection.
+
+        :param sent_s: time at which the attempt began
+        """
         state = self.states.get(target.name)
         if state and target.name not in self.removed:
-            state.record_unreachable(now_s)
+            state.record_unreachable(sent_s, now_s)
             self._announce(target.name, FROM_CRASH, now_s)
 
     def record_response(self, target: Target, now_s: float) -> None:
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -157,7 +157,7 @@
 
     def crash(self):
         """Find the target unreachable."""
-        self.cold.record_unreachable(self.target, self.now_s)
+        self.cold.record_unreachable(self.target, self.now_s, self.now_s)
 
     def response(self):
         """Get a response of the target."""
@@ -169,7 +169,9 @@
 
     def peer(self):
         """Learn from another instance that the target is cold."""
-        self.cold.learn_from_peer(self.target, 2.0, self.now_s)
+        self.cold.learn_from_peer(
+            self.target, 2.0, self.now_s, is_assumed=self.is_permitted
+        )
 
     def charge(self):
         """Learn what another instance has granted."""
@@ -256,7 +258,7 @@
     cold = make_cold()
     target = make_target(started_ms=5)
     cold.learn_entry(listed(target, 0.0), 0.0)
-    cold.record_unreachable(target, 10.0)
+    cold.record_unreachable(target, 10.0, 10.0)
     cold.learn_entry(listed(target, 0.0), 10.2)
     assert cold.has_cold('llm', 10.2)
     cold.record_response(target, 11.0)
@@ -271,7 +273,7 @@
     cold = make_cold()
     target = make_target()
     cold.prepared(target, 'llm', 0.0)
-    cold.record_unreachable(target, 10.0)
+    cold.record_unreachable(target, 10.0, 10.0)
     assert cold.has_cold('llm', 60.0)
     cold.record_response(target, 60.0)
     assert cold.has_cold('llm', 60.0 + COLD_S - 0.01)
@@ -283,7 +285,7 @@
     cold = make_cold()
     target = make_target(started_ms=5)
     cold.learn_entry(listed(target, 0.0), 0.0)
-    cold.record_unreachable(target, 10.0)
+    cold.record_unreachable(target, 10.0, 10.0)
     started = make_target(started_ms=6)
     cold.learn_entry(listed(started, 0.0), 10.1)
     assert not cold.has_cold('llm', 10.1)
@@ -291,6 +293,38 @@
     assert not cold.has_cold('llm', 10.2)
 
 
+def test_a_broken_link_is_no_crash():
+    """One instance without a link must not limit a target for all."""
+    cold = make_cold()
+    target = make_target()
+    cold.prepared(target, 'llm', 0.0)
+    cold.record_response(target, 10.1)
+    cold.record_unreachable(target, 10.0, 10.2)
+    cold.learn_from_peer(target, COLD_S, 10.2, is_assumed=True)
+    assert not cold.has_cold('llm', 10.2)
+    cold.record_unreachable(target, 10.3, 10.4)
+    assert cold.has_cold('llm', 10.4)
+
+
+def test_other_instances_learn_of_a_crash():
+    """The owner of a plain service gets no events of its requests."""
+    target = make_target(started_ms=1)
+    first, second = make_cold(), make_cold()
+    for cold in (first, second):
+        cold.learn_entry(listed(target, 0.0), 9.0)
+    first.record_unreachable(target, 10.0, 10.0)
+    reports = cold_reports(first, 10.1)
+    report = msgspec.structs.replace(report_of('e'), cold=reports)
+    apply_cold_reports(second, {'e': target}, report, None, 10.2)
+    second.learn_entry(listed(target, 0.0), 10.3)
+    assert second.has_cold('llm', 10.2 + COLD_S - 0.01)
+    assert not second.has_cold('llm', 10.2 + COLD_S)
+    assert not any(
+        each.assumed_s or each.left_s
+        for each in cold_reports(second, 10.4).values()
+    )
+
+
 def test_coldness_may_begin_again_without_a_start():
     """An entry that states it limits a target that was warm."""
     cold = make_cold()
@@ -319,7 +353,7 @@
     cold = make_cold(limits={})
     target = make_target()
     cold.learn_entry(listed(target, COLD_S), 0.0)
-    cold.record_unreachable(target, 0.0)
+    cold.record_unreachable(target, 0.0, 0.0)
     assert not cold.states
     scheduler = Scheduler('a', lambda service: [target], PeerLoadTable())
     scheduler.may_start(make_waiting(0.0), 0.0)
@@ -342,9 +376,9 @@
     cold = make_cold()
     target = make_target()
     cold.learn_entry(listed(target, COLD_S), 0.0)
-    cold.record_unreachable(target, 0.5)
+    cold.record_unreachable(target, 0.5, 0.5)
     cold.forget(('e', 'unknown'))
-    cold.record_unreachable(target, 0.6)
+    cold.record_unreachable(target, 0.6, 0.6)
     cold.purge(1.0)
     assert cold_reports(cold, 1.0)
     cold.purge(4.0)
