--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -104,8 +104,10 @@
             is_withdrawn=pools.is_withdrawn,
         )
         self.view.listeners.append(self.scheduler.configure)
+        self.scheduler.cold.set_allowance(bounds.cold_over, bounds.cold_slack)
         self.dispatcher = Dispatcher(self.scheduler)
         self.view.exclusion_listeners.append(self.dispatcher.exclude_targets)
+        self.view.data_center_restored_listeners.append(self._count_as_cold)
         self.pool = ConnectionPool()
         self.exchange = PeerExchange(
             settings.instance.id,
@@ -266,6 +268,7 @@
         start_s = time.monotonic()
         self.gateway.is_leaving = True
         self.exchange.is_leaving = True
+        self.exchange.cold_owners.is_leaving = True
         log_event(Event.LEAVING, open_requests=self.gateway.open_requests)
         grace_s = self.settings.bounds.grace_s
         deadline_s = start_s + grace_s - CLOSE_RESERVE_S
@@ -362,10 +365,13 @@
         return Page(HTTPStatus.OK, METRICS.render())
 
     async def _sweep(self) -> None:
-        """Close idle connections to targets periodically."""
+        """Close idle connections and update the cold targets periodically."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             self.pool.close_expired()
+            now_s = time.monotonic()
+            self.exchange.cold_owners.update(now_s)
+            self.scheduler.cold.purge(now_s)
 
     async def _log_load(self) -> None:
         """Log once a second what limits the service of the accounts."""
@@ -389,6 +395,16 @@
             self.pool.drop(name)
         self.scheduler.forget(names)
 
+    def _count_as_cold(self, data_center: str) -> None:
+        """Count the targets of a restored data centre as cold.
+
+        They may have become so during its evacuation.
+        """
+        now_s = time.monotonic()
+        for target in self.view.registry.targets.values():
+            if target.data_center == data_center:
+                self.scheduler.cold.count_as_cold(target, now_s)
+
     def _count_instances(self) -> int:
         """Return how many instances share the budgets."""
         return self.exchange.instance_count
@@ -398,6 +414,7 @@
         bounds = settings.bounds
         self.view.revoked_after_s = bounds.revoked_after_s
         self.budgets.update_limits(_retry_limits(bounds))
+        self.scheduler.cold.set_allowance(bounds.cold_over, bounds.cold_slack)
 
 
 def _retry_limits(bounds: GatewayBounds) -> RetryLimits:
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -159,6 +159,9 @@
         elif not grant.sent.is_prefilled:
             grant.sent.is_prefilled = True
             self._report(grant, TicketEvent.PREFILLED)
+            self.dispatcher.scheduler.cold.record_response(
+                grant.load.target, time.monotonic()
+            )
 
     def record_outcome(self, grant: Grant, *, is_success: bool) -> None:
         """Record the outcome of a request in the target's health."""
@@ -261,10 +264,19 @@
 
         :return: in order of preference, none if this instance decides
         """
-        if waiting.work is not None and self.owners.is_pooled:
-            return self.pools.rank(waiting.service, waiting.work)
-        if self.dispatcher.scheduler.has_limits(waiting.service):
-            return [waiting.service]
+        scheduler = self.dispatcher.scheduler
+        service = waiting.service
+        has_cold = scheduler.cold.has_cold(service, time.monotonic())
+        # Each cold target is assigned in one queue only, whether a request
+        # states a prompt or not: an engine by the owner of its pool.
+        is_model = scheduler.engine_memory.get(service) is not None
+        if self.owners.is_pooled and (is_model or not has_cold):
+            if waiting.work is not None:
+                return self.pools.rank(service, waiting.work)
+            if has_cold:
+                return self.pools.pools_of(service).rank(waiting.request_id)
+        if has_cold or scheduler.has_limits(service):
+            return [service]
         return []
 
     async def _acquire_elsewhere(
@@ -410,9 +422,12 @@
         self.grants[reply.number] = RemoteGrant(
             owner, reply.number, queue, sent, reply.target
         )
+        scheduler = self.dispatcher.scheduler
+        load = scheduler.load_of(target)
+        load.cold = scheduler.cold.state_of(target)
         return Grant(
             waiting,
-            self.dispatcher.scheduler.load_of(target),
+            load,
             sent,
             reply.expected_s,
             reply.number,
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -29,6 +29,9 @@
 EVACUATED_AFTER_S = 5.0
 
 TableListener = Callable[[RouteTable], None]
+# Takes each entry of a target and the monotonic time at which it is read,
+# whether it has changed or not.
+EntryListener = Callable[[Target, float], None]
 # Takes a part, the age of its first crash and the time left, in seconds.
 QuarantineListener = Callable[[str, float, float], None]
 # Takes the name of a data centre.
@@ -54,6 +57,7 @@
         self.behind_since_s = -math.inf
         self.has_targets = False
         self.listeners: list[TableListener] = []
+        self.entry_listeners: list[EntryListener] = []
         self.quarantine_listeners: list[QuarantineListener] = []
         self.restoration_listeners: list[Callable[[], None]] = []
         self.evacuations = Evacuations()
