--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -115,7 +115,7 @@
     @property
     def application(self) -> web.Application:
         """The HTTP application that serves the target."""
-        application = web.Application()
+        application = web.Application(client_max_size=64_000_000)
         application.router.add_get('/v1/kv-list', self._list_cached_parts)
         application.router.add_route('*', '/{path:.*}', self._serve)
         return application
