Parse callers' bytes in blocks that share each turn of the loop

Callers saw no response for seconds while others sent bodies in chunks of one byte, and processes ended. Cause: aiohttp parses each read of up to 256 kB at once, tens of thousands of chunks in one step; after an error in a head each further read becomes one more error that quotes its bytes.

Connections now read blocks of 16 kB into one shared buffer. A block is parsed as it arrives while the turn of the loop has time left, else in a later turn, one block a connection, with reading paused.

--- /dev/null
+++ b/src/dandelionplank/ingress/connection.py
@@ -0,0 +1,245 @@
+"""Callers' connections, which share each turn of the event loop.
+
+aiohttp's handler parses all it is given at once. A connection here reads blocks
+of a fixed size into one buffer that all share, and passes them on in turn.
+"""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any, cast
+
+from aiohttp import web
+from aiohttp.streams import StreamReader
+
+from dandelionplank.ingress.turns import TurnQueue
+from dandelionplank.metrics import METRICS
+
+# A block of small chunks takes some milliseconds to parse.
+BLOCK_BYTES = 16_384
+
+
+class GatedTransport:
+    """A transport that its handler and its connection may pause.
+
+    Methods of the transport are attributes, so that writing costs no further
+    call.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, resumed: Callable[[], None]
+    ) -> None:
+        """Hold a transport that reads.
+
+        :param resumed: called when the handler reads again
+        """
+        self.raw = transport
+        self.resumed = resumed
+        self.is_paused_by_handler = False
+        self.is_held = False
+        self.write = transport.write
+        self.writelines = transport.writelines
+        self.close = transport.close
+        self.abort = transport.abort
+        self.is_closing = transport.is_closing
+        self.is_reading = transport.is_reading
+        self.get_extra_info = transport.get_extra_info
+        self.get_write_buffer_size = transport.get_write_buffer_size
+        self.set_write_buffer_limits = transport.set_write_buffer_limits
+
+    def pause_reading(self) -> None:
+        """Pause reading on behalf of the handler."""
+        self.is_paused_by_handler = True
+        self._pause()
+
+    def resume_reading(self) -> None:
+        """Read again as far as the handler is concerned."""
+        self.is_paused_by_handler = False
+        self.resumed()
+        self._resume()
+
+    def hold(self) -> None:
+        """Pause reading while bytes wait to be parsed."""
+        self.is_held = True
+        self._pause()
+
+    def release(self) -> None:
+        """Read again once no byte waits."""
+        self.is_held = False
+        self._resume()
+
+    def _pause(self) -> None:
+        """Pause the transport if it is open."""
+        if not self.raw.is_closing():
+            self.raw.pause_reading()
+
+    def _resume(self) -> None:
+        """Resume the transport if it is open and nothing pauses it."""
+        if self.is_held or self.is_paused_by_handler:
+            return
+        if not self.raw.is_closing():
+            self.raw.resume_reading()
+
+
+class CallerConnection(asyncio.BufferedProtocol):
+    """Passes the bytes of one connection to its handler, within bounds."""
+
+    def __init__(
+        self, http: web.RequestHandler, guard: 'ConnectionGuard'
+    ) -> None:
+        """Hold the handler and what all connections share."""
+        self.http: Any = http
+        self.guard = guard
+        self.transport: GatedTransport | None = None
+        self.body: StreamReader | None = None
+        self.pending: deque[bytes] = deque()
+        self.is_queued = False
+        self.cost_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Give the handler a transport that both may pause."""
+        self.transport = GatedTransport(
+            cast(asyncio.Transport, transport), self._on_handler_resumed
+        )
+        self.http.connection_made(self.transport)
+        self.guard.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Drop what waits and end the handler."""
+        self.pending.clear()
+        self.guard.connections.pop(self.http, None)
+        self.http.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Let the handler wait until the caller has read more."""
+        self.http.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Let the handler write again."""
+        self.http.resume_writing()
+
+    def eof_received(self) -> None:
+        """Close the connection, as the handler does without this layer."""
+        self.http.eof_received()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the shared buffer, which is read in the same call."""
+        return self.guard.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read, or let them wait for a turn."""
+        block = bytes(self.guard.buffer[:nbytes])
+        if self.pending or not self.guard.may_feed(self):
+            assert self.transport is not None
+            self.pending.append(block)
+            self.transport.hold()
+            self.guard.enqueue(self)
+            return
+        self.guard.feed(self, block)
+
+    def feed(self, block: bytes) -> None:
+        """Let the handler parse a block, and note whether a body is open."""
+        http = self.http
+        # aiohttp tells of a message only once its handler starts, in a later
+        # turn of the loop: its count and its queue show it at once.
+        count = http._request_count  # noqa: SLF001
+        http.data_received(block)
+        if http._request_count != count:  # noqa: SLF001
+            self.body = http._messages[-1][1]  # noqa: SLF001
+        if self.body is not None and self.body.is_eof():
+            self.body = None
+
+    def _on_handler_resumed(self) -> None:
+        """Continue with the bytes that waited for the handler."""
+        if self.pending:
+            self.guard.enqueue(self)
+
+
+class ConnectionGuard:
+    """Holds what the connections of a socket share, and their bounds."""
+
+    def __init__(self) -> None:
+        """Hold no connection."""
+        self.buffer = memoryview(bytearray(BLOCK_BYTES))
+        self.turns: TurnQueue[CallerConnection] = TurnQueue()
+        self.connections: dict[Any, CallerConnection] = {}
+        self.is_turn_due = False
+
+    def wrap(self, http: web.RequestHandler) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(http, self)
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Register a connection that has been accepted."""
+        self.connections[connection.http] = connection
+
+    def has_pending(self, http: Any) -> bool:
+        """Return whether bytes of a handler's connection wait."""
+        connection = self.connections.get(http)
+        return connection is not None and bool(connection.pending)
+
+    def may_feed(self, connection: CallerConnection) -> bool:
+        """Return whether a connection's bytes may be parsed in this turn."""
+        transport = connection.transport
+        if transport is None or transport.is_paused_by_handler:
+            return False
+        return self.turns.may_run(connection.cost_s)
+
+    def feed(self, connection: CallerConnection, block: bytes) -> None:
+        """Parse a block and count its time."""
+        started_s = time.monotonic()
+        connection.feed(block)
+        cost_s = time.monotonic() - started_s
+        if connection.body:
+            connection.cost_s += cost_s
+        else:
+            connection.cost_s = 0.0
+        self.turns.charge(cost_s)
+        if self.turns.is_used:
+            self._schedule_turn()
+
+    def enqueue(self, connection: CallerConnection) -> None:
+        """Let a connection wait for a turn, unless its handler is full."""
+        transport = connection.transport
+        if transport is None or transport.is_paused_by_handler:
+            return
+        if not connection.is_queued:
+            connection.is_queued = True
+            self.turns.add(connection, connection.cost_s)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        """Begin a turn in the next iteration of the loop."""
+        if not self.is_turn_due:
+            self.is_turn_due = True
+            asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        """Serve waiting connections while the turn has time left."""
+        self.is_turn_due = False
+        self.turns.begin_turn()
+        connection = self.turns.take(is_first=True)
+        while connection is not None:
+            connection.is_queued = False
+            self._feed_next(connection)
+            connection = self.turns.take(is_first=False)
+        if not self.turns.is_empty:
+            self._schedule_turn()
+
+    def _feed_next(self, connection: CallerConnection) -> None:
+        """Parse the next waiting block of a connection."""
+        transport = connection.transport
+        if transport is None or transport.is_paused_by_handler:
+            return
+        if connection.pending:
+            try:
+                self.feed(connection, connection.pending.popleft())
+            except Exception:
+                # The loop logs nothing of it; other connections go on.
+                METRICS.add('caller_errors_total')
+                transport.abort()
+        if connection.pending:
+            self.enqueue(connection)
+        else:
+            transport.release()
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -9,6 +9,10 @@
 from aiohttp.streams import StreamReader
 
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress.connection import (
+    CallerConnection,
+    ConnectionGuard,
+)
 from dandelionplank.ingress.gateway import Gateway
 from dandelionplank.router.idle import IdleConnectionTask, run_turns
 from dandelionplank.routing.routes import RequestLimits, RouteTable
@@ -17,6 +21,9 @@
 BACKLOG_CONNECTIONS = 4096
 # Limit of the HTTP parser; the configured limits apply in addition.
 MAX_HEADER_LINE_BYTES = 65_536
+# A connection is read no further while twice this waits for its reader, or a
+# sixteenth of it in chunks.
+READ_BUFFER_BYTES = 65_536
 # Time for the requests that are on their way when idle connections close.
 REQUEST_ARRIVAL_S = 0.02
 
@@ -28,7 +35,10 @@
         """Hold the gateway and the configured limits; no socket is open."""
         self.gateway = gateway
         self.limits = RequestLimits()
-        self.idle = IdleConnectionTask(_caller_settings(self.limits))
+        self.guard = ConnectionGuard()
+        self.idle = IdleConnectionTask(
+            _caller_settings(self.limits), self.guard.has_pending
+        )
         view.listeners.append(self._configure)
         self.server: web.Server | None = None
         self.listener: asyncio.Server | None = None
@@ -54,10 +64,11 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self.idle.server = self.server
         self.listener = await asyncio.get_running_loop().create_server(
-            self.server,
+            self._make_protocol,
             address.ip,
             address.port,
             backlog=BACKLOG_CONNECTIONS,
@@ -77,6 +88,11 @@
         await run_turns()
         await self.idle.close_idle(self.connections)
 
+    def _make_protocol(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        assert self.server is not None
+        return self.guard.wrap(self.server())
+
     async def _handle_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/src/dandelionplank/router/idle.py
+++ b/src/dandelionplank/router/idle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -39,9 +40,18 @@
     closed here.
     """
 
-    def __init__(self, settings: CallerSettings) -> None:
-        """Hold the timeouts; ``server`` is assigned after it has started."""
+    def __init__(
+        self,
+        settings: CallerSettings,
+        has_pending: Callable[[Any], bool] | None = None,
+    ) -> None:
+        """Hold the timeouts; ``server`` is assigned after it has started.
+
+        :param has_pending: returns whether a connection has bytes that were
+            read and not yet parsed
+        """
         self.settings = settings
+        self.has_pending = has_pending or _has_none
         self.server: web.Server | None = None
         self.activities: dict[Any, ConnectionActivity] = {}
 
@@ -59,6 +69,8 @@
 
     def is_idle(self, connection: Any) -> bool:
         """Return whether a connection carries no request."""
+        if self.has_pending(connection):
+            return False
         activity = self.activities.get(connection)
         return activity is None or not activity.open_requests
 
@@ -116,6 +128,7 @@
                 limit_s += self.settings.idle_timeout_s
             if (
                 not activity.open_requests
+                and not self.has_pending(connection)
                 and now_s - activity.idle_since_s > limit_s
             ):
                 expired.append(connection)
@@ -136,6 +149,11 @@
         await asyncio.sleep(0)
 
 
+def _has_none(_: Any) -> bool:
+    """Return that a connection has no pending bytes."""
+    return False
+
+
 def _is_open(connection: Any) -> bool:
     """Return whether a connection's transport is neither closed nor closing."""
     transport = connection.transport
