Bound heads, trailers and chunk framing as they arrive

Processes of callers' gateways ended while clients sent heads without end. Cause: the parser checks single lines, up to 128 lines of 64 kB, and the limit of the configuration was never applied; trailer fields are kept like a head. An incomplete head was given up only after the time for idle connections if there had been a request.

Each connection counts what it has sent since its last complete message (pure, ingress/inputmeter.py). An incomplete head beyond header_bytes gets 431, empty lines 400, a head that is not complete within header_timeout_s gets 408, framing of a body beyond 64 kB without a byte of it, or beyond sixteen times the body, ends its request with 400; then the connection closes (event 214, callers_closed_total). The parser is given no byte of a head beyond the bound. 1024 bytes are added to header_bytes for empty lines, so that no legal head is refused.

The attributes of aiohttp that this relies on are tested on both event loops.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -67,6 +67,16 @@
         Level.INFO,
         'the event loop was late; fields show the load of this instance',
     )
+    CALLER_CLOSED = (
+        214,
+        Level.INFO,
+        'a connection was refused or closed to keep a bound',
+    )
+    CALLERS_BOUNDED = (
+        215,
+        Level.WARNING,
+        'a bound on what callers hold together was reached or left',
+    )
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -247,6 +247,7 @@
             self.crashes.run,
             self._keep_presence,
             self.server.idle.run,
+            self.server.run_checks,
         ):
             self._spawn(run_open)
         log_event(
--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -1,7 +1,8 @@
-"""Callers' connections, which share each turn of the event loop.
+"""Callers' connections, bounded before aiohttp's handler sees their bytes.
 
-aiohttp's handler parses all it is given at once. A connection here reads blocks
-of a fixed size into one buffer that all share, and passes them on in turn.
+The handler parses what it is given at once and holds incomplete heads whatever
+their size. A connection here reads blocks of a fixed size into one buffer that
+all share, counts them and passes them on.
 """
 
 import asyncio
@@ -11,13 +12,20 @@
 from typing import Any, cast
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import BadHttpMessage
 from aiohttp.streams import StreamReader
 
+from dandelionplank.events import Event
+from dandelionplank.ingress.inputmeter import Excess, InputMeter
 from dandelionplank.ingress.turns import TurnQueue
+from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 
 # A block of small chunks takes some milliseconds to parse.
 BLOCK_BYTES = 16_384
+# Time after which a refused connection is closed even if its handler waits.
+REFUSED_LIMIT_S = 15.0
 
 
 class GatedTransport:
@@ -92,11 +100,20 @@
         self.http: Any = http
         self.guard = guard
         self.transport: GatedTransport | None = None
+        self.meter = InputMeter()
         self.body: StreamReader | None = None
         self.pending: deque[bytes] = deque()
         self.is_queued = False
+        self.refused_at_s: float | None = None
         self.cost_s = 0.0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the handler waits for a request."""
+        # aiohttp has no public sign of it; its own timeouts use this one.
+        waiter = self.http._waiter  # noqa: SLF001
+        return waiter is not None and not waiter.done()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Give the handler a transport that both may pause."""
         self.transport = GatedTransport(
@@ -129,6 +146,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that were read, or let them wait for a turn."""
+        if self.refused_at_s is not None:
+            return
         block = bytes(self.guard.buffer[:nbytes])
         if self.pending or not self.guard.may_feed(self):
             assert self.transport is not None
@@ -138,17 +157,97 @@
             return
         self.guard.feed(self, block)
 
-    def feed(self, block: bytes) -> None:
-        """Let the handler parse a block, and note whether a body is open."""
+    def feed(self, block: bytes, now_s: float) -> None:
+        """Parse a block, no further than an incomplete head may be long."""
+        while block and self.refused_at_s is None:
+            room = len(block)
+            if self.body is None:
+                room = self.meter.count_room(self.guard.header_bytes)
+            self._parse(block[:room], now_s)
+            block = block[room:]
+
+    def refuse(self, excess: Excess, now_s: float) -> None:
+        """Refuse what the connection sends and close it.
+
+        The request that is being read gets its response from the gateway.
+        """
+        self.refused_at_s = now_s
+        self.pending.clear()
+        held_bytes = self.meter.head_bytes or self.meter.wire_bytes
+        self.guard.record_close(excess.label, held_bytes)
+        if self.body is None and self.is_idle:
+            assert self.transport is not None
+            self.transport.write(_render_refusal(excess))
+            self.http.force_close()
+            return
+        self._fail_body(excess.label)
+        self.http.close()
+
+    def close_if_refused(self, now_s: float) -> None:
+        """Close a refused connection whose handler has nothing left to do."""
+        if self.refused_at_s is None or self.transport is None:
+            return
+        if self.is_idle:
+            self.http.force_close()
+        if now_s - self.refused_at_s > REFUSED_LIMIT_S:
+            self.transport.abort()
+
+    def _parse(self, block: bytes, now_s: float) -> None:
+        """Let the handler parse a block and count what it made of it."""
         http = self.http
+        was_open = self.body is not None
         # aiohttp tells of a message only once its handler starts, in a later
         # turn of the loop: its count and its queue show it at once.
         count = http._request_count  # noqa: SLF001
         http.data_received(block)
-        if http._request_count != count:  # noqa: SLF001
-            self.body = http._messages[-1][1]  # noqa: SLF001
+        is_new = http._request_count != count  # noqa: SLF001
+        if is_new:
+            message, body = http._messages[-1]  # noqa: SLF001
+            self._open_message(message, body, now_s)
+        if self.refused_at_s is not None:
+            return
         if self.body is not None and self.body.is_eof():
             self.body = None
+        excess = self._count(block, now_s, is_complete=is_new or was_open)
+        if excess is not None:
+            self.refuse(excess, now_s)
+
+    def _count(
+        self, block: bytes, now_s: float, *, is_complete: bool
+    ) -> Excess | None:
+        """Count a parsed block.
+
+        :param is_complete: whether it completed a head or a body
+        """
+        if self.body:
+            return self.meter.add_body(len(block), self.body.total_bytes)
+        if is_complete:
+            self.meter.reset()
+            return None
+        return self.meter.add_head(block, self.guard.header_bytes, now_s)
+
+    def _open_message(
+        self, message: object, body: StreamReader, now_s: float
+    ) -> None:
+        """Count a message from its head on; parse nothing after an error."""
+        if isinstance(message, RawRequestMessage):
+            self.meter.reset()
+            self.body = body
+            return
+        # The handler responds to the error. Each further block would be one
+        # more error.
+        self.refused_at_s = now_s
+        if self.body is not None:
+            self._fail_body('malformed')
+            self.http.close()
+
+    def _fail_body(self, reason: str) -> None:
+        """End the body that is being read, if any, with an error."""
+        if self.body is None:
+            return
+        self.body.set_exception(BadHttpMessage(reason))
+        # Nothing is left to be read and dropped after the response.
+        self.body.feed_eof()
 
     def _on_handler_resumed(self) -> None:
         """Continue with the bytes that waited for the handler."""
@@ -159,8 +258,14 @@
 class ConnectionGuard:
     """Holds what the connections of a socket share, and their bounds."""
 
-    def __init__(self) -> None:
-        """Hold no connection."""
+    def __init__(self, purpose: str, header_bytes: int) -> None:
+        """Hold no connection.
+
+        :param purpose: what the socket is for, in log lines
+        :param header_bytes: longest head of a request
+        """
+        self.purpose = purpose
+        self.header_bytes = header_bytes
         self.buffer = memoryview(bytearray(BLOCK_BYTES))
         self.turns: TurnQueue[CallerConnection] = TurnQueue()
         self.connections: dict[Any, CallerConnection] = {}
@@ -189,9 +294,9 @@
     def feed(self, connection: CallerConnection, block: bytes) -> None:
         """Parse a block and count its time."""
         started_s = time.monotonic()
-        connection.feed(block)
+        connection.feed(block, started_s)
         cost_s = time.monotonic() - started_s
-        if connection.body:
+        if connection.body or connection.meter.head_bytes:
             connection.cost_s += cost_s
         else:
             connection.cost_s = 0.0
@@ -209,6 +314,26 @@
             self.turns.add(connection, connection.cost_s)
         self._schedule_turn()
 
+    def refuse_late_heads(self, limit_s: float, now_s: float) -> None:
+        """Refuse the heads that have been incomplete for too long."""
+        for connection in tuple(self.connections.values()):
+            if connection.refused_at_s is not None:
+                connection.close_if_refused(now_s)
+            elif connection.body is None and connection.meter.is_late(
+                limit_s, now_s
+            ):
+                connection.refuse(Excess.LATE_HEAD, now_s)
+
+    def record_close(self, reason: str, held_bytes: int) -> None:
+        """Log and count a connection that is closed to keep a bound."""
+        METRICS.add('callers_closed_total', reason=reason)
+        log_event(
+            Event.CALLER_CLOSED,
+            socket=self.purpose,
+            reason=reason,
+            held_bytes=held_bytes,
+        )
+
     def _schedule_turn(self) -> None:
         """Begin a turn in the next iteration of the loop."""
         if not self.is_turn_due:
@@ -243,3 +368,12 @@
             self.enqueue(connection)
         else:
             transport.release()
+
+
+def _render_refusal(excess: Excess) -> bytes:
+    """Return the response to input that belongs to no request yet."""
+    status = excess.status
+    return (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Connection: close\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -1,6 +1,7 @@
 """The listening socket for callers and their connections."""
 
 import asyncio
+import time
 from typing import Any
 
 from aiohttp import web
@@ -24,6 +25,8 @@
 # A connection is read no further while twice this waits for its reader, or a
 # sixteenth of it in chunks.
 READ_BUFFER_BYTES = 65_536
+# Period at which the connections are checked against their bounds.
+CHECK_PERIOD_S = 0.25
 # Time for the requests that are on their way when idle connections close.
 REQUEST_ARRIVAL_S = 0.02
 
@@ -35,7 +38,7 @@
         """Hold the gateway and the configured limits; no socket is open."""
         self.gateway = gateway
         self.limits = RequestLimits()
-        self.guard = ConnectionGuard()
+        self.guard = ConnectionGuard('callers', self.limits.header_bytes)
         self.idle = IdleConnectionTask(
             _caller_settings(self.limits), self.guard.has_pending
         )
@@ -79,6 +82,14 @@
         if self.listener:
             self.listener.close()
 
+    async def run_checks(self) -> None:
+        """Check all connections against their bounds once a period."""
+        while True:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            self.guard.refuse_late_heads(
+                self.limits.header_timeout_s, time.monotonic()
+            )
+
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
 
@@ -125,6 +136,7 @@
     def _configure(self, table: RouteTable) -> None:
         """Apply the limits of a new configuration; connections stay open."""
         self.limits = table.limits
+        self.guard.header_bytes = table.limits.header_bytes
         self.idle.settings = _caller_settings(table.limits)
 
 
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -7,6 +7,13 @@
 from hypothesis import strategies as st
 
 from dandelionplank.ingress.connection import ConnectionGuard
+from dandelionplank.ingress.inputmeter import (
+    HEAD_SLACK_BYTES,
+    MAX_FRAMING_FACTOR,
+    MAX_IDLE_FRAMING_BYTES,
+    Excess,
+    InputMeter,
+)
 from dandelionplank.ingress.turns import (
     HEAVY_S,
     HEAVY_TURN_S,
@@ -15,6 +22,81 @@
 )
 from tests.fixtures import run_on_both_loops
 
+HEADER_BYTES = 16_384
+
+
+@given(st.lists(st.integers(1, 20_000)))
+def test_a_head_is_held_no_further_than_its_limit(sizes):
+    """Incomplete heads were held whatever their size."""
+    meter = InputMeter()
+    for size in sizes:
+        room = meter.count_room(HEADER_BYTES)
+        excess = meter.add_head(b'x' * min(size, room), HEADER_BYTES, 0)
+        assert meter.head_bytes <= HEADER_BYTES + HEAD_SLACK_BYTES
+        assert (excess is Excess.HEAD) == (size >= room)
+        if excess is not None:
+            return
+        assert meter.count_room(HEADER_BYTES) > 0
+
+
+@given(st.integers(1, HEADER_BYTES - 1), st.integers(0, 100))
+def test_a_head_within_the_limit_is_never_refused(size, empty_lines):
+    """A legal head may arrive byte by byte and after empty lines."""
+    meter = InputMeter()
+    meter.add_head(b'\r\n' * empty_lines, HEADER_BYTES, 0)
+    meter.add_head(b'G', HEADER_BYTES, 0)
+    assert meter.add_head(b'x' * (size - 1), HEADER_BYTES, 0) is None
+
+
+def test_empty_lines_are_told_from_a_head():
+    """An endless series of them is no head that is too large."""
+    meter = InputMeter()
+    lines = b'\r\n' * HEADER_BYTES
+    assert meter.add_head(lines, HEADER_BYTES, 0) is Excess.EMPTY_LINES
+
+
+def test_a_head_that_trickles_in_is_late():
+    """Each byte of a head postponed the timeout of its connection."""
+    meter = InputMeter()
+    assert not meter.is_late(3, 100)
+    for second in range(4):
+        meter.add_head(b'x', HEADER_BYTES, 100 + second)
+    assert not meter.is_late(3, 103)
+    assert meter.is_late(3, 103.5)
+    meter.reset()
+    assert not meter.is_late(3, 200)
+
+
+@given(st.lists(st.integers(1, 16_384), min_size=1))
+def test_the_smallest_chunks_are_no_excess(sizes):
+    """A body in chunks of one byte takes six bytes on the wire for each."""
+    meter = InputMeter()
+    found = 0
+    for size in sizes:
+        found += size // 6
+        assert meter.add_body(size, found) is None
+
+
+@given(st.integers(1, 16_384), st.integers(0, 1000))
+def test_framing_without_a_body_is_bounded(size, found):
+    """Extensions and trailers of chunks may come without end."""
+    meter = InputMeter()
+    meter.add_body(1, found)
+    bound = MAX_IDLE_FRAMING_BYTES + found * MAX_FRAMING_FACTOR
+    for _ in range(bound // size + 1):
+        if meter.add_body(size, found) is Excess.FRAMING:
+            return
+    raise AssertionError(meter.wire_bytes)
+
+
+def test_each_chunk_with_a_long_extension_is_bounded():
+    """A byte of a body now and then does not permit endless extensions."""
+    meter = InputMeter()
+    found = 0
+    while meter.add_body(4096, found) is None:
+        found += 1
+    assert meter.wire_bytes < 2 * MAX_IDLE_FRAMING_BYTES
+
 
 def test_small_requests_pass_messages_that_cost_much():
     """Bodies in chunks of one byte kept all others from being parsed."""
@@ -56,8 +138,8 @@
     async def serve(_):
         return web.Response()
 
-    server = web.Server(serve)
-    guard = ConnectionGuard()
+    server = web.Server(serve, max_line_size=65_536)
+    guard = ConnectionGuard('test', HEADER_BYTES)
     made = []
 
     def make():
@@ -71,13 +153,18 @@
     reader, writer = await asyncio.open_connection(host, port)
     await asyncio.sleep(0.05)
     connection = made[0]
+    assert connection.is_idle
     assert connection.http._request_count == 0
     connection.http.data_received(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    assert not connection.is_idle
     assert connection.http._request_count == 1
     message, body = connection.http._messages[-1]
     assert message.method == 'GET'
     assert body.is_eof()
     assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+    writer.write(b'GET /'.ljust(HEADER_BYTES + HEAD_SLACK_BYTES, b'x'))
+    received = await reader.read()
+    assert b'431' in received, received
     writer.close()
     listener.close()
     await server.shutdown()
