Bound the bodies that callers hold together

Processes were killed for their memory while clients sent bodies of legal size and left their connections open just before the end. Cause: each body was held in full, whatever all others held, for up to idle_timeout_s; beyond the process, the kernel held some MB of each connection.

ingress/heldbytes.py (pure) accounts for bodies by account and request. The first 65536 bytes of each count towards a part of the budget that large ones cannot use; the rest needs a place of its whole size, so that whoever has one can finish. Without a place a body is not read further, which reaches its sender; after 2 s it gets 503 with Retry-After. While some wait, bodies that grow by less than 256 kB a second lose their place (503). An account that has a place gets no more than half of them. Complete bodies are never refused. The budget follows from limits.memory_mb; the receive buffer of connections is limited where it is stated.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -146,6 +146,7 @@
                 self.crashes.watch,
             ),
             parts.codec,
+            settings.limits,
         )
         self.follower = StoreFollower(
             self.view,
--- /dev/null
+++ b/src/dandelionplank/ingress/bodies.py
@@ -0,0 +1,183 @@
+"""Reads the bodies of callers' requests within what all may hold."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Iterable, Iterator
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+
+from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.events import Event
+from dandelionplank.ingress.callerbounds import CallerBounds
+from dandelionplank.ingress.heldbytes import Decision, HeldBytes, Holding
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
+from dandelionplank.routing.routes import RequestLimits
+
+STEP = 'body'
+# Callers reach another instance when they retry.
+NO_ROOM_RETRY_S = 0.5
+
+
+class BodyReader:
+    """Reads bodies, lets them wait for room, and refuses those that stall."""
+
+    def __init__(self, bounds: CallerBounds) -> None:
+        """Hold no body."""
+        self.held = HeldBytes(bounds.small_bytes, bounds.large_bytes)
+        self.timeouts: dict[Holding, asyncio.Timeout] = {}
+        self.waiters: dict[Holding, asyncio.Future[None]] = {}
+        self.was_bounded = False
+
+    @contextlib.contextmanager
+    def hold(self, account: str) -> Iterator[Holding]:
+        """Account for the body of a request until the context ends."""
+        holding = self.held.open(account, time.monotonic())
+        try:
+            yield holding
+        finally:
+            self._wake(self.held.close(holding, time.monotonic()))
+
+    async def read(
+        self,
+        request: web.BaseRequest,
+        holding: Holding,
+        limits: RequestLimits,
+    ) -> bytes:
+        """Read the complete body within the limits.
+
+        :raises RefusalError: it is too large, too slow or malformed, or there
+            is no room for it
+        """
+        if not request.body_exists:
+            return b''
+        timeout = asyncio.timeout(limits.idle_timeout_s)
+        self.timeouts[holding] = timeout
+        try:
+            async with timeout:
+                return await self._collect(request, holding, limits.body_bytes)
+        except TimeoutError as error:
+            if holding.is_refused:
+                raise _no_room() from error
+            raise RefusalError(
+                step=STEP,
+                code=ErrorCode.REQUEST_TIMEOUT,
+            ) from error
+        except HttpProcessingError as error:
+            raise RefusalError(step=STEP, code=ErrorCode.BAD_REQUEST) from error
+        finally:
+            self.timeouts.pop(holding, None)
+
+    def check(self, now_s: float) -> None:
+        """Refuse bodies that stall or wait too long, and log a change."""
+        is_bounded = self.held.is_bounded
+        self._refuse('body', self.held.refuse_stalled(now_s))
+        METRICS.set_gauge('caller_body_bytes', self.held.large_bytes)
+        METRICS.set_gauge('caller_waiting_bodies', len(self.held.waiting))
+        if is_bounded != self.was_bounded:
+            self.was_bounded = is_bounded
+            log_event(
+                Event.CALLERS_BOUNDED,
+                bound='bodies',
+                is_reached=is_bounded,
+                small_bytes=self.held.small_bytes,
+                large_bytes=self.held.large_bytes,
+                waiting=len(self.held.waiting),
+            )
+
+    def refuse_idle(self, count: int) -> None:
+        """Refuse some stalled bodies, because connections run short."""
+        refused = self.held.refuse_idle(count, time.monotonic())
+        self._refuse('connections', refused)
+
+    async def _collect(
+        self, request: web.BaseRequest, holding: Holding, limit_bytes: int
+    ) -> bytes:
+        """Return the body, read no faster than there is room for it.
+
+        :raises RefusalError: it is too large, or there is no room for it
+        """
+        stated_bytes = request.content_length or 0
+        if stated_bytes > limit_bytes:
+            raise RefusalError(step=STEP, code=ErrorCode.TOO_LARGE)
+        size_bytes = stated_bytes or limit_bytes
+        source = request.content
+        block = await source.readany()
+        if source.at_eof():
+            # Most bodies arrive whole.
+            self.held.add(holding, len(block), len(block), time.monotonic())
+            _check_size(block, limit_bytes)
+            self.held.complete(holding, time.monotonic())
+            return block
+        body = bytearray()
+        while block:
+            body += block
+            _check_size(body, limit_bytes)
+            await self._wait_for_room(holding, len(block), size_bytes)
+            block = await source.readany()
+        self._wake(self.held.complete(holding, time.monotonic()))
+        return bytes(body)
+
+    async def _wait_for_room(
+        self, holding: Holding, count: int, size_bytes: int
+    ) -> None:
+        """Count a block and wait until the body may be read further.
+
+        :raises RefusalError: there is no room
+        """
+        now_s = time.monotonic()
+        decision = self.held.add(holding, count, size_bytes, now_s)
+        if decision is Decision.READ:
+            return
+        if decision is Decision.REFUSE:
+            raise _no_room()
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters[holding] = waiter
+        try:
+            await waiter
+        finally:
+            self.waiters.pop(holding, None)
+
+    def _wake(self, granted: Iterable[Holding]) -> None:
+        """Let bodies be read that got a place."""
+        for holding in granted:
+            waiter = self.waiters.get(holding)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+
+    def _refuse(self, reason: str, refused: Iterable[Holding]) -> None:
+        """End the reading of some bodies now."""
+        loop = asyncio.get_running_loop()
+        for holding in refused:
+            METRICS.add('callers_closed_total', reason=reason)
+            log_event(
+                Event.CALLER_CLOSED,
+                socket='callers',
+                reason=reason,
+                account=holding.account,
+                held_bytes=holding.received,
+            )
+            timeout = self.timeouts.get(holding)
+            if timeout is not None:
+                timeout.reschedule(loop.time())
+
+
+def _check_size(body: bytes | bytearray, limit_bytes: int) -> None:
+    """Check a body against its limit.
+
+    :raises RefusalError: it is too large
+    """
+    if len(body) > limit_bytes:
+        raise RefusalError(step=STEP, code=ErrorCode.TOO_LARGE)
+
+
+def _no_room() -> RefusalError:
+    """Return the refusal of a body for which there is no room."""
+    return RefusalError(
+        'no room for the body',
+        step=STEP,
+        code=ErrorCode.OVERLOADED,
+        retry_after_s=NO_ROOM_RETRY_S,
+    )
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -8,7 +8,6 @@
 
 import xxhash
 from aiohttp import web
-from aiohttp.http_exceptions import HttpProcessingError
 
 from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.delivery import Delivery
@@ -24,7 +23,10 @@
     RefusalError,
 )
 from dandelionplank.events import Event
+from dandelionplank.fleet.settings import GatewayLimits
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.ingress.bodies import BodyReader
+from dandelionplank.ingress.callerbounds import derive_bounds
 from dandelionplank.ingress.grace import GracePeriod
 from dandelionplank.ingress.loopdelay import LoopDelayMeter
 from dandelionplank.ingress.overload import OverloadControl
@@ -66,13 +68,19 @@
         view: FleetView,
         delivery: Delivery,
         codec: RequestCodec,
+        limits: GatewayLimits,
     ) -> None:
-        """Hold the view of the fleet and the delivery of requests."""
+        """Hold the view of the fleet and the delivery of requests.
+
+        :param limits: what the machine grants the process
+        """
         self.view = view
         self.delivery = delivery
         self.codec = codec
         self.is_leaving = False
         self.open_requests = 0
+        self.bounds = derive_bounds(limits.memory_mb, limits.file_descriptors)
+        self.bodies = BodyReader(self.bounds)
         self.grace = GracePeriod()
         self.overload = OverloadControl()
         self.loop_delay = LoopDelayMeter(self.overload)
@@ -119,9 +127,27 @@
         route = self._route(table, request)
         account = self._account(table, route, metadata)
         self._check_overload(account)
-        body = await self.grace.limit(self._read_body(request, table), Trace())
-        self.grace.check_admission()
-        self._check_key_confirmed(route, metadata)
+        with self.bodies.hold(account) as holding:
+            body = await self.grace.limit(
+                self.bodies.read(request, holding, table.limits), Trace()
+            )
+            self.grace.check_admission()
+            self._check_key_confirmed(route, metadata)
+            return await self._deliver(
+                request, body, metadata, route, account, started_s
+            )
+
+    async def _deliver(
+        self,
+        request: web.BaseRequest,
+        body: bytes,
+        metadata: RequestMetadata,
+        route: Route,
+        account: str,
+        started_s: float,
+    ) -> web.StreamResponse:
+        """Deliver a complete request and return its response."""
+        table = self._current_table()
         service = route.pick_service(_split_point(metadata.request_id))
         caller = self._caller_request(
             request,
@@ -262,27 +288,6 @@
             retry_after_s=STALE_RETRY_S,
         )
 
-    async def _read_body(
-        self,
-        request: web.BaseRequest,
-        table: RouteTable,
-    ) -> bytes:
-        """Read the complete body within the limits."""
-        if not request.body_exists:
-            return b''
-        try:
-            async with asyncio.timeout(table.limits.idle_timeout_s):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RefusalError(step=STEP, code=ErrorCode.TOO_LARGE) from error
-        except TimeoutError as error:
-            raise RefusalError(
-                step=STEP,
-                code=ErrorCode.REQUEST_TIMEOUT,
-            ) from error
-        except HttpProcessingError as error:
-            raise RefusalError(step=STEP, code=ErrorCode.BAD_REQUEST) from error
-
     def _caller_request(
         self,
         request: web.BaseRequest,
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -1,6 +1,7 @@
 """The listening socket for callers and their connections."""
 
 import asyncio
+import socket
 import time
 from typing import Any
 
@@ -36,6 +37,7 @@
 
     def __init__(self, gateway: Gateway, view: FleetView) -> None:
         """Hold the gateway and the configured limits; no socket is open."""
+        self.bounds = gateway.bounds
         self.gateway = gateway
         self.limits = RequestLimits()
         self.guard = ConnectionGuard('callers', self.limits.header_bytes)
@@ -70,12 +72,16 @@
             read_bufsize=READ_BUFFER_BYTES,
         )
         self.idle.server = self.server
-        self.listener = await asyncio.get_running_loop().create_server(
-            self._make_protocol,
-            address.ip,
-            address.port,
-            backlog=BACKLOG_CONNECTIONS,
-        )
+        listening = self._open_socket(address)
+        try:
+            self.listener = await asyncio.get_running_loop().create_server(
+                self._make_protocol,
+                sock=listening,
+                backlog=BACKLOG_CONNECTIONS,
+            )
+        except OSError:
+            listening.close()
+            raise
 
     def stop_accepting(self) -> None:
         """Accept no new connections; open ones continue."""
@@ -86,9 +92,9 @@
         """Check all connections against their bounds once a period."""
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
-            self.guard.refuse_late_heads(
-                self.limits.header_timeout_s, time.monotonic()
-            )
+            now_s = time.monotonic()
+            self.guard.refuse_late_heads(self.limits.header_timeout_s, now_s)
+            self.gateway.bodies.check(now_s)
 
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
@@ -99,6 +105,25 @@
         await run_turns()
         await self.idle.close_idle(self.connections)
 
+    def _open_socket(self, address: Address) -> socket.socket:
+        """Return a socket whose connections inherit its receive buffer.
+
+        Bytes that are received and not read count as memory of the process.
+
+        :raises OSError: the address cannot be used
+        """
+        listening = socket.socket()
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            size = self.bounds.receive_buffer_bytes
+            if size:
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            listening.bind((address.ip, address.port))
+        except OSError:
+            listening.close()
+            raise
+        return listening
+
     def _make_protocol(self) -> CallerConnection:
         """Return the protocol of a new connection."""
         assert self.server is not None
