Bound callers' connections and the responses that they do not read

Two faults that share their checks. Nothing bounded how many connections callers open: a process could run out of descriptors, which its connections to targets and the store need too. Responses of up to 4 MB were held for each caller that reads nothing.

The bound on connections follows from limits.file_descriptors, less 200 for files and a quarter of the rest for targets, peers and the store. From nine tenths of it on, the longest idle connections close, as at a planned stop, so that no request is read and dropped; then bodies that stall; a connection beyond the bound closes at once. Unread responses are summed up five times a second, or at once after large ones, and callers that read nothing, then the largest, are closed (events 214 and 215). A body that stalls and is refused closes its connection with the response.

--- a/src/dandelionplank/ingress/bodies.py
+++ b/src/dandelionplank/ingress/bodies.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 from collections.abc import Iterable, Iterator
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -11,7 +12,13 @@
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.events import Event
 from dandelionplank.ingress.callerbounds import CallerBounds
-from dandelionplank.ingress.heldbytes import Decision, HeldBytes, Holding
+from dandelionplank.ingress.connection import GatedTransport
+from dandelionplank.ingress.heldbytes import (
+    STALL_S,
+    Decision,
+    HeldBytes,
+    Holding,
+)
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.routes import RequestLimits
@@ -60,6 +67,7 @@
                 return await self._collect(request, holding, limits.body_bytes)
         except TimeoutError as error:
             if holding.is_refused:
+                _close_after_response(request, holding)
                 raise _no_room() from error
             raise RefusalError(
                 step=STEP,
@@ -164,6 +172,19 @@
                 timeout.reschedule(loop.time())
 
 
+def _close_after_response(request: web.BaseRequest, holding: Holding) -> None:
+    """Close the connection of a body that stalls after its refusal.
+
+    A caller that still sends gets the refusal only if its body is read.
+    """
+    transport: Any = request.transport
+    is_stalled = holding.idle_s(time.monotonic()) >= STALL_S
+    if not is_stalled or holding.wanted_bytes:
+        return
+    if isinstance(transport, GatedTransport):
+        transport.end_input()
+
+
 def _check_size(body: bytes | bytearray, limit_bytes: int) -> None:
     """Check a body against its limit.
 
--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -17,6 +17,11 @@
 from aiohttp.streams import StreamReader
 
 from dandelionplank.events import Event
+from dandelionplank.ingress.callerbounds import (
+    CallerBounds,
+    Unread,
+    find_slow_readers,
+)
 from dandelionplank.ingress.inputmeter import Excess, InputMeter
 from dandelionplank.ingress.turns import TurnQueue
 from dandelionplank.logs import log_event
@@ -36,14 +41,20 @@
     """
 
     def __init__(
-        self, transport: asyncio.Transport, resumed: Callable[[], None]
+        self,
+        transport: asyncio.Transport,
+        resumed: Callable[[], None],
+        end_input: Callable[[], None],
     ) -> None:
         """Hold a transport that reads.
 
         :param resumed: called when the handler reads again
+        :param end_input: ends the body that is being read; the connection
+            closes after the response
         """
         self.raw = transport
         self.resumed = resumed
+        self.end_input = end_input
         self.is_paused_by_handler = False
         self.is_held = False
         self.write = transport.write
@@ -106,6 +117,7 @@
         self.is_queued = False
         self.refused_at_s: float | None = None
         self.cost_s = 0.0
+        self.unread_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -117,10 +129,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Give the handler a transport that both may pause."""
         self.transport = GatedTransport(
-            cast(asyncio.Transport, transport), self._on_handler_resumed
+            cast(asyncio.Transport, transport),
+            self._on_handler_resumed,
+            self.end_input,
         )
+        if not self.guard.admit(self):
+            self.transport.abort()
+            return
         self.http.connection_made(self.transport)
-        self.guard.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop what waits and end the handler."""
@@ -183,6 +199,20 @@
         self._fail_body(excess.label)
         self.http.close()
 
+    def end_input(self) -> None:
+        """Read no more; close the connection after the current response."""
+        self.refused_at_s = time.monotonic()
+        self.pending.clear()
+        self._fail_body('ended')
+        self.http.close()
+
+    def take_unread(self) -> Unread['CallerConnection']:
+        """Return what the caller has not read, and remember it."""
+        size = self.transport.get_write_buffer_size() if self.transport else 0
+        unread = Unread(self, size, self.unread_bytes)
+        self.unread_bytes = size
+        return unread
+
     def close_if_refused(self, now_s: float) -> None:
         """Close a refused connection whose handler has nothing left to do."""
         if self.refused_at_s is None or self.transport is None:
@@ -258,12 +288,18 @@
 class ConnectionGuard:
     """Holds what the connections of a socket share, and their bounds."""
 
-    def __init__(self, purpose: str, header_bytes: int) -> None:
+    def __init__(
+        self, purpose: str, header_bytes: int, bounds: CallerBounds
+    ) -> None:
         """Hold no connection.
 
         :param purpose: what the socket is for, in log lines
         :param header_bytes: longest head of a request
+        :param bounds: what the connections may hold together
         """
+        self.bounds = bounds
+        self.unread_bytes = 0
+        self.is_crowded = asyncio.Event()
         self.purpose = purpose
         self.header_bytes = header_bytes
         self.buffer = memoryview(bytearray(BLOCK_BYTES))
@@ -275,9 +311,40 @@
         """Return the protocol of a new connection."""
         return CallerConnection(http, self)
 
-    def opened(self, connection: CallerConnection) -> None:
-        """Register a connection that has been accepted."""
+    def admit(self, connection: CallerConnection) -> bool:
+        """Register a connection that was accepted, unless there are too many.
+
+        :return: whether it stays open
+        """
+        count = len(self.connections)
+        if count >= self.bounds.crowded_connections:
+            self.is_crowded.set()
+        if count >= self.bounds.connections:
+            METRICS.add('callers_closed_total', reason='connections')
+            return False
         self.connections[connection.http] = connection
+        return True
+
+    def expect_response(self, size: int) -> None:
+        """Count a response that is about to be written until the next check."""
+        self.unread_bytes += size
+        if self.unread_bytes > self.bounds.response_bytes:
+            self.is_crowded.set()
+
+    def close_slow_readers(self) -> None:
+        """Close connections whose responses are read too slowly.
+
+        Only as many as the bound on the unread bytes of all requires.
+        """
+        unread = [each.take_unread() for each in self.connections.values()]
+        self.unread_bytes = sum(each.size for each in unread)
+        METRICS.set_gauge('caller_unread_bytes', self.unread_bytes)
+        slow = find_slow_readers(unread, self.bounds.response_bytes)
+        for each in tuple(slow):
+            self.record_close('slow reader', each.size)
+            transport = each.writer.transport
+            if transport is not None:
+                transport.abort()
 
     def has_pending(self, http: Any) -> bool:
         """Return whether bytes of a handler's connection wait."""
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -1,6 +1,7 @@
 """The listening socket for callers and their connections."""
 
 import asyncio
+import contextlib
 import socket
 import time
 from typing import Any
@@ -10,12 +11,15 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from dandelionplank.events import Event
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.connection import (
     CallerConnection,
     ConnectionGuard,
 )
 from dandelionplank.ingress.gateway import Gateway
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
 from dandelionplank.router.idle import IdleConnectionTask, run_turns
 from dandelionplank.routing.routes import RequestLimits, RouteTable
 from dandelionplank.settings import Address, CallerSettings
@@ -27,7 +31,11 @@
 # sixteenth of it in chunks.
 READ_BUFFER_BYTES = 65_536
 # Period at which the connections are checked against their bounds.
-CHECK_PERIOD_S = 0.25
+CHECK_PERIOD_S = 0.2
+# Shortest period: a check passes over all connections.
+MIN_CHECK_PERIOD_S = 0.05
+# Larger responses count as unread until the next check.
+LARGE_RESPONSE_BYTES = 65_536
 # Time for the requests that are on their way when idle connections close.
 REQUEST_ARRIVAL_S = 0.02
 
@@ -38,9 +46,12 @@
     def __init__(self, gateway: Gateway, view: FleetView) -> None:
         """Hold the gateway and the configured limits; no socket is open."""
         self.bounds = gateway.bounds
+        self.was_crowded = False
         self.gateway = gateway
         self.limits = RequestLimits()
-        self.guard = ConnectionGuard('callers', self.limits.header_bytes)
+        self.guard = ConnectionGuard(
+            'callers', self.limits.header_bytes, gateway.bounds
+        )
         self.idle = IdleConnectionTask(
             _caller_settings(self.limits), self.guard.has_pending
         )
@@ -89,12 +100,18 @@
             self.listener.close()
 
     async def run_checks(self) -> None:
-        """Check all connections against their bounds once a period."""
+        """Check all connections once a period, or as they become too many."""
         while True:
-            await asyncio.sleep(CHECK_PERIOD_S)
+            await asyncio.sleep(MIN_CHECK_PERIOD_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_PERIOD_S):
+                    await self.guard.is_crowded.wait()
+            self.guard.is_crowded.clear()
             now_s = time.monotonic()
             self.guard.refuse_late_heads(self.limits.header_timeout_s, now_s)
+            self.guard.close_slow_readers()
             self.gateway.bodies.check(now_s)
+            await self._make_room()
 
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
@@ -105,6 +122,33 @@
         await run_turns()
         await self.idle.close_idle(self.connections)
 
+    async def _make_room(self) -> None:
+        """Close the longest idle connections while there are too many."""
+        count = len(self.guard.connections)
+        surplus = self.bounds.count_surplus(count)
+        if bool(surplus) != self.was_crowded:
+            self.was_crowded = bool(surplus)
+            log_event(
+                Event.CALLERS_BOUNDED,
+                bound='connections',
+                is_reached=self.was_crowded,
+                open_connections=count,
+            )
+        if not surplus:
+            return
+        idle = self.idle.find_longest_idle(self.connections)
+        closed = await self.idle.close_idle(idle[:surplus])
+        METRICS.add('callers_closed_total', closed, reason='idle')
+        log_event(
+            Event.CALLER_CLOSED,
+            socket='callers',
+            reason='idle',
+            connections=closed,
+            held_bytes=0,
+        )
+        if closed < surplus:
+            self.gateway.bodies.refuse_idle(surplus - closed)
+
     def _open_socket(self, address: Address) -> socket.socket:
         """Return a socket whose connections inherit its receive buffer.
 
@@ -135,7 +179,11 @@
         """Serve one request and record its start and end for idle timeouts."""
         self.idle.record_request_start(request.protocol)
         try:
-            return await self.gateway.handle_request(request)
+            response = await self.gateway.handle_request(request)
+            length = response.content_length
+            if length is not None and length > LARGE_RESPONSE_BYTES:
+                self.guard.expect_response(length)
+            return response
         finally:
             self.idle.record_request_end(request.protocol)
 
--- a/src/dandelionplank/router/idle.py
+++ b/src/dandelionplank/router/idle.py
@@ -115,6 +115,12 @@
                 connection.transport.resume_reading()
         return closed
 
+    def find_longest_idle(self, connections: list[Any]) -> list[Any]:
+        """Return the connections that carry no request, longest idle first."""
+        idle = [each for each in connections if self.is_idle(each)]
+        idle.sort(key=lambda each: self._activity_of(each).idle_since_s)
+        return idle
+
     def find_expired(self, connections: list[Any]) -> list[Any]:
         """Return the connections that have waited longer than their limit."""
         now_s = time.monotonic()
--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from dandelionplank.ingress.callerbounds import CallerBounds
 from dandelionplank.ingress.connection import ConnectionGuard
 from dandelionplank.ingress.inputmeter import (
     HEAD_SLACK_BYTES,
@@ -139,7 +140,7 @@
         return web.Response()
 
     server = web.Server(serve, max_line_size=65_536)
-    guard = ConnectionGuard('test', HEADER_BYTES)
+    guard = ConnectionGuard('test', HEADER_BYTES, CallerBounds())
     made = []
 
     def make():
@@ -169,3 +170,60 @@
     listener.close()
     await server.shutdown()
     assert not guard.connections
+
+
+@run_on_both_loops
+async def test_responses_that_callers_do_not_read_are_bounded():
+    """Callers that read nothing kept whole responses in memory."""
+    bounds = CallerBounds(held_bytes=10_000_000)
+
+    async def serve(_):
+        return web.Response(body=b'x' * 8_000_000)
+
+    server = web.Server(serve)
+    guard = ConnectionGuard('test', HEADER_BYTES, bounds)
+    listener = await asyncio.get_running_loop().create_server(
+        lambda: guard.wrap(server()), '127.0.0.1', 0
+    )
+    address = listener.sockets[0].getsockname()
+    callers = [await asyncio.open_connection(*address) for _ in range(5)]
+    for _, writer in callers:
+        writer.transport.pause_reading()
+        writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    await asyncio.sleep(0.2)
+    guard.close_slow_readers()
+    assert guard.unread_bytes > bounds.response_bytes
+    await asyncio.sleep(0.05)
+    assert len(guard.connections) < len(callers)
+    guard.close_slow_readers()
+    assert guard.unread_bytes <= bounds.response_bytes
+    for _, writer in callers:
+        writer.transport.abort()
+    listener.close()
+    await server.shutdown()
+
+
+@run_on_both_loops
+async def test_connections_beyond_the_bound_are_not_kept():
+    """A process without free descriptors cannot reach its targets."""
+
+    async def serve(_):
+        return web.Response()
+
+    server = web.Server(serve)
+    bounds = CallerBounds(connections=4)
+    guard = ConnectionGuard('test', HEADER_BYTES, bounds)
+    listener = await asyncio.get_running_loop().create_server(
+        lambda: guard.wrap(server()), '127.0.0.1', 0
+    )
+    address = listener.sockets[0].getsockname()
+    callers = [await asyncio.open_connection(*address) for _ in range(6)]
+    await asyncio.sleep(0.05)
+    assert guard.is_crowded.is_set()
+    assert len(server.connections) == len(guard.connections) == 4
+    for _, writer in callers:
+        writer.close()
+    await asyncio.sleep(0.05)
+    assert not guard.connections
+    listener.close()
+    await server.shutdown()
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -126,12 +126,16 @@
     async def watch(self):
         """Sample what /proc has no maximum of, until cancelled."""
         while True:
-            self.unread = max(self.unread, unread_bytes(self.address[1]))
-            self.descriptors = max(
-                self.descriptors, count_descriptors(self.gateway.process)
-            )
+            self.sample()
             await asyncio.sleep(SAMPLE_S)
 
+    def sample(self):
+        """Record the present figures if they are the highest."""
+        self.unread = max(self.unread, unread_bytes(self.address[1]))
+        self.descriptors = max(
+            self.descriptors, count_descriptors(self.gateway.process)
+        )
+
     async def call(self, *pieces):
         """Send a request; return the status of its response, zero for none."""
         reader, writer = await asyncio.open_connection(*self.address)
@@ -161,6 +165,7 @@
             await eventually(self.answers, limit_s=ANSWER_LIMIT_S)
         except TimeoutError:
             has_answered = False
+        self.sample()
         figures = (
             f'peak {self.peak_bytes / MEGABYTE:.0f} MB, of these unread '
             f'{self.unread / MEGABYTE:.0f} MB, descriptors '
@@ -226,10 +231,11 @@
             await writer.drain()
 
 
-async def check_clients(make_pieces):
+async def check_clients(make_pieces, clients=CLIENTS):
     """Check a gateway to which all clients send the same input.
 
     :param make_pieces: returns the pieces that one client sends
+    :param clients: how many there are
     """
     async with started_victim() as victim:
         opened = []
@@ -238,7 +244,7 @@
             asyncio.ensure_future(
                 send_until_closed(victim, make_pieces(), opened)
             )
-            for _ in range(CLIENTS)
+            for _ in range(clients)
         ]
         _, unfinished = await asyncio.wait(sends, timeout=SENDING_S)
         for send in unfinished:
@@ -357,6 +363,16 @@
     await check_clients(pieces)
 
 
+@run_async
+async def test_idle_connections_without_end():
+    """Connections that send nothing used up the descriptors."""
+
+    def pieces():
+        yield b'GET /look'
+
+    await check_clients(pieces, FILE_DESCRIPTORS + 100)
+
+
 @run_async
 async def test_legal_requests_are_served_alone():
     """Bounds must not refuse what the configuration allows."""
