Bound the callers of the pages, and reports of unlisted senders

Connections to the readiness page and the metrics used descriptors of the whole process, without any bound, and their heads and bodies had the library's limits only. Reports of any number of sender names were kept for as long as each report stated.

The pages have connections of the same kind as callers, with fixed figures: 64 connections, of which idle ones close for new ones, 8192 bytes and 5 s for a head, 32 kB in the kernel. Reports of at most 1024 senders that the store does not list are kept.

The tests of the other ports are new.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -224,6 +224,7 @@
             self.gateway.loop_delay.run,
             self._log_load,
             self._serve_metrics,
+            self.pages.run_checks,
         ):
             self._spawn(run)
         await open_when_possible(
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -45,6 +45,9 @@
 MAX_PREFILL_BYTES = 24_576
 # Bytes of a part besides its id.
 PART_OVERHEAD_BYTES = 8
+# Reports of senders that the store does not list. An instance that has just
+# started knows none of its peers from the store.
+MAX_UNLISTED_SENDERS = 1024
 RENEWALS_PER_TTL = 3
 FAILED_RENEWAL_PAUSE_S = 1.0
 # Random factor on the pause between renewals, so that instances that start
@@ -247,6 +250,9 @@
             return
         now_s = time.monotonic()
         known = self.peer_loads.reports.get(report.sender)
+        if known is None and not self._has_room_for(report.sender):
+            METRICS.add('peer_reports_unlisted_total')
+            return
         if not self.peer_loads.receive(report, now_s):
             return
         if known is None:
@@ -265,6 +271,16 @@
             now_s,
         )
 
+    def _has_room_for(self, sender: str) -> bool:
+        """Return whether a new sender's report is kept.
+
+        An instance that has just started may not be listed in the store yet.
+        """
+        if sender in self.view.peers:
+            return True
+        unlisted = self.peer_loads.reports.keys() - self.view.peers.keys()
+        return len(unlisted) < MAX_UNLISTED_SENDERS
+
     def _send_listed(self, name: str, block: bytes) -> None:
         """Send an encoded message to an instance, if its address is known."""
         address = self.view.peers.get(name)
--- a/src/dandelionplank/fleet/sockets.py
+++ b/src/dandelionplank/fleet/sockets.py
@@ -7,16 +7,34 @@
 import asyncio
 import dataclasses
 import functools
+import socket
+import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from aiohttp import web
 
 from dandelionplank.events import Event
+from dandelionplank.ingress.callerbounds import CallerBounds
+from dandelionplank.ingress.connection import ConnectionGuard, PageGuard
 from dandelionplank.logs import log_event
 from dandelionplank.settings import Address
 
 RETRY_S = 0.2
+# Bounds of the pages, which few programs read: one request a second each.
+PAGE_HEADER_BYTES = 8192
+PAGE_HEADER_S = 5.0
+PAGE_IDLE_S = 75.0
+PAGE_LINGERING_S = 1.0
+PAGE_READ_BUFFER_BYTES = 16_384
+PAGE_BACKLOG_CONNECTIONS = 128
+PAGE_CHECK_PERIOD_S = 0.5
+PAGE_HELD_BYTES = 8_388_608
+PAGE_CONNECTIONS = 64
+PAGE_RECEIVE_BUFFER_BYTES = 32_768
+PAGE_BOUNDS = CallerBounds(
+    PAGE_HELD_BYTES, PAGE_CONNECTIONS, PAGE_RECEIVE_BUFFER_BYTES
+)
 # One failure in so many is logged.
 LOGGED_FAILURES = 50
 
@@ -55,11 +73,16 @@
 
 
 class PageServer:
-    """Serves pages for the platform, each on an address of its own."""
+    """Serves pages for the platform, each on an address of its own.
+
+    Their callers are bounded like those of the gateway, with fixed figures.
+    """
 
     def __init__(self) -> None:
         """Hold the servers, at first none."""
         self.runners: list[web.AppRunner] = []
+        self.listeners: list[asyncio.Server] = []
+        self.guards: list[ConnectionGuard] = []
 
     async def serve(
         self, address: Address, path: str, render: Callable[[], Page]
@@ -70,29 +93,82 @@
         """
         application = web.Application()
         application.router.add_get(path, functools.partial(_respond, render))
-        runner = web.AppRunner(application, access_log=None)
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            keepalive_timeout=PAGE_IDLE_S,
+            lingering_time=PAGE_LINGERING_S,
+            read_bufsize=PAGE_READ_BUFFER_BYTES,
+        )
         await runner.setup()
         self.runners.append(runner)
+        guard = PageGuard(path, PAGE_HEADER_BYTES, PAGE_BOUNDS)
+        self.guards.append(guard)
         await open_when_possible(
-            path, address.text, functools.partial(_listen, runner, address)
+            path,
+            address.text,
+            functools.partial(self._listen, runner, guard, address),
         )
 
+    async def run_checks(self) -> None:
+        """Check the pages' connections against their bounds periodically."""
+        while True:
+            await asyncio.sleep(PAGE_CHECK_PERIOD_S)
+            for guard in self.guards:
+                guard.refuse_late_heads(PAGE_HEADER_S, time.monotonic())
+                guard.close_slow_readers()
+
     async def close(self) -> None:
         """Close the addresses of all pages."""
+        for listener in self.listeners:
+            listener.close()
         for runner in self.runners:
             await runner.cleanup()
 
+    async def _listen(
+        self, runner: web.AppRunner, guard: ConnectionGuard, address: Address
+    ) -> None:
+        """Listen on an address.
 
-async def _listen(runner: web.AppRunner, address: Address) -> None:
-    """Listen on an address.
+        :raises OSError: the address cannot be used
+        """
+        server = runner.server
+        assert server is not None
+        listener = await listen_bounded(
+            lambda: guard.wrap(server()),
+            address,
+            PAGE_BACKLOG_CONNECTIONS,
+            PAGE_BOUNDS.receive_buffer_bytes,
+        )
+        self.listeners.append(listener)
+
+
+async def listen_bounded(
+    make_protocol: Callable[[], asyncio.BufferedProtocol],
+    address: Address,
+    backlog_connections: int,
+    receive_buffer_bytes: int,
+) -> asyncio.Server:
+    """Listen with a bound on what the kernel receives for each connection.
 
+    Bytes that are received and not read count as memory of the process.
+
+    :param receive_buffer_bytes: the bound, zero for that of the system
     :raises OSError: the address cannot be used
     """
-    site = web.TCPSite(runner, address.ip, address.port)
+    listening = socket.socket()
     try:
-        await site.start()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer_bytes:
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        listening.bind((address.ip, address.port))
+        return await asyncio.get_running_loop().create_server(
+            make_protocol, sock=listening, backlog=backlog_connections
+        )
     except OSError:
-        await site.stop()
+        listening.close()
         raise
 
 
--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -288,6 +288,10 @@
 class ConnectionGuard:
     """Holds what the connections of a socket share, and their bounds."""
 
+    # A connection that carries no request closes for a new one. Callers' ones
+    # are closed with more care, so that no request is read and dropped.
+    replaces_idle = False
+
     def __init__(
         self, purpose: str, header_bytes: int, bounds: CallerBounds
     ) -> None:
@@ -319,7 +323,7 @@
         count = len(self.connections)
         if count >= self.bounds.crowded_connections:
             self.is_crowded.set()
-        if count >= self.bounds.connections:
+        if count >= self.bounds.connections and not self._close_idle():
             METRICS.add('callers_closed_total', reason='connections')
             return False
         self.connections[connection.http] = connection
@@ -401,6 +405,16 @@
             held_bytes=held_bytes,
         )
 
+    def _close_idle(self) -> bool:
+        """Close the oldest connection without a request; return if there is."""
+        idle = next(filter(_is_idle, self.connections.values()), None)
+        if idle is None or not self.replaces_idle:
+            return False
+        self.record_close('idle', idle.meter.head_bytes)
+        self.connections.pop(idle.http)
+        idle.http.force_close()
+        return True
+
     def _schedule_turn(self) -> None:
         """Begin a turn in the next iteration of the loop."""
         if not self.is_turn_due:
@@ -437,6 +451,17 @@
             transport.release()
 
 
+def _is_idle(connection: CallerConnection) -> bool:
+    """Return whether a connection carries no request."""
+    return connection.is_idle
+
+
+class PageGuard(ConnectionGuard):
+    """Holds the connections of a page, any of which may be opened again."""
+
+    replaces_idle = True
+
+
 def _render_refusal(excess: Excess) -> bytes:
     """Return the response to input that belongs to no request yet."""
     status = excess.status
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from typing import Any
 
@@ -12,6 +11,7 @@
 from aiohttp.streams import StreamReader
 
 from dandelionplank.events import Event
+from dandelionplank.fleet.sockets import listen_bounded
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.connection import (
     CallerConnection,
@@ -83,16 +83,12 @@
             read_bufsize=READ_BUFFER_BYTES,
         )
         self.idle.server = self.server
-        listening = self._open_socket(address)
-        try:
-            self.listener = await asyncio.get_running_loop().create_server(
-                self._make_protocol,
-                sock=listening,
-                backlog=BACKLOG_CONNECTIONS,
-            )
-        except OSError:
-            listening.close()
-            raise
+        self.listener = await listen_bounded(
+            self._make_protocol,
+            address,
+            BACKLOG_CONNECTIONS,
+            self.bounds.receive_buffer_bytes,
+        )
 
     def stop_accepting(self) -> None:
         """Accept no new connections; open ones continue."""
@@ -149,25 +145,6 @@
         if closed < surplus:
             self.gateway.bodies.refuse_idle(surplus - closed)
 
-    def _open_socket(self, address: Address) -> socket.socket:
-        """Return a socket whose connections inherit its receive buffer.
-
-        Bytes that are received and not read count as memory of the process.
-
-        :raises OSError: the address cannot be used
-        """
-        listening = socket.socket()
-        try:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            size = self.bounds.receive_buffer_bytes
-            if size:
-                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-            listening.bind((address.ip, address.port))
-        except OSError:
-            listening.close()
-            raise
-        return listening
-
     def _make_protocol(self) -> CallerConnection:
         """Return the protocol of a new connection."""
         assert self.server is not None
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import itertools
 import os
 import tempfile
@@ -117,6 +118,16 @@
         address = Address.from_text(self.gateway.address)
         return address.ip, address.port
 
+    @property
+    def pages(self):
+        """Return host and port of each page."""
+        listen = self.gateway.settings.listen
+        readiness = Address.from_text(listen.readiness)
+        return {
+            'readiness': (readiness.ip, readiness.port),
+            'metrics': (self.address[0], listen.metrics_port),
+        }
+
     @property
     def peak_bytes(self):
         """Return the highest resident memory with the unread bytes."""
@@ -136,9 +147,16 @@
             self.descriptors, count_descriptors(self.gateway.process)
         )
 
-    async def call(self, *pieces):
-        """Send a request; return the status of its response, zero for none."""
-        reader, writer = await asyncio.open_connection(*self.address)
+    async def call(self, *pieces, page=''):
+        """Send a request; return the status of its response, zero for none.
+
+        :param page: the page that it asks for, by default as a caller
+        """
+        address = self.pages[page] if page else self.address
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+        except ConnectionError:
+            return 0
         try:
             writer.writelines(pieces)
             await writer.drain()
@@ -158,6 +176,12 @@
             return False
         return status == 200
 
+    async def shows(self, page):
+        """Return whether a page is served."""
+        path = {'readiness': '/v1/ready', 'metrics': '/metrics'}[page]
+        asking = head(method='GET', path=path)
+        return await self.call(asking, page=page) == 200
+
     async def check(self):
         """Check that the process lives, keeps its limits and answers."""
         has_answered = True
@@ -221,28 +245,33 @@
         yield victim
 
 
-async def send_until_closed(victim, pieces, opened):
+async def send_until_closed(address, pieces, opened):
     """Send pieces over a connection until it is closed; leave it open."""
     with contextlib.suppress(ConnectionError):
-        _, writer = await asyncio.open_connection(*victim.address)
+        _, writer = await asyncio.open_connection(*address)
         opened.append(writer)
         for piece in pieces:
             writer.write(piece)
             await writer.drain()
 
 
-async def check_clients(make_pieces, clients=CLIENTS):
+async def check_clients(make_pieces, clients=CLIENTS, page=''):
     """Check a gateway to which all clients send the same input.
 
     :param make_pieces: returns the pieces that one client sends
     :param clients: how many there are
+    :param page: the page to which they send, by default as callers
     """
     async with started_victim() as victim:
         opened = []
+        address = victim.address
+        if page:
+            address = victim.pages[page]
+            await eventually(functools.partial(victim.shows, page))
         watch = asyncio.ensure_future(victim.watch())
         sends = [
             asyncio.ensure_future(
-                send_until_closed(victim, make_pieces(), opened)
+                send_until_closed(address, make_pieces(), opened)
             )
             for _ in range(clients)
         ]
@@ -251,6 +280,8 @@
             send.cancel()
         try:
             await victim.check()
+            if page:
+                await eventually(functools.partial(victim.shows, page))
         finally:
             watch.cancel()
             for writer in opened:
@@ -373,6 +404,43 @@
     await check_clients(pieces, FILE_DESCRIPTORS + 100)
 
 
+def body_pieces():
+    """Return the pieces of two requests with a body that no page reads."""
+    yield head(f'Content-Length: {BODY_BYTES}', path='/')
+    for _ in range(BODY_BYTES // LARGE_CHUNK_BYTES):
+        yield b'x' * LARGE_CHUNK_BYTES
+    yield head(f'Content-Length: {BODY_BYTES}', path='/')
+
+
+def idle_pieces():
+    """Return the beginning of a request."""
+    yield b'GET /'
+
+
+@run_async
+async def test_bodies_without_end_to_the_readiness_page():
+    """Bodies that no page reads were held as far as the library reads."""
+    await check_clients(body_pieces, page='readiness')
+
+
+@run_async
+async def test_bodies_without_end_to_the_metrics():
+    """Bodies that no page reads were held as far as the library reads."""
+    await check_clients(body_pieces, page='metrics')
+
+
+@run_async
+async def test_idle_connections_to_the_readiness_page():
+    """Idle connections to a page used up the descriptors of all ports."""
+    await check_clients(idle_pieces, FILE_DESCRIPTORS + 100, 'readiness')
+
+
+@run_async
+async def test_idle_connections_to_the_metrics():
+    """Idle connections to a page used up the descriptors of all ports."""
+    await check_clients(idle_pieces, FILE_DESCRIPTORS + 100, 'metrics')
+
+
 @run_async
 async def test_legal_requests_are_served_alone():
     """Bounds must not refuse what the configuration allows."""
