--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -233,6 +233,10 @@
         is_new = http._request_count != count  # noqa: SLF001
         if is_new:
             message, body = http._messages[-1]  # noqa: SLF001
+            if not was_open and not self.meter.head_bytes and body.is_eof():
+                # Most requests arrive whole: nothing was counted.
+                self.refused_at_s = _error_time(message, now_s)
+                return
             self._open_message(message, body, now_s)
         if self.refused_at_s is not None:
             return
@@ -260,13 +264,11 @@
         self, message: object, body: StreamReader, now_s: float
     ) -> None:
         """Count a message from its head on; parse nothing after an error."""
-        if isinstance(message, RawRequestMessage):
+        self.refused_at_s = _error_time(message, now_s)
+        if self.refused_at_s is None:
             self.meter.reset()
             self.body = body
             return
-        # The handler responds to the error. Each further block would be one
-        # more error.
-        self.refused_at_s = now_s
         if self.body is not None:
             self._fail_body('malformed')
             self.http.close()
@@ -451,6 +453,14 @@
             transport.release()
 
 
+def _error_time(message: object, now_s: float) -> float | None:
+    """Return the time if a message is an error, after which none is parsed.
+
+    The handler responds to the error. Each further block would be one more.
+    """
+    return None if isinstance(message, RawRequestMessage) else now_s
+
+
 def _is_idle(connection: CallerConnection) -> bool:
     """Return whether a connection carries no request."""
     return connection.is_idle
