--- a/docs/generate.py
+++ b/docs/generate.py
@@ -9,7 +9,15 @@
 from dandelionplank.delivery import bounds, connections, streams
 from dandelionplank.errors import ErrorCode
 from dandelionplank.events import Event
+from dandelionplank.fleet import exchange, sockets
 from dandelionplank.fleet.settings import GatewayLimits
+from dandelionplank.ingress import (
+    callerbounds,
+    connection,
+    heldbytes,
+    inputmeter,
+    turns,
+)
 from dandelionplank.platform import engines
 from dandelionplank.settings import Settings
 
@@ -70,6 +78,81 @@
     ),
     ('whole request', 'timeout of the route, time of the caller', '504'),
 )
+CALLER_BOUNDS = (
+    (
+        'head',
+        f'the configured size and {inputmeter.HEAD_SLACK_BYTES} bytes, the '
+        'configured time',
+        '431, or 408 at the timeout; the connection closes',
+    ),
+    (
+        'empty lines before a head',
+        f'the configured size and {inputmeter.HEAD_SLACK_BYTES} bytes',
+        '400, the connection closes',
+    ),
+    (
+        'extensions and trailers of a chunked body',
+        f'{inputmeter.MAX_IDLE_FRAMING_BYTES} bytes without a byte of the '
+        f'body; {inputmeter.MAX_FRAMING_FACTOR} times the body in all',
+        '400, the connection closes',
+    ),
+    (
+        'parsing in a turn of the event loop',
+        f'{turns.TURN_S} s; blocks of {connection.BLOCK_BYTES} bytes',
+        'the rest is parsed in the next turns, small messages first',
+    ),
+    (
+        'held bytes of all callers',
+        f'{callerbounds.MEMORY_SHARE} of `limits.memory_mb` less '
+        f'{callerbounds.RESIDENT_MB} MB, at least '
+        f'{callerbounds.MIN_HELD_BYTES} bytes; by default '
+        f'{callerbounds.DEFAULT_HELD_BYTES}',
+        'see the next three',
+    ),
+    (
+        f'first {heldbytes.RESERVED_BODY_BYTES} bytes of bodies',
+        f'{callerbounds.SMALL_SHARE} of the held bytes',
+        '503 for bodies that are not complete',
+    ),
+    (
+        'rest of large bodies',
+        f'{callerbounds.LARGE_SHARE} of the held bytes; '
+        f'{heldbytes.ACCOUNT_SHARE} of it for an account that has some',
+        f'a body waits {heldbytes.MAX_WAIT_S} s at most, then 503; meanwhile '
+        f'bodies below {heldbytes.MIN_BYTES_PER_S} bytes/s get 503',
+    ),
+    (
+        'unread responses',
+        f'{callerbounds.RESPONSE_SHARE} of the held bytes',
+        'connections that read nothing close, then the largest',
+    ),
+    (
+        'connections',
+        f'`limits.file_descriptors` less {callerbounds.FILE_RESERVE} and '
+        f'{callerbounds.SOCKET_RESERVE_SHARE} of the rest, at least '
+        f'{callerbounds.MIN_CONNECTIONS}; by default '
+        f'{callerbounds.DEFAULT_CONNECTIONS}',
+        f'from {callerbounds.CROWDED_SHARE} on the longest idle close; one '
+        'beyond the bound closes at once',
+    ),
+    (
+        'unread bytes of a connection in the kernel',
+        f'{callerbounds.RECEIVE_BUFFER_BYTES} bytes if `limits.memory_mb` is '
+        'stated',
+        'the sender waits',
+    ),
+    (
+        'readiness page and metrics',
+        f'{sockets.PAGE_CONNECTIONS} connections, heads of '
+        f'{sockets.PAGE_HEADER_BYTES} bytes within {sockets.PAGE_HEADER_S} s',
+        'the oldest idle connection closes for a new one',
+    ),
+    (
+        'reports of senders that the store does not list',
+        f'{exchange.MAX_UNLISTED_SENDERS} senders',
+        'the report is dropped',
+    ),
+)
 DOCS = Path(__file__).parent
 
 
@@ -136,11 +219,32 @@
         '|---|---|---|',
         *_rows(GatewayLimits, 'limits.'),
         '',
+        *_caller_rows(),
+        '',
         *_bound_rows(),
     ]
     return '\n'.join((*lines, ''))
 
 
+def _caller_rows() -> list[str]:
+    """Return the table of the bounds on what callers may send or hold."""
+    rows = [
+        '## Bounds of the gateway towards callers',
+        '',
+        'The sizes and times that are configured are those of `Limits` in',
+        '`op/config`. A request within them reaches no other bound while',
+        'callers hold little together.',
+        '',
+        '| what | bound | beyond it |',
+        '|---|---|---|',
+    ]
+    rows.extend(
+        f'| {phase} | {bound} | {effect} |'
+        for phase, bound, effect in CALLER_BOUNDS
+    )
+    return rows
+
+
 def _bound_rows() -> list[str]:
     """Return the table of the bounds on what a target may send or delay."""
     rows = [
