--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -152,6 +152,7 @@
                 self.crashes.watch,
             ),
             parts.codec,
+            settings.limits,
         )
         self.follower = StoreFollower(
             self.view,
@@ -229,6 +230,7 @@
             self.gateway.loop_delay.run,
             self._log_load,
             self._serve_metrics,
+            self.pages.run_checks,
         ):
             self._spawn(run)
         await open_when_possible(
@@ -253,6 +255,7 @@
             self.crashes.run,
             self._keep_presence,
             self.server.idle.run,
+            self.server.run_checks,
         ):
             self._spawn(run_open)
         log_event(
--- a/src/dandelionplank/ingress/acceptor.py
+++ b/src/dandelionplank/ingress/acceptor.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from dandelionplank.events import Event
+from dandelionplank.fleet.sockets import open_bounded
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.settings import Address
@@ -42,14 +43,15 @@
         self.is_failing = False
         self.starting: set[asyncio.Task[object]] = set()
 
-    def listen(self, address: Address) -> None:
+    def listen(self, address: Address, receive_buffer_bytes: int = 0) -> None:
         """Open the socket and accept connections from now on.
 
+        :param receive_buffer_bytes: bound on what the kernel receives for each
+            connection, zero for that of the system
         :raises OSError: the address cannot be used
         """
-        self.listening = socket.create_server(
-            (address.ip, address.port), backlog=self.backlog
-        )
+        self.listening = open_bounded(address, receive_buffer_bytes)
+        self.listening.listen(self.backlog)
         self.address = address.text
         self.listening.setblocking(False)  # noqa: FBT003
         self._resume()
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -1,6 +1,8 @@
 """The listening socket for callers and their connections."""
 
 import asyncio
+import contextlib
+import time
 from typing import Any
 
 from aiohttp import web
@@ -8,9 +10,16 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from dandelionplank.events import Event
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.acceptor import ConnectionAcceptor
+from dandelionplank.ingress.connection import (
+    CallerConnection,
+    ConnectionGuard,
+)
 from dandelionplank.ingress.gateway import Gateway
+from dandelionplank.logs import log_event
+from dandelionplank.metrics import METRICS
 from dandelionplank.router.idle import IdleConnectionTask, run_turns
 from dandelionplank.routing.routes import RequestLimits, RouteTable
 from dandelionplank.settings import Address, CallerSettings
@@ -18,6 +27,15 @@
 BACKLOG_CONNECTIONS = 4096
 # Limit of the HTTP parser; the configured limits apply in addition.
 MAX_HEADER_LINE_BYTES = 65_536
+# A connection is read no further while twice this waits for its reader, or a
+# sixteenth of it in chunks.
+READ_BUFFER_BYTES = 65_536
+# Period at which the connections are checked against their bounds.
+CHECK_PERIOD_S = 0.2
+# Shortest period: a check passes over all connections.
+MIN_CHECK_PERIOD_S = 0.05
+# Larger responses count as unread until the next check.
+LARGE_RESPONSE_BYTES = 65_536
 # Time for the requests that are on their way when idle connections close.
 REQUEST_ARRIVAL_S = 0.02
 
@@ -27,9 +45,16 @@
 
     def __init__(self, gateway: Gateway, view: FleetView) -> None:
         """Hold the gateway and the configured limits; no socket is open."""
+        self.bounds = gateway.bounds
+        self.was_crowded = False
         self.gateway = gateway
         self.limits = RequestLimits()
-        self.idle = IdleConnectionTask(_caller_settings(self.limits))
+        self.guard = ConnectionGuard(
+            'callers', self.limits.header_bytes, gateway.bounds
+        )
+        self.idle = IdleConnectionTask(
+            _caller_settings(self.limits), self.guard.has_pending
+        )
         view.listeners.append(self._configure)
         self.server: web.Server | None = None
         self.acceptor: ConnectionAcceptor | None = None
@@ -55,10 +80,11 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self.idle.server = self.server
-        acceptor = ConnectionAcceptor(self.server, BACKLOG_CONNECTIONS)
-        acceptor.listen(address)
+        acceptor = ConnectionAcceptor(self._make_protocol, BACKLOG_CONNECTIONS)
+        acceptor.listen(address, self.bounds.receive_buffer_bytes)
         self.acceptor = acceptor
 
     def stop_accepting(self) -> None:
@@ -66,6 +92,20 @@
         if self.acceptor:
             self.acceptor.close()
 
+    async def run_checks(self) -> None:
+        """Check all connections once a period, or as they become too many."""
+        while True:
+            await asyncio.sleep(MIN_CHECK_PERIOD_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_PERIOD_S):
+                    await self.guard.is_crowded.wait()
+            self.guard.is_crowded.clear()
+            now_s = time.monotonic()
+            self.guard.refuse_late_heads(self.limits.header_timeout_s, now_s)
+            self.guard.close_slow_readers()
+            self.gateway.bodies.check(now_s)
+            await self._make_room()
+
     async def close_idle(self) -> None:
         """Close the connections that carry no request.
 
@@ -75,13 +115,49 @@
         await run_turns()
         await self.idle.close_idle(self.connections)
 
+    async def _make_room(self) -> None:
+        """Close the longest idle connections while there are too many."""
+        count = len(self.guard.connections)
+        surplus = self.bounds.count_surplus(count)
+        if bool(surplus) != self.was_crowded:
+            self.was_crowded = bool(surplus)
+            log_event(
+                Event.CALLERS_BOUNDED,
+                bound='connections',
+                is_reached=self.was_crowded,
+                open_connections=count,
+            )
+        if not surplus:
+            return
+        idle = self.idle.find_longest_idle(self.connections)
+        closed = await self.idle.close_idle(idle[:surplus])
+        METRICS.add('callers_closed_total', closed, reason='idle')
+        log_event(
+            Event.CALLER_CLOSED,
+            socket='callers',
+            reason='idle',
+            connections=closed,
+            held_bytes=0,
+        )
+        if closed < surplus:
+            self.gateway.bodies.refuse_idle(surplus - closed)
+
+    def _make_protocol(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        assert self.server is not None
+        return self.guard.wrap(self.server())
+
     async def _handle_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Serve one request and record its start and end for idle timeouts."""
         self.idle.record_request_start(request.protocol)
         try:
-            return await self.gateway.handle_request(request)
+            response = await self.gateway.handle_request(request)
+            length = response.content_length
+            if length is not None and length > LARGE_RESPONSE_BYTES:
+                self.guard.expect_response(length)
+            return response
         finally:
             self.idle.record_request_end(request.protocol)
 
@@ -107,6 +183,7 @@
     def _configure(self, table: RouteTable) -> None:
         """Apply the limits of a new configuration; connections stay open."""
         self.limits = table.limits
+        self.guard.header_bytes = table.limits.header_bytes
         self.idle.settings = _caller_settings(table.limits)
 
 
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -11,6 +11,7 @@
 
 from bench.fleet import reserve_ports
 from dandelionplank.ingress.acceptor import ConnectionAcceptor
+from dandelionplank.ingress.callerbounds import CallerBounds
 from dandelionplank.ingress.server import CallerServer
 from dandelionplank.settings import Address
 from tests.fixtures import run_on_both_loops, wait_until
@@ -42,7 +43,7 @@
 @run_on_both_loops
 async def test_waiting_connections_are_accepted_in_a_few_turns():
     """With a single one a turn, callers give up while they wait."""
-    server = CallerServer(mock.Mock(), mock.Mock())
+    server = CallerServer(mock.Mock(bounds=CallerBounds()), mock.Mock())
     address = Address('127.0.0.1', reserve_ports(1)[0])
     await server.listen(address)
     callers = [
