Refuse bodies that end with an error, and write no traceback for malformed heads

The error is now checked first, so that the caller gets 400 and nothing runs.

The library wrote a traceback to standard error for each malformed head, so that callers could fill the log. They are counted instead (malformed_requests_total).

--- a/src/dandelionplank/ingress/bodies.py
+++ b/src/dandelionplank/ingress/bodies.py
@@ -113,7 +113,8 @@
         size_bytes = stated_bytes or limit_bytes
         source = request.content
         block = await source.readany()
-        if source.at_eof():
+        # A body that ends with an error is at its end, too.
+        if source.at_eof() and source.exception() is None:
             # Most bodies arrive whole.
             self.held.add(holding, len(block), len(block), time.monotonic())
             _check_size(block, limit_bytes)
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import logging
 import time
 from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 
 from dandelionplank.events import Event
@@ -30,6 +32,8 @@
 # A connection is read no further while twice this waits for its reader, or a
 # sixteenth of it in chunks.
 READ_BUFFER_BYTES = 65_536
+# Logger of the HTTP library's errors for callers.
+LIBRARY_LOGGER = 'dandelionplank.callers'
 # Period at which the connections are checked against their bounds.
 CHECK_PERIOD_S = 0.2
 # Shortest period: a check passes over all connections.
@@ -81,6 +85,7 @@
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
             read_bufsize=READ_BUFFER_BYTES,
+            logger=_quiet_logger(),
         )
         self.idle.server = self.server
         self.listener = await listen_bounded(
@@ -190,6 +195,22 @@
         self.idle.settings = _caller_settings(table.limits)
 
 
+def _quiet_logger() -> logging.Logger:
+    """Return a logger that writes no traceback for malformed requests."""
+    logger = logging.getLogger(LIBRARY_LOGGER)
+    logger.addFilter(_is_not_malformed)
+    return logger
+
+
+def _is_not_malformed(record: logging.LogRecord) -> bool:
+    """Return whether a record is about something else; count the others."""
+    error = record.exc_info[1] if record.exc_info else None
+    if not isinstance(error, HttpProcessingError):
+        return True
+    METRICS.add('malformed_requests_total')
+    return False
+
+
 def _caller_settings(limits: RequestLimits) -> CallerSettings:
     """Return the limits as settings of the idle connection task."""
     return CallerSettings(
