Evacuate data centres in the soak of the platform

Cause: the soak did not write the new order, so that its faults did not meet it.

Change: targets are in two data centres, one of each service in either; a target is replaced in its own. The disturbance "evacuate" orders one data centre for 12 to 15 s, one at a time, so that a gateway that starts can become ready. A run in a data centre later than 11 s after its order (5 s, and 6 s since the soak makes the store fail) and before its end is a violation. A restored copy of the store may bring an order back or lose it; both are recorded, and the operator writes the wanted state again with the other lost documents.

The pure test of the check is in tests.test_platform_soak.

--- a/bench/disturbances.py
+++ b/bench/disturbances.py
@@ -8,7 +8,9 @@
 import time
 from collections.abc import Awaitable, Callable, Iterator
 
+from bench.evacuationorders import DATA_CENTERS
 from bench.gatewayprocess import GRACE_S, REVOKED_AFTER_S
+from bench.guarantees import EVACUATED_AFTER_S, UNSTABLE_STORE_S
 from bench.soakfleet import SoakFleet
 from dandelionplank_standins.platformstore import StoreFaults
 from dandelionplank_standins.platformtarget import TargetFaults
@@ -20,6 +22,12 @@
 # confirmed.
 STORE_OUTAGE_S = (0.5, REVOKED_AFTER_S + 3)
 
+# A data centre is evacuated for some time beyond the bound of the order.
+EVACUATION_S = (
+    EVACUATED_AFTER_S + UNSTABLE_STORE_S + 1,
+    EVACUATED_AFTER_S + UNSTABLE_STORE_S + 4,
+)
+
 # Time until the operator and the targets write again what a store has lost.
 REWRITTEN_AFTER_S = (0.05, 1.0)
 # Responses without a length or chunks that a failing target gives.
@@ -56,6 +64,7 @@
             self.replace_target,
             self.revoke_key,
             self.restore_store,
+            self.evacuate,
         )
         tasks = []
         end_s = time.monotonic() + seconds
@@ -175,6 +184,7 @@
         older = self.fleet.store.copy()
         await self.sleep_for_duration()
         self.fleet.store.restore(older)
+        self.fleet.orders.record()
         await asyncio.sleep(self.random.uniform(*REWRITTEN_AFTER_S))
         self.fleet.write_lost_documents()
 
@@ -226,12 +236,30 @@
         """Add a target to the store, then drain and remove another one."""
         name = self.random_target()
         service = name.partition('-')[0]
-        await self.fleet.add_target(f'{service}-{next(self.fleet.numbers)}')
+        await self.fleet.add_target(
+            f'{service}-{next(self.fleet.numbers)}',
+            self.fleet.data_centers[name],
+        )
         self.fleet.removed_targets.add(name)
         self.fleet.list_target(name, State='draining')
         await self.sleep_for_duration()
         self.fleet.store.delete(f'servers/{name}')
 
+    async def evacuate(self) -> None:
+        """Order to evacuate a data centre for longer than the bound.
+
+        Only one at a time, so that each service keeps a target: a gateway that
+        is started has to become ready.
+        """
+        orders = self.fleet.orders
+        if orders.evacuated:
+            return
+        orders.evacuated.add(self.random.choice(DATA_CENTERS))
+        orders.write()
+        await asyncio.sleep(self.random.uniform(*EVACUATION_S))
+        orders.evacuated.clear()
+        orders.write()
+
     async def revoke_key(self) -> None:
         """Revoke an API key and issue another one."""
         revoked = self.fleet.keys.pop(0)
--- a/bench/guarantees.py
+++ b/bench/guarantees.py
@@ -1,6 +1,7 @@
 """Checks the gateways' guarantees against callers' and targets' records."""
 
 import dataclasses
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from pathlib import Path
@@ -20,6 +21,29 @@
 KEYED_PREFIXES = ('/chat/', '/draft/', '/mine/')
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 HTTP_OK = 200
+# Time after the store's acknowledgement from which an order to evacuate a data
+# centre is in force: 5 s, and 6 s more because the soak makes the store fail.
+# It covers the pauses of the relays, which hold requests back for up to 3 s.
+EVACUATED_AFTER_S = 5.0
+UNSTABLE_STORE_S = 6.0
+
+
+@dataclasses.dataclass(slots=True)
+class Evacuation:
+    """A time in which the store held an order to evacuate a data centre.
+
+    :param start_s: monotonic time at which the store held the order
+    :param end_s: monotonic time from which it did not, infinite if it does
+    """
+
+    data_center: str
+    start_s: float
+    end_s: float = math.inf
+
+    def forbids(self, now_s: float) -> bool:
+        """Return whether no request may reach the data centre at a time."""
+        in_force_s = self.start_s + EVACUATED_AFTER_S + UNSTABLE_STORE_S
+        return in_force_s < now_s < self.end_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +124,24 @@
     ]
 
 
+def evacuated_runs(
+    runs: Mapping[str, Iterable[ExecutedRequest]],
+    evacuations: Iterable[Evacuation],
+) -> list[str]:
+    """Return requests that ran in a data centre while that was evacuated.
+
+    :param runs: what the targets of each data centre executed
+    """
+    return [
+        f'{run.request_id} ran in the evacuated data centre '
+        f'{evacuation.data_center}, '
+        f'{run.started_at_s - evacuation.start_s:.2f} s after the order'
+        for evacuation in evacuations
+        for run in runs.get(evacuation.data_center, ())
+        if evacuation.forbids(run.started_at_s)
+    ]
+
+
 def incorrect_responses(calls: Iterable[Call]) -> list[str]:
     """Return successes whose body is not the target's complete response."""
     incorrect = []
--- a/bench/platformsoak.py
+++ b/bench/platformsoak.py
@@ -16,6 +16,7 @@
 from bench.guarantees import (
     HTTP_OK,
     duplicate_runs,
+    evacuated_runs,
     incorrect_responses,
     refused_runs,
     revoked_key_runs,
@@ -58,6 +59,7 @@
         duplicate_runs(sent, runs),
         refused_runs(sent, runs),
         revoked_key_runs(sent, runs, fleet.revoked),
+        evacuated_runs(fleet.runs_by_data_center(), fleet.orders.evacuations),
         incorrect_responses(fleet.calls),
         unstructured_log_lines(gateway.log_path for gateway in fleet.gateways),
     ):
@@ -77,6 +79,7 @@
     succeeded = sum(call.status == HTTP_OK for call in run.calls)
     print(
         f'seed {seed}: {succeeded} of {len(run.calls)} calls succeeded, '
+        f'{len(run.orders.evacuations)} evacuations, '
         f'{len(run.trace)} trace lines, '
         f'{len(run.violations)} violations',
     )
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -11,9 +11,15 @@
 import aiohttp
 from yarl import URL
 
+from bench.evacuationorders import DATA_CENTERS, EvacuationOrders
 from bench.fleet import reserve_ports
 from bench.gatewayprocess import GatewayProcess
-from bench.guarantees import HTTP_OK, RETRYABLE_BY_PREFIX, STREAM_PREFIXES, Call
+from bench.guarantees import (
+    HTTP_OK,
+    RETRYABLE_BY_PREFIX,
+    STREAM_PREFIXES,
+    Call,
+)
 from bench.links import LinkRelay
 from bench.platform import (
     MODEL_HEADERS,
@@ -24,7 +30,10 @@
 )
 from dandelionplank.settings import Address
 from dandelionplank_standins.platformstore import StoreStandin
-from dandelionplank_standins.platformtarget import TargetStandin
+from dandelionplank_standins.platformtarget import (
+    ExecutedRequest,
+    TargetStandin,
+)
 
 GATEWAY_COUNT = 3
 START_TIMEOUT_S = 15.0
@@ -36,7 +45,7 @@
     """Runs gateway processes, stand-ins and callers, and records violations.
 
     ``revoked`` maps a revoked key to the monotonic time after which requests
-    with it must be refused.
+    with it must be refused, ``data_centers`` each target to its data centre.
     """
 
     def __init__(self, seed: int, directory: Path) -> None:
@@ -52,6 +61,8 @@
         self.keys = ['key-0', 'key-1']
         self.versions = itertools.count(1)
         self.removed_targets: set[str] = set()
+        self.data_centers: dict[str, str] = {}
+        self.orders = EvacuationOrders(self.store)
         self.numbers = itertools.count(1)
         self.violations: list[str] = []
         self.trace: list[str] = []
@@ -63,8 +74,9 @@
         address, runner = await start_server(self.store.application)
         self.stack.push_async_callback(runner.cleanup)
         self.write_configuration()
-        for name in ('llm-0', 'llm-1', 'plain-0', 'plain-1'):
-            await self.add_target(name)
+        for number, data_center in enumerate(DATA_CENTERS):
+            await self.add_target(f'llm-{number}', data_center)
+            await self.add_target(f'plain-{number}', data_center)
         for number in range(GATEWAY_COUNT):
             gateway = GatewayProcess(
                 number,
@@ -79,7 +91,7 @@
         for number in range(GATEWAY_COUNT):
             await self.wait_until_ready(number)
 
-    async def add_target(self, name: str) -> None:
+    async def add_target(self, name: str, data_center: str) -> None:
         """Start a target behind a relay and add it to the store."""
         service = name.partition('-')[0]
         target = TargetStandin(name, streams=service == 'llm')
@@ -91,21 +103,36 @@
         self.stack.push_async_callback(relay.stop)
         self.targets[name] = target
         self.relays[name] = relay
+        self.data_centers[name] = data_center
         self.list_target(name)
 
     def list_target(self, name: str, **changes: Any) -> None:
         """Write the entry of a target to the store."""
         address = f'127.0.0.1:{self.relays[name].port}'
         service = name.partition('-')[0]
-        self.store.put(
-            f'servers/{name}', target_entry(name, service, address, **changes)
+        entry = target_entry(
+            name, service, address, Zone=self.data_centers[name], **changes
         )
+        self.store.put(f'servers/{name}', entry)
 
     def write_lost_documents(self) -> None:
         """Write what a restored store may lack, as operator and targets do."""
         self.write_configuration()
         for name in self.targets.keys() - self.removed_targets:
             self.list_target(name)
+        self.orders.write()
+
+    def runs_by_data_center(self) -> dict[str, list[ExecutedRequest]]:
+        """Return what the targets of each data centre executed."""
+        return {
+            data_center: [
+                run
+                for name, target in self.targets.items()
+                if self.data_centers[name] == data_center
+                for run in target.runs
+            ]
+            for data_center in DATA_CENTERS
+        }
 
     def write_configuration(self) -> None:
         """Write a configuration with the current keys to the store."""
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,8 +7,12 @@
 
 from bench.fleet import reserve_ports
 from bench.guarantees import (
+    EVACUATED_AFTER_S,
+    UNSTABLE_STORE_S,
     Call,
+    Evacuation,
     duplicate_runs,
+    evacuated_runs,
     incorrect_responses,
     refused_runs,
     revoked_key_runs,
@@ -79,6 +83,25 @@
     assert found[0].startswith('late')
 
 
+def test_the_soak_detects_runs_in_evacuated_data_centers():
+    """Neither before the bound nor after the end of an order, or elsewhere."""
+    in_force_s = 100 + EVACUATED_AFTER_S + UNSTABLE_STORE_S
+    evacuation = Evacuation('a', 100, in_force_s + 2)
+    runs = [
+        ExecutedRequest(name, 'POST', '/book/x', b'', {}, started_at_s)
+        for name, started_at_s in (
+            ('before', 99),
+            ('soon', in_force_s - 1),
+            ('late', in_force_s + 1),
+            ('after', in_force_s + 3),
+        )
+    ]
+    found = evacuated_runs({'a': runs, 'b': runs}, [evacuation])
+    assert len(found) == 1
+    assert found[0].startswith('late')
+    assert len(evacuated_runs({'a': runs}, [Evacuation('a', 100)])) == 2
+
+
 def test_the_soak_detects_wrong_responses_and_unstructured_logs():
     """A success needs a complete response; log lines must be JSON."""
     truncated = make_call('a', '/chat/', status=200, body=b'id: 1\ndata: x\n\n')
