Send changes of the store to listed addresses only

Cause: since a response to a query went to the address that the query came from, so that an instance that the store had dropped got one. The changes contain the configuration with the callers' keys, and anybody who can send a datagram to the port could have asked for them. Found on reading the change.

Change: a response goes to the listed address of the sender, or to its last one if it is not listed any more (256 are remembered).

Two tests of waiting requests did not show what they were meant to: with equal prompts only one engine of each pool was busy, and a deadline of 3 s ended the wait. They now fill all engines of both pools, ask from an entry that is not the owner, and wait with a long deadline; their assertions stay.

On copies of the code with one part taken out, each of these now fails its test: the second ranking of pools, the rejection in a dissolved pool, the rejection in a withdrawn service. Before, the first two passed without it.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -93,8 +93,6 @@
         self.query_number = random.getrandbits(RANDOM_ID_BITS)
         self.pending_response: asyncio.Future[ViewResponse] | None = None
         self.transport: asyncio.DatagramTransport | None = None
-        # Where the message that is being handled has come from.
-        self.source_address = ('', 0)
         self.receivers: dict[type, Callable[[Any], None]] = {
             PeerReport: self._receive_report,
             ViewQuery: self._respond,
@@ -133,7 +131,6 @@
             METRICS.add('peer_reports_malformed_total')
             return
         receive = self.receivers[type(message)]
-        self.source_address = addr
         is_start = self._is_first_of_process(message)
         try:
             receive(message)
@@ -207,8 +204,9 @@
     def _respond(self, query: ViewQuery) -> None:
         """Send the revision, age and changes of the view to an instance.
 
-        The response goes to where the query has come from: the store drops the
-        entry of an instance that it does not serve for a while.
+        The store drops the entry of an instance that it does not serve for a
+        while. Such an instance gets a response too, at its last address and at
+        no other, since the changes contain the keys of callers.
         """
         if self.view.revision is None:
             return
@@ -223,7 +221,11 @@
             reached,
             changes,
         )
-        self._send_block(self.source_address, _ENCODER.encode(response))
+        block = _ENCODER.encode(response)
+        if query.sender in self.view.peers:
+            self._send_listed(query.sender, block)
+        else:
+            self._send_to(self.view.former_peers.get(query.sender), block)
 
     def _receive_response(self, response: ViewResponse) -> None:
         """Complete the pending query if this is its response."""
@@ -274,7 +276,10 @@
 
     def _send_listed(self, name: str, block: bytes) -> None:
         """Send an encoded message to an instance, if its address is known."""
-        address = self.view.peers.get(name)
+        self._send_to(self.view.peers.get(name), block)
+
+    def _send_to(self, address: str | None, block: bytes) -> None:
+        """Send an encoded message to an address, if it is known."""
         if address is not None:
             ip, _, port = address.rpartition(':')
             self._send_block((ip, int(port)), block)
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -216,7 +216,7 @@
 
     def peer_removed(self, name: str) -> None:
         """Record that another instance's entry was removed."""
-        self.view.peers.pop(name, None)
+        self.view.remove_peer(name)
 
     def data_center_evacuated(self, name: str, revision: int) -> None:
         """Give no more work to the targets of a data centre."""
@@ -335,8 +335,8 @@
     async def _learn_from_others(self) -> None:
         """Apply the changes that other instances have while the store fails.
 
-        The store may serve them and turn this instance away. What they have
-        does not confirm the view: an instance without the store stays one.
+        The store may serve them and turn this instance away. Their responses
+        do not confirm the view: its age stays that of the last own contact.
         """
         for role in self.confirmer.watcher_role.substitutes():
             response = await self.confirmer.query(role)
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -25,6 +25,8 @@
 BEHIND_LIMIT_S = 30.0
 # Age given in reports and logs for a view that was never confirmed.
 UNCONFIRMED_AGE_S = 1_000_000.0
+# Instances not listed any more whose last addresses are remembered.
+MAX_FORMER_PEERS = 256
 # Bound on the time after which the evacuation of a data centre is in force.
 EVACUATED_AFTER_S = 5.0
 
@@ -47,6 +49,7 @@
         self.table: RouteTable | None = None
         self.registry = TargetRegistry()
         self.peers: dict[str, str] = {}
+        self.former_peers: dict[str, str] = {}
         self.revision: StoreRevision | None = None
         self.changes = ChangeLog()
         self.confirmed_s = -math.inf
@@ -138,6 +141,16 @@
         for listener in self.listeners:
             listener(table)
 
+    def remove_peer(self, name: str) -> None:
+        """Remove an instance; its last address stays known for a while."""
+        address = self.peers.pop(name, None)
+        if address is None:
+            return
+        self.former_peers.pop(name, None)
+        self.former_peers[name] = address
+        if len(self.former_peers) > MAX_FORMER_PEERS:
+            self.former_peers.pop(next(iter(self.former_peers)))
+
     @property
     def excluded_targets(self) -> int:
         """Return the number of targets in evacuated data centres."""
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -17,8 +17,10 @@
 
 from bench.platform import MODEL_HEADERS, configuration, target_entry
 from dandelionplank.errors import RefusalError, StoreError
+from dandelionplank.fleet.changes import StoreRevision
+from dandelionplank.fleet.confirmation import ViewQuery
 from dandelionplank.fleet.evacuations import Evacuations
-from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.view import MAX_FORMER_PEERS, FleetView
 from dandelionplank.fleet.warmup import CacheWarmup
 from dandelionplank.metrics import METRICS
 from dandelionplank.settings import Address
@@ -26,7 +28,13 @@
 from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet
 from tests.test_gateway import shared_watch_fleet
-from tests.test_pool_owners import make_waiting, make_work, pooled_fleet
+from tests.test_pool_owners import (
+    entry_other_than,
+    make_waiting,
+    make_work,
+    owner_of,
+    pooled_fleet,
+)
 
 # Bound after the acknowledgement of the store from which an order is in force.
 BOUND_S = 5.0
@@ -38,6 +46,7 @@
 EVENTS = 200
 KEY = 'op/evacuate/a'
 CHAT = {'headers': MODEL_HEADERS}
+NO_PREFIX = make_work('shared', 'own', 0, 9000)
 ORDERS = st.lists(
     st.tuples(
         st.sampled_from(('order', 'end', 'list')),
@@ -518,6 +527,35 @@
         assert not runs_in(fleet, 'a')
 
 
+@run_async
+async def test_changes_are_sent_to_no_unlisted_address():
+    """They contain the keys of callers, and anybody can send a datagram."""
+    async with platform_fleet(gateways=2) as fleet:
+        exchange, other = (each.exchange for each in fleet.gateways)
+        await within_bound(lambda: other.name in exchange.view.peers)
+        exchange.transport = mock.Mock()
+        start = StoreRevision(0, 0)
+        exchange._respond(ViewQuery('unknown', 1, start))
+        assert not exchange.transport.sendto.called
+        address = exchange.view.peers[other.name]
+        exchange._respond(ViewQuery(other.name, 1, start))
+        exchange.view.remove_peer(other.name)
+        exchange._respond(ViewQuery(other.name, 1, start))
+        sent = [call.args[1] for call in exchange.transport.sendto.mock_calls]
+        assert [f'{ip}:{port}' for ip, port in sent] == [address, address]
+
+
+def test_the_last_addresses_of_few_instances_are_remembered():
+    """Instances that come and go must not fill the memory."""
+    view = FleetView(5)
+    for number in range(MAX_FORMER_PEERS + 10):
+        view.peers[f'i{number}'] = '127.0.0.1:1'
+        view.remove_peer(f'i{number}')
+    view.remove_peer('unknown')
+    assert len(view.former_peers) == MAX_FORMER_PEERS
+    assert 'i0' not in view.former_peers
+
+
 @run_async
 async def test_an_order_reaches_all_if_the_only_watcher_is_turned_away():
     """The other instances rely on it, and it has to learn from them."""
@@ -750,44 +788,61 @@
             )
 
 
-def work_for(instance, queue):
-    """Return a prompt that prefers a pool."""
-    return next(
-        work
-        for number in range(100)
-        if instance.pools.rank(
-            'llm', work := make_work(f'subject-{number}', 'own')
-        )[0]
-        == queue
-    )
+def prompts_for(instance, queue):
+    """Yield prompts that share nothing and prefer a pool."""
+    for number in itertools.count():
+        work = make_work(f'shared{number}', f'own{number}', 0, 9000)
+        if instance.pools.rank('llm', work)[0] == queue:
+            yield work
 
 
-async def wait_for_pool(instance, work, count):
+def make_patient(work):
+    """Return a request whose deadline does not end its wait in a test."""
+    waiting = make_waiting(work, LONG_S)
+    waiting.deadline_s += LONG_S
+    return waiting
+
+
+async def fill_pool(instance, queue, count):
     """Send prompts until some wait; return the grants and those."""
     grants = []
     waiting = []
-    while len(waiting) < count:
+    for work in prompts_for(instance, queue):
         call = asyncio.ensure_future(
-            instance.client.acquire(make_waiting(work, 30))
+            instance.client.acquire(make_patient(work))
         )
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(0.02)
         (grants if call.done() else waiting).append(call)
+        if len(waiting) == count:
+            break
     return [call.result() for call in grants], waiting
 
 
+async def fill_both_pools(instance, count):
+    """Send prompts until some wait in each pool; return grants and those."""
+    filled = [
+        await fill_pool(instance, queue, count) for queue in ('llm#0', 'llm#1')
+    ]
+    grants = itertools.chain.from_iterable(each for each, _ in filled)
+    waiting = itertools.chain.from_iterable(each for _, each in filled)
+    return list(grants), list(waiting)
+
+
 @run_async
 async def test_requests_that_wait_for_a_dissolved_pool_move_to_another_one():
     """Half of the engines make one pool; the other one exists no more."""
     async with pooled_fleet(3) as network:
         list_half_in_another_data_center(network)
-        entry = next(iter(network.instances.values()))
-        work = work_for(entry, 'llm#1')
-        grants, waiting = await wait_for_pool(entry, work, 3)
+        entry = entry_other_than(network, owner_of(network, NO_PREFIX).name)
+        grants, waiting = await fill_both_pools(entry, 2)
         for instance in network.instances.values():
             instance.view.evacuate('b', 1)
         assert list(entry.pools.pools_of('llm').by_queue) == ['llm#0']
+        await asyncio.sleep(0.2)
+        assert not any(call.done() for call in waiting)
         for grant in grants:
             entry.client.release(grant)
+        await within_bound(lambda: all(call.done() for call in waiting))
         moved = await asyncio.gather(*waiting)
         assert {grant.load.target.data_center for grant in moved} == {'a'}
 
@@ -796,11 +851,11 @@
 async def test_tickets_of_a_withdrawn_service_are_rejected_at_once():
     """Their owner would let them wait until their deadlines."""
     async with pooled_fleet(3) as network:
-        entry = next(iter(network.instances.values()))
-        work = work_for(entry, 'llm#1')
-        _, waiting = await wait_for_pool(entry, work, 3)
+        entry = entry_other_than(network, owner_of(network, NO_PREFIX).name)
+        _, waiting = await fill_both_pools(entry, 2)
         for instance in network.instances.values():
             instance.view.evacuate('a', 1)
+        await within_bound(lambda: all(call.done() for call in waiting))
         failures = await asyncio.gather(*waiting, return_exceptions=True)
         assert all(isinstance(each, RefusalError) for each in failures)
         assert {each.reason for each in failures} == {'no sound target'}
