Pace targets that start or recover by their responses

Cause: a target whose coldness had just ended, or that failed its requests, got as many requests at once as its slots allow. One that is not up to its usual load yet crashes again; a ramp by time alone leaves others idle.

Services that state ColdPerS limit the requests in flight at such a target by a window that grows with first events that take as long as at its peers, and is halved by failures, refusals and late first events (routing/pacing.py).

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -94,6 +94,8 @@
         grant.load.health.record_response(now_s, is_success=is_success)
         if is_success:
             self.scheduler.cold.record_response(grant.load.target, now_s)
+        else:
+            self._record_failure(grant, now_s)
 
     def record_unreachable(self, grant: Grant) -> None:
         """Record that a target accepted no connection."""
@@ -102,14 +104,18 @@
         self.scheduler.cold.record_unreachable(
             grant.load.target, grant.sent.sent_s, now_s
         )
+        self._record_failure(grant, now_s)
         self._refund(grant)
 
     def record_not_executed(
         self, grant: Grant, *, is_misdirected: bool
     ) -> None:
         """Pause a target that did not execute a request."""
+        now_s = time.monotonic()
         pause_s = MISDIRECTED_PAUSE_S if is_misdirected else FULL_PAUSE_S
-        grant.load.health.pause_until(time.monotonic() + pause_s)
+        grant.load.health.pause_until(now_s + pause_s)
+        if not is_misdirected:
+            self._record_failure(grant, now_s)
         self._refund(grant)
 
     def record_closed(self, grant: Grant) -> None:
@@ -142,6 +148,12 @@
             for service in tuple(self.scheduler.queues):
                 self._run_pass(service, now_s)
 
+    def _record_failure(self, grant: Grant, now_s: float) -> None:
+        """Record in the pace of a target that it failed a request."""
+        self.scheduler.cold.record_failure(
+            grant.load.target, grant.sent.sent_s, grant.load.running, now_s
+        )
+
     def _refund(self, grant: Grant) -> None:
         """Take back the charge for a request that its target did not run.
 
--- a/src/dandelionplank/fleet/coldreports.py
+++ b/src/dandelionplank/fleet/coldreports.py
@@ -9,6 +9,7 @@
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.coldstart import ColdState, ColdTargets
+from dandelionplank.routing.pacing import TargetPace
 from dandelionplank.targets import Target
 
 LOGGED_DECIMALS = 3
@@ -22,6 +23,7 @@
     cold.is_in_charge = owners.is_in_charge
     cold.is_informed = owners.is_informed
     cold.on_change = _log_cold_target
+    cold.on_pace = _log_pace
 
 
 def cold_reports(cold: ColdTargets, now_s: float) -> dict[str, ReportedCold]:
@@ -75,6 +77,18 @@
             state.charge(reported.granted - before.granted)
 
 
+def _log_pace(name: str, pace: TargetPace, now_s: float) -> None:
+    """Log that the paced recovery of a target has begun or ended."""
+    log_event(
+        Event.TARGET_PACED,
+        target=name,
+        window=round(pace.window, 1),
+        responses=pace.responses,
+        shrinks=pace.shrinks,
+        took_s=round(now_s - pace.started_s, LOGGED_DECIMALS),
+    )
+
+
 def _log_cold_target(
     name: str, state: ColdState, source: str, now_s: float
 ) -> None:
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -261,7 +261,7 @@
         :return: in order of preference, none if this instance decides
         """
         scheduler = self.dispatcher.scheduler
-        if scheduler.cold.has_cold(waiting.service, time.monotonic()):
+        if scheduler.cold.needs_owner(waiting.service, time.monotonic()):
             return self._queues_if_cold(waiting)
         if waiting.work is not None and self.owners.is_pooled:
             return self.pools.rank(waiting.service, waiting.work)
--- a/src/dandelionplank/routing/coldstart.py
+++ b/src/dandelionplank/routing/coldstart.py
@@ -10,6 +10,11 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 
+from dandelionplank.routing.pacing import (
+    FAILURES_TO_PACE,
+    TargetPace,
+    UsualTime,
+)
 from dandelionplank.routing.routes import ColdLimit
 from dandelionplank.targets import Target
 
@@ -90,9 +95,15 @@
     :param granted: requests that this instance granted while it was cold
     """
 
-    def __init__(self, bound: ColdBound) -> None:
-        """Hold a target that is not cold."""
+    def __init__(self, bound: ColdBound, usual: UsualTime) -> None:
+        """Hold a target that is not cold.
+
+        :param usual: time to the first event at the targets of the service
+        """
         self.bound = bound
+        self.usual = usual
+        self.pace: TargetPace | None = None
+        self.failures = 0
         self.started_ms = 0
         self.until_s = -math.inf
         self.read_until_s = -math.inf
@@ -112,6 +123,12 @@
         """Return whether a request may be sent, as of the last refill."""
         return not self.is_announced or (self.is_permitted and self.level >= 1)
 
+    def admits(self, in_flight: int) -> bool:
+        """Return whether a request may be sent beside those in flight."""
+        if not self.has_request:
+            return False
+        return self.pace is None or in_flight < self.pace.window
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the target counts as cold."""
         return self.is_lost or now_s < self.until_s
@@ -202,9 +219,12 @@
         is_cold = self.is_cold(now_s)
         if is_cold and not self.is_announced:
             self._begin(now_s)
+        if self.is_announced and not is_cold:
+            self.pace = TargetPace(now_s)
         self.is_announced = is_cold
         if not is_cold:
             return
+        self.pace = None
         elapsed_s = max(0.0, now_s - self.refilled_s)
         self.refilled_s = max(self.refilled_s, now_s)
         self.level = min(
@@ -217,8 +237,14 @@
             self.level = min(self.level, 0.0)
         self.is_permitted = is_permitted
 
-    def grant(self, now_s: float) -> None:
-        """Count a request that this instance grants."""
+    def grant(self, now_s: float, expected_s: float) -> None:
+        """Count a request that this instance grants.
+
+        :param expected_s: time that its first event takes at an usual target
+        """
+        if self.pace:
+            overdue_s = self.usual.overdue_s(expected_s)
+            self.pace.record_sent(now_s, now_s + overdue_s)
         if self.is_announced:
             self.granted += 1
             self.level -= 1
@@ -231,11 +257,57 @@
         if requests > 0 and self.level > lowest:
             self.level = max(lowest, self.level - requests)
 
-    def wait_s(self, ahead: int) -> float:
+    def record_first_event(
+        self, sent_s: float, expected_s: float, in_flight: int, now_s: float
+    ) -> None:
+        """Record the first event of a request that this instance granted."""
+        self.failures = 0
+        ratio = (now_s - sent_s) / expected_s
+        if self.pace:
+            self.pace.record_first_event(
+                sent_s, in_flight, now_s, self.usual.relative(ratio)
+            )
+        else:
+            self.usual.add(ratio)
+
+    def record_failure(
+        self, sent_s: float, in_flight: int, now_s: float
+    ) -> None:
+        """Record a failed or refused request; several begin a new pace."""
+        self.failures += 1
+        if self.pace:
+            self.pace.shrink(sent_s, in_flight, now_s)
+        elif self.failures >= FAILURES_TO_PACE:
+            self.pace = TargetPace(now_s)
+
+    def record_end(self, sent_s: float) -> None:
+        """Record that a request has left the target."""
+        if self.pace:
+            self.pace.due_s.pop(sent_s, None)
+
+    def is_paced(self, now_s: float) -> bool:
+        """Return whether the target has started or recovered lately.
+
+        Instances that send nothing to it do not learn that its window no longer
+        binds.
+        """
+        return self.pace is not None and not self.pace.is_old(now_s)
+
+    def check_pace(self, in_flight: int, slots: int, now_s: float) -> None:
+        """Shrink the window if a first event is overdue; end it if it can."""
+        if self.pace is None:
+            return
+        self.pace.check_overdue(in_flight, now_s)
+        if self.pace.is_over(slots, now_s):
+            self.pace = None
+
+    def wait_s(self, ahead: int, in_flight: int = 0) -> float:
         """Return the time from the last refill until one more may be sent.
 
         :param ahead: requests that wait for the target
         """
+        if self.pace and not self.is_announced:
+            return self.pace.wait_s(in_flight, ahead)
         if not self.is_announced:
             return 0.0
         left_s = max(0.0, self.until_s - self.refilled_s)
@@ -256,6 +328,7 @@
         self.assumed_until_s = -math.inf
         self.is_lost = False
         self.is_announced = False
+        self.pace = None
 
     def _begin(self, now_s: float) -> None:
         """Empty the bucket as coldness begins."""
@@ -268,6 +341,8 @@
         self.refilled_s = now_s
 
 
+# Takes a target, its pace and the time, when the pace begins and ends.
+PaceListener = Callable[[str, TargetPace, float], None]
 ColdListener = Callable[[str, ColdState, str, float], None]
 
 
@@ -287,6 +362,10 @@
     """Log nothing."""
 
 
+def _ignore_pace(name: str, pace: TargetPace, now_s: float) -> None:
+    """Log no pace."""
+
+
 class ColdTargets:
     """Coldness of all targets whose service states a limit.
 
@@ -308,11 +387,13 @@
         self.states: dict[str, ColdState] = {}
         self.services: dict[str, str] = {}
         self.sources: dict[str, str] = {}
+        self.usual: dict[str, UsualTime] = {}
         self.removed: set[str] = set()
         self.read_s = -math.inf
         self.is_in_charge: Callable[[str, float], bool] = _is_always_in_charge
         self.is_informed: Callable[[float], bool] = _is_always_informed
         self.on_change: ColdListener = _ignore_change
+        self.on_pace: PaceListener = _ignore_pace
 
     def configure(self, limits: Mapping[str, ColdLimit]) -> None:
         """Set the limits by service."""
@@ -337,7 +418,8 @@
         state = self.states.get(target.name)
         if state is None or self.services[target.name] != target.service:
             state = ColdState(
-                ColdBound.from_limit(limit, self.over, self.slack)
+                ColdBound.from_limit(limit, self.over, self.slack),
+                self.usual.setdefault(target.service, UsualTime()),
             )
             state.started_ms = target.started_ms
             self.states[target.name] = state
@@ -391,12 +473,37 @@
         if state:
             state.record_response(now_s)
 
-    def has_cold(self, service: str, now_s: float) -> bool:
-        """Return whether a target of a service is cold."""
+    def record_failure(
+        self, target: Target, sent_s: float, in_flight: int, now_s: float
+    ) -> None:
+        """Record a failed or refused request.
+
+        :param sent_s: time at which the request was sent
+        :param in_flight: requests at the target, including this one
+        """
+        state = self.states.get(target.name)
+        if state:
+            was_paced = state.pace is not None
+            state.record_failure(sent_s, in_flight, now_s)
+            if state.pace and not was_paced:
+                self.on_pace(target.name, state.pace, now_s)
+
+    def check_pace(
+        self, target: Target, in_flight: int, slots: int, now_s: float
+    ) -> None:
+        """Shrink or end the window of a paced target."""
+        state = self.states[target.name]
+        pace = state.pace
+        state.check_pace(in_flight, slots, now_s)
+        if pace and state.pace is None:
+            self.on_pace(target.name, pace, now_s)
+
+    def needs_owner(self, service: str, now_s: float) -> bool:
+        """Return whether a target of a service is cold or paced."""
         if service not in self.limits:
             return False
         return any(
-            state.is_cold(now_s)
+            state.is_cold(now_s) or state.is_paced(now_s)
             for name, state in self.states.items()
             if self.services[name] == service
         )
@@ -440,6 +547,8 @@
         if state.is_announced != was_cold:
             self.sources[name] = source
             self.on_change(name, state, source, now_s)
+            if state.pace:
+                self.on_pace(name, state.pace, now_s)
 
     def _renew_bounds(self) -> None:
         """Apply changed limits to the known targets."""
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -151,7 +151,9 @@
         """
         if not self.limit.has_request:
             return False
-        if self.cold is not None and not self.cold.has_request:
+        if self.cold is not None and not self.cold.admits(
+            self.running + others.running
+        ):
             return False
         if self.running + others.running >= self.slots * RUNNING_SHARE:
             return False
@@ -202,7 +204,7 @@
         self.running += 1
         self.limit.grant()
         if self.cold is not None:
-            self.cold.grant(now_s)
+            self.cold.grant(now_s, self._expected_s(sent))
         return sent
 
     def adopt(self, sent: DispatchedRequest) -> None:
@@ -215,6 +217,10 @@
         """Record that the target has prefilled a request's prompt."""
         if sent.is_prefilled:
             return
+        if self.cold is not None:
+            self.cold.record_first_event(
+                sent.sent_s, self._expected_s(sent), self.running, now_s
+            )
         self._finish_prefill(sent)
         tokens = sent.uncached_tokens + sent.ahead_tokens
         if tokens < SMALLEST_SAMPLE_TOKENS:
@@ -230,11 +236,13 @@
         wait_s = self.limit.wait_s(ahead)
         if self.cold is None:
             return wait_s
-        return max(wait_s, self.cold.wait_s(ahead))
+        return max(wait_s, self.cold.wait_s(ahead, self.running))
 
     def record_end(self, sent: DispatchedRequest) -> None:
         """Record that a request is no longer at the target."""
         self.running -= 1
+        if self.cold is not None:
+            self.cold.record_end(sent.sent_s)
         if not sent.is_prefilled:
             self._finish_prefill(sent)
 
@@ -252,6 +260,11 @@
             return (ahead + 1) * self.slowness
         return ahead + 1
 
+    def _expected_s(self, sent: DispatchedRequest) -> float:
+        """Return the time to the first event that the work should take."""
+        tokens = sent.uncached_tokens + sent.ahead_tokens
+        return FIRST_EVENT_BASE_S + self.prefill_s(tokens)
+
     def _finish_prefill(self, sent: DispatchedRequest) -> None:
         """Mark a request's prompt as prefilled."""
         sent.is_prefilled = True
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -380,6 +380,10 @@
         if self.cold.limits:
             for load in loads:
                 load.cold = self.cold.prepared(load.target, service, now_s)
+                if load.cold and load.cold.pace:
+                    self.cold.check_pace(
+                        load.target, load.running, load.slots, now_s
+                    )
         self.closed[service] = tuple(
             load.target.name
             for load in loads
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -92,6 +92,11 @@
     return msgspec.structs.replace(target, cold_left_s=left_s)
 
 
+def is_cold(cold, now_s):
+    """Return whether any target counts as cold."""
+    return any(state.is_cold(now_s) for state in cold.states.values())
+
+
 def take_all(cold, target, now_s, queue='llm'):
     """Grant all requests that may be sent now, a hundred at most."""
     granted = []
@@ -99,7 +104,7 @@
         state = cold.prepared(target, queue, now_s)
         if not state.has_request:
             break
-        state.grant(now_s)
+        state.grant(now_s, 0.1)
         granted.append(now_s)
     return granted
 
@@ -247,7 +252,7 @@
     target = make_target()
     state = cold.prepared(target, 'llm', 10.0)
     for number in range(20):
-        state.grant(10.0 + number * 0.05)
+        state.grant(10.0 + number * 0.05, 0.1)
     cold.learn_entry(listed(target, COLD_S), 11.0)
     assert not take_all(cold, target, 11.5)
     assert take_all(cold, target, 13.9)
@@ -260,12 +265,12 @@
     cold.learn_entry(listed(target, 0.0), 0.0)
     cold.record_unreachable(target, 10.0, 10.0)
     cold.learn_entry(listed(target, 0.0), 10.2)
-    assert cold.has_cold('llm', 10.2)
+    assert is_cold(cold, 10.2)
     cold.record_response(target, 11.0)
     cold.learn_entry(listed(target, 0.0), 11.1)
-    assert cold.has_cold('llm', 11.1)
+    assert is_cold(cold, 11.1)
     cold.learn_entry(listed(target, 0.0), 11.0 + ENTRY_DELAY_S)
-    assert not cold.has_cold('llm', 11.0 + ENTRY_DELAY_S)
+    assert not is_cold(cold, 11.0 + ENTRY_DELAY_S)
 
 
 def test_a_crashed_target_counts_as_cold_for_its_duration_at_most():
@@ -274,10 +279,10 @@
     target = make_target()
     cold.prepared(target, 'llm', 0.0)
     cold.record_unreachable(target, 10.0, 10.0)
-    assert cold.has_cold('llm', 60.0)
+    assert is_cold(cold, 60.0)
     cold.record_response(target, 60.0)
-    assert cold.has_cold('llm', 60.0 + COLD_S - 0.01)
-    assert not cold.has_cold('llm', 60.0 + COLD_S)
+    assert is_cold(cold, 60.0 + COLD_S - 0.01)
+    assert not is_cold(cold, 60.0 + COLD_S)
 
 
 def test_the_entry_of_a_new_start_is_believed_at_once():
@@ -288,9 +293,9 @@
     cold.record_unreachable(target, 10.0, 10.0)
     started = make_target(started_ms=6)
     cold.learn_entry(listed(started, 0.0), 10.1)
-    assert not cold.has_cold('llm', 10.1)
+    assert not is_cold(cold, 10.1)
     cold.learn_entry(listed(target, COLD_S), 10.2)
-    assert not cold.has_cold('llm', 10.2)
+    assert not is_cold(cold, 10.2)
 
 
 def test_a_broken_link_is_no_crash():
@@ -301,9 +306,9 @@
     cold.record_response(target, 10.1)
     cold.record_unreachable(target, 10.0, 10.2)
     cold.learn_from_peer(target, COLD_S, 10.2, is_assumed=True)
-    assert not cold.has_cold('llm', 10.2)
+    assert not is_cold(cold, 10.2)
     cold.record_unreachable(target, 10.3, 10.4)
-    assert cold.has_cold('llm', 10.4)
+    assert is_cold(cold, 10.4)
 
 
 def test_other_instances_learn_of_a_crash():
@@ -317,8 +322,8 @@
     report = msgspec.structs.replace(report_of('e'), cold=reports)
     apply_cold_reports(second, {'e': target}, report, None, 10.2)
     second.learn_entry(listed(target, 0.0), 10.3)
-    assert second.has_cold('llm', 10.2 + COLD_S - 0.01)
-    assert not second.has_cold('llm', 10.2 + COLD_S)
+    assert is_cold(second, 10.2 + COLD_S - 0.01)
+    assert not is_cold(second, 10.2 + COLD_S)
     assert not any(
         each.assumed_s or each.left_s
         for each in cold_reports(second, 10.4).values()
@@ -343,9 +348,9 @@
     cold = make_cold()
     for target in (make_target(), make_target('p', 'plain')):
         cold.count_as_cold(target, 10.0)
-    assert not cold.has_cold('plain', 10.0)
-    assert cold.has_cold('llm', 10.0 + COLD_S - 0.01)
-    assert not cold.has_cold('llm', 10.0 + COLD_S)
+    assert 'p' not in cold.states
+    assert is_cold(cold, 10.0 + COLD_S - 0.01)
+    assert not is_cold(cold, 10.0 + COLD_S)
 
 
 def test_services_without_a_limit_have_no_state():
@@ -805,7 +810,7 @@
     }
     first = report_of(name, started_ms, 4)
     apply_cold_reports(cold, targets, first, None, 5.0)
-    assert cold.has_cold('llm', 5.5) is is_learned
+    assert is_cold(cold, 5.5) is is_learned
     assert not any(each.left_s for each in cold_reports(cold, 5.5).values())
     level = cold.states['e'].level if is_learned else 0
     later = report_of(name, started_ms, 6)
