--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -266,16 +266,16 @@
         """
         scheduler = self.dispatcher.scheduler
         service = waiting.service
-        has_cold = scheduler.cold.has_cold(service, time.monotonic())
+        needs_owner = scheduler.cold.needs_owner(service, time.monotonic())
         # Each cold target is assigned in one queue only, whether a request
         # states a prompt or not: an engine by the owner of its pool.
         is_model = scheduler.engine_memory.get(service) is not None
-        if self.owners.is_pooled and (is_model or not has_cold):
+        if self.owners.is_pooled and (is_model or not needs_owner):
             if waiting.work is not None:
                 return self.pools.rank(service, waiting.work)
-            if has_cold:
+            if needs_owner:
                 return self.pools.pools_of(service).rank(waiting.request_id)
-        if has_cold or scheduler.has_limits(service):
+        if needs_owner or scheduler.has_limits(service):
             return [service]
         return []
 
