State the limits of the machine in the settings of a gateway

The section limits holds memory, file descriptors and the share and speed of the processors; zero means that a deployment does not state it. The template fills it in. Nothing uses it yet.

--- a/docs/generate.py
+++ b/docs/generate.py
@@ -9,6 +9,7 @@
 from dandelionplank.delivery import bounds, connections, streams
 from dandelionplank.errors import ErrorCode
 from dandelionplank.events import Event
+from dandelionplank.fleet.settings import GatewayLimits
 from dandelionplank.platform import engines
 from dandelionplank.settings import Settings
 
@@ -127,6 +128,14 @@
         '|---|---|---|',
         *_rows(Settings, ''),
         '',
+        '## Limits of the gateway',
+        '',
+        'What the machine grants the process; zero if it is not known.',
+        '',
+        '| setting | type | default |',
+        '|---|---|---|',
+        *_rows(GatewayLimits, 'limits.'),
+        '',
         *_bound_rows(),
     ]
     return '\n'.join((*lines, ''))
--- a/src/dandelionplank/fleet/settings.py
+++ b/src/dandelionplank/fleet/settings.py
@@ -72,6 +72,26 @@
     repeat_window_s: Seconds = 10.0
 
 
+class GatewayLimits(Frozen, frozen=True):
+    """What the machine grants this process; zero if it is not known.
+
+    :param memory_mb: memory beyond which the process is killed
+    :param file_descriptors: files and sockets that it may have open
+    :param processor_share: part of the machine's processors
+    :param processor_speed: speed of a whole machine, in cores
+    """
+
+    memory_mb: Limit = 0
+    file_descriptors: Limit = 0
+    processor_share: Limit = 0
+    processor_speed: Limit = 0
+
+    @property
+    def processor_cores(self) -> float:
+        """Return the cores that the process may use."""
+        return self.processor_share * self.processor_speed
+
+
 class GatewaySettings(Frozen, frozen=True):
     """All settings of a gateway."""
 
@@ -79,4 +99,5 @@
     listen: GatewayListen
     store: GatewayStore
     bounds: GatewayBounds = GatewayBounds()
+    limits: GatewayLimits = GatewayLimits()
     log_level: str = 'INFO'
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from unittest import mock
 
 from nose2.tools import params
 
@@ -17,7 +18,11 @@
 from bench.platform import gateway_settings
 from dandelionplank.commands.assembly import build_daemon
 from dandelionplank.errors import SettingsError
-from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
+from dandelionplank.fleet.settings import (
+    GatewayBounds,
+    GatewayLimits,
+    GatewaySettings,
+)
 from dandelionplank.fleet.sockets import RETRY_S
 from dandelionplank.settings import Address, parse_yaml
 from tests.fixtures import run_async, run_on_both_loops, wait_until
@@ -39,6 +44,10 @@
     'Bounds.BudgetRatio': '0.2',
     'Bounds.BudgetExtra': '56',
     'Bounds.BudgetWindowS': '10',
+    'Limits.MemoryMb': '160',
+    'Limits.MaxFds': '1638',
+    'Limits.CpuShare': '0.25',
+    'Limits.CpuCores': '1.548',
 }
 
 
@@ -59,6 +68,17 @@
     assert math.isclose(settings.store.target_report_s, 1.2)
     assert settings.listen.peers == '10.1.0.33:7400'
     assert settings.instance.data_center == 'Zone A'
+    assert math.isclose(settings.limits.processor_cores, 0.387)
+    assert settings.limits.memory_mb == 160
+    assert settings.limits.file_descriptors == 1638
+
+
+def test_limits_that_the_platform_does_not_state_are_unknown():
+    """A deployment that fills in no limits kept a gateway from starting."""
+    for empty in ('', 'null'):
+        unstated = {name: empty for name in FIELDS if name.startswith('Limits')}
+        with mock.patch.dict(FIELDS, unstated):
+            assert settings_from_template().limits == GatewayLimits()
 
 
 @params(
