Repeat the refusals of a pool while the event loop is late

Seen: on an instance of 0.387 core one account caused nearly all refusals, 150 to 700 a second, most of them for the expected wait; it served 40 requests a second instead of 170.

Cause: each refused request is read completely and asked for at the scheduler, or at the owners of up to four pools, like one that is granted a target.

Evidence: tests.test_refusals.test_refusals_in_a_row_ask_no_owner failed with the gateway before: nine of nine requests were asked for, with this change three.

Change: after three refusals for the expected wait in a row, requests of the same account and service that cost no less are refused with the time that is left of the last Retry-After, before their bodies are read, for 50 ms; then one is asked for in 20 ms. An account that is behind asks again after 20 ms. A grant ends it. Only while the loop is late.

--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -34,7 +34,9 @@
 from dandelionplank.events import Event
 from dandelionplank.fairness.demand import DemandMeter
 from dandelionplank.logs import log_event
+from dandelionplank.routing.admission import is_wait_reason
 from dandelionplank.routing.budget import ServiceRetryBudgets
+from dandelionplank.routing.refusals import RepeatedRefusals
 from dandelionplank.routing.retries import AttemptState
 from dandelionplank.routing.routes import RequestKind
 from dandelionplank.routing.scheduler import Grant
@@ -73,6 +75,7 @@
         self.crashes = crashes
         self.held = HeldBytes()
         self.demand = DemandMeter()
+        self.refusals = RepeatedRefusals()
 
     async def fetch(self, request: CallerRequest) -> CompleteResponse:
         """Return the complete response to a request that is not a stream.
@@ -304,9 +307,20 @@
 
         :raises RefusalError: the request was rejected and not executed
         """
-        return await self.dispatcher.acquire(
-            request.to_waiting_request(progress.avoided)
-        )
+        waiting = request.to_waiting_request(progress.avoided)
+        try:
+            grant = await self.dispatcher.acquire(waiting)
+        except RefusalError as error:
+            if not progress.avoided and is_wait_reason(error.reason):
+                self.refusals.record_refusal(
+                    request.work_key,
+                    request.cost,
+                    error.retry_after_s,
+                    time.monotonic(),
+                )
+            raise
+        self.refusals.record_grant(request.work_key)
+        return grant
 
     def _record_events(self, attempt: Attempt) -> None:
         """Record that events of a stream have arrived."""
--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.fairness.precedence import BEHIND_RANK
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.routing.scheduler import Grant, Rejection, Scheduler
 
@@ -26,6 +27,9 @@
         :raises RefusalError: the request was rejected and not executed
         """
 
+    def is_behind(self, account: str) -> bool:
+        """Return whether an account received less service than others."""
+
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
 
@@ -81,6 +85,10 @@
             self.futures.pop(id(waiting), None)
             self.scheduler.withdraw(waiting)
 
+    def is_behind(self, account: str) -> bool:
+        """Return whether an account received less service than others."""
+        return self.scheduler.rank(account, time.monotonic()) < BEHIND_RANK
+
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
         grant.load.record_first_event(grant.sent, time.monotonic())
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -16,6 +16,11 @@
 LENGTH_BYTES = 4
 
 
+def cost_of(metadata: RequestMetadata) -> float:
+    """Return the cost of a request in tokens, for the scheduling order."""
+    return metadata.work.cost if metadata.work else PLAIN_COST
+
+
 @dataclasses.dataclass(slots=True)
 class Trace:
     """Placement and times of a request, for its log line.
@@ -85,8 +90,12 @@
     @property
     def cost(self) -> float:
         """Cost in tokens, for the scheduling order among accounts."""
-        work = self.metadata.work
-        return work.cost if work else PLAIN_COST
+        return cost_of(self.metadata)
+
+    @property
+    def work_key(self) -> tuple[str, str]:
+        """Account and service, for which refusals are repeated."""
+        return self.account, self.service
 
     def identity(self, version: str) -> str:
         """Return what the repetitions of this request have in common.
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -140,6 +140,10 @@
         waiting.avoided = (*waiting.avoided, *self.closed)
         return await self._acquire_in_order(queues, waiting)
 
+    def is_behind(self, account: str) -> bool:
+        """Return whether an account received less service than others."""
+        return self.dispatcher.is_behind(account)
+
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
         if grant.ticket_number < 0:
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -16,6 +16,7 @@
     CallerRequest,
     CompleteResponse,
     Trace,
+    cost_of,
 )
 from dandelionplank.errors import (
     DandelionplankError,
@@ -31,6 +32,8 @@
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
+from dandelionplank.routing.admission import WAIT_REASON
+from dandelionplank.routing.refusals import WorkKey
 from dandelionplank.routing.routes import (
     RequestKind,
     Route,
@@ -118,11 +121,11 @@
         table = self._current_table()
         route = self._route(table, request)
         account = self._account(table, route, metadata)
-        self._check_overload(account)
+        service = route.pick_service(_split_point(metadata.request_id))
+        self._check_overload((account, service), metadata)
         body = await self.grace.limit(self._read_body(request, table), Trace())
         self.grace.check_admission()
         self._check_key_confirmed(route, metadata)
-        service = route.pick_service(_split_point(metadata.request_id))
         caller = self._caller_request(
             request,
             body,
@@ -227,11 +230,16 @@
             retry_after_s=STALE_RETRY_S,
         )
 
-    def _check_overload(self, account: str) -> None:
+    def _check_overload(self, key: WorkKey, metadata: RequestMetadata) -> None:
         """Refuse a request that this instance could only serve late.
 
-        :raises RefusalError: the account has had its share of this instance
+        :param key: account and service
+        :raises RefusalError: the account has had its share of this instance,
+            or its requests are refused anyway
         """
+        account = key[0]
+        if self.overload.is_late and account:
+            self._check_repeated(key, metadata)
         if self.overload.admit(account):
             return
         self.delivery.demand.record_refusal(account)
@@ -242,6 +250,33 @@
             retry_after_s=OVERLOADED_RETRY_S,
         )
 
+    def _check_repeated(self, key: WorkKey, metadata: RequestMetadata) -> None:
+        """Refuse a request like the last ones of its account.
+
+        :param key: account and service
+        :raises RefusalError: several in a row were refused a short time ago
+        """
+        account, service = key
+        cost = cost_of(metadata)
+        retry_after_s = self.delivery.refusals.repeat(
+            key,
+            cost,
+            time.monotonic(),
+            is_behind=self.delivery.dispatcher.is_behind(account),
+        )
+        if retry_after_s is None:
+            return
+        self.delivery.demand.record_arrival(account, cost)
+        self.delivery.demand.record_refusal(account)
+        METRICS.add('refusals_repeated_total')
+        raise RefusalError(
+            f'{WAIT_REASON} of the last requests',
+            step=STEP,
+            peer=service,
+            code=ErrorCode.QUEUE_TIMEOUT,
+            retry_after_s=retry_after_s,
+        )
+
     def _check_key_confirmed(
         self, route: Route, metadata: RequestMetadata
     ) -> None:
--- a/src/dandelionplank/routing/admission.py
+++ b/src/dandelionplank/routing/admission.py
@@ -14,6 +14,7 @@
 OVERSIZE_WAIT_SHARE = 0.8
 MIN_RETRY_S = 0.25
 MAX_RETRY_S = 4.0
+WAIT_REASON = 'expected wait'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +39,19 @@
         return self.wait_s + self.unloaded_s
 
 
+def wait_reason(estimate: LatencyEstimate) -> str:
+    """Return the reason of a refusal for the expected wait."""
+    return f'{WAIT_REASON} {estimate.wait_s:.2f} s'
+
+
+def is_wait_reason(reason: str) -> bool:
+    """Return whether a request was refused for the expected wait.
+
+    The owner of a pool states the reason of a refusal as text.
+    """
+    return reason.startswith(WAIT_REASON)
+
+
 def misses_objective(
     estimate: LatencyEstimate, objective_left_s: float
 ) -> bool:
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -24,6 +24,7 @@
     attainable_objective_s,
     misses_objective,
     retry_after_s,
+    wait_reason,
 )
 from dandelionplank.routing.load import (
     TARGET_QUEUE_S,
@@ -168,7 +169,7 @@
             if misses_objective(estimate, waiting.objective_deadline_s - now_s):
                 return Rejection(
                     waiting,
-                    f'expected wait {estimate.wait_s:.2f} s',
+                    wait_reason(estimate),
                     retry_after_s(estimate, self.jitter()),
                 )
         self._start_waiting(waiting, placement, now_s)
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,179 @@
+"""Tests of refusals while an instance has more requests than it can handle."""
+
+import asyncio
+import random
+from unittest import mock
+
+from nose2.tools import params
+
+from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.routing import refusals as refusals_module
+from dandelionplank.routing.admission import (
+    MAX_RETRY_S,
+    LatencyEstimate,
+    wait_reason,
+)
+from dandelionplank.routing.refusals import (
+    BEHIND_REPEATED_S,
+    LONGEST_GAP_S,
+    MAX_KEYS,
+    PROBE_PERIOD_S,
+    REPEATED_REFUSALS,
+    REPEATED_S,
+    RepeatedRefusals,
+)
+from tests.fixtures import TIME_LIMIT_S
+from tests.platformfleet import platform_fleet
+from tests.test_overload import LATE_S
+
+KEY = ('account', 'llm')
+COST = 1000.0
+# Requests of one account, and those that its pool can serve.
+OFFERED_PER_S = 500
+SERVED_PER_S = 100
+# Work that its pool holds when it refuses.
+QUEUE_S = 0.4
+SECONDS = 20
+REQUESTS = 3 * REPEATED_REFUSALS
+
+
+def refused_in_a_row(count=REPEATED_REFUSALS, now_s=0.0):
+    """Return the state after some refusals at a time."""
+    refusals = RepeatedRefusals()
+    for _ in range(count):
+        refusals.record_refusal(KEY, COST, MAX_RETRY_S, now_s)
+    return refusals
+
+
+def test_refusals_are_repeated_for_a_short_time():
+    """Each refused request cost as much as one that is granted a target."""
+    refusals = refused_in_a_row()
+    retry_s = refusals.repeat(KEY, COST, REPEATED_S / 2, is_behind=False)
+    assert retry_s == MAX_RETRY_S - REPEATED_S / 2
+    assert refusals.repeat(KEY, COST, REPEATED_S, is_behind=False) is None
+
+
+def test_one_request_at_a_time_asks_again():
+    """Otherwise all requests would be asked for until the answer arrives."""
+    refusals = refused_in_a_row()
+    due_s = REPEATED_S
+    assert refusals.repeat(KEY, COST, due_s, is_behind=False) is None
+    assert refusals.repeat(KEY, COST, due_s, is_behind=False) is not None
+    due_s += PROBE_PERIOD_S
+    assert refusals.repeat(KEY, COST, due_s, is_behind=False) is None
+    refusals.record_refusal(KEY, COST, MAX_RETRY_S, due_s)
+    assert refusals.repeat(KEY, COST, due_s, is_behind=False) is not None
+
+
+def test_an_account_behind_asks_again_sooner():
+    """It is to get the next capacity that others leave."""
+    refusals = refused_in_a_row()
+    assert refusals.repeat(KEY, COST, BEHIND_REPEATED_S, is_behind=False)
+    assert refusals.repeat(KEY, COST, BEHIND_REPEATED_S, is_behind=True) is None
+
+
+def test_what_may_be_granted_is_asked_for():
+    """A refusal says nothing of cheaper requests and of other accounts."""
+    refusals = refused_in_a_row(REPEATED_REFUSALS - 1)
+    assert refusals.repeat(KEY, COST, 0, is_behind=False) is None
+    refusals.record_refusal(KEY, COST, MAX_RETRY_S, 0)
+    assert refusals.repeat(KEY, COST, 0, is_behind=False)
+    assert refusals.repeat(KEY, COST / 2, 0, is_behind=False) is None
+    for other in (('other', 'llm'), ('account', 'plain')):
+        assert refusals.repeat(other, COST, 0, is_behind=False) is None
+    refusals.record_grant(KEY)
+    assert refusals.repeat(KEY, COST, 0, is_behind=False) is None
+
+
+def test_refusals_long_apart_are_not_in_a_row():
+    """Knowledge that is out of date refused nothing."""
+    refusals = refused_in_a_row(REPEATED_REFUSALS - 1)
+    later_s = 2 * LONGEST_GAP_S
+    refusals.record_refusal(KEY, COST, MAX_RETRY_S, later_s)
+    assert refusals.repeat(KEY, COST, later_s, is_behind=False) is None
+
+
+def test_the_state_is_bounded():
+    """Accounts come and go for as long as the process lives."""
+    refusals = RepeatedRefusals()
+    for number in range(3 * MAX_KEYS):
+        key = (f'account-{number}', 'llm')
+        refusals.record_refusal(key, COST, MAX_RETRY_S, float(number))
+    assert len(refusals.refused) <= MAX_KEYS
+
+
+def serve_account(seed, *, is_behind):
+    """Return how many requests a pool was asked for and how many it served."""
+    source = random.Random(seed)
+    refusals = RepeatedRefusals()
+    busy_until_s = 0.0
+    asked = 0
+    served = 0
+    for number in range(OFFERED_PER_S * SECONDS):
+        now_s = (number + source.random()) / OFFERED_PER_S
+        if refusals.repeat(KEY, COST, now_s, is_behind=is_behind) is not None:
+            continue
+        asked += 1
+        wait_s = max(0.0, busy_until_s - now_s)
+        if wait_s > QUEUE_S:
+            refusals.record_refusal(KEY, COST, wait_s, now_s)
+        else:
+            refusals.record_grant(KEY)
+            busy_until_s = now_s + wait_s + 1 / SERVED_PER_S
+            served += 1
+    return asked, served
+
+
+@params(1, 2, 3)
+def test_a_repeated_refusal_leaves_no_target_idle(seed):
+    """An account that is refused often still gets what its pool can serve."""
+    for is_behind in (False, True):
+        asked, served = serve_account(seed, is_behind=is_behind)
+        assert served >= SERVED_PER_S * SECONDS
+        assert asked < OFFERED_PER_S * SECONDS / 2
+
+
+def make_late(gateway):
+    """Let the loop of an instance count as late from now on."""
+    gateway.loop_delay.listener = NoListener()
+    gateway.overload.delay_s = LATE_S
+
+
+class NoListener:
+    """Takes the measured delays and forgets them."""
+
+    def record_delay(self, delay_s, now_s):
+        """Forget a delay."""
+
+
+@params((True, REPEATED_REFUSALS), (False, REQUESTS))
+def test_refusals_in_a_row_ask_no_owner(is_late, expected):
+    """The owner of a pool was asked for each request of a busy instance."""
+    assert asyncio.run(asked_for_refused(is_late=is_late)) == expected
+
+
+async def asked_for_refused(*, is_late):
+    """Return how many of some refused requests a target was asked for."""
+    refusal = RefusalError(
+        wait_reason(LatencyEstimate(LATE_S, 0)),
+        step='pool',
+        code=ErrorCode.QUEUE_TIMEOUT,
+        retry_after_s=MAX_RETRY_S,
+    )
+    async with platform_fleet() as fleet:
+        gateway = fleet.gateways[0].gateway
+        if is_late:
+            make_late(gateway)
+        with (
+            mock.patch.object(refusals_module, 'REPEATED_S', TIME_LIMIT_S),
+            mock.patch.object(refusals_module, 'LONGEST_GAP_S', TIME_LIMIT_S),
+            mock.patch.object(
+                gateway.delivery.dispatcher, 'acquire', side_effect=refusal
+            ) as acquire,
+        ):
+            for _ in range(REQUESTS):
+                status, _, headers = await fleet.call('/mine/x')
+                assert status == 503
+                assert 0 < float(headers['Retry-After']) <= MAX_RETRY_S
+        assert not fleet.runs()
+        return acquire.call_count
