End the connections of refused callers while an instance is overloaded

Seen: an instance of 1,638 descriptors ran out of them at about 1,270 callers' connections, most of them without a request: each retry of a refused caller comes on a new connection, and the old one stays open for up to 12 s. Later it read 200 to 1,187 requests a second whose callers had left.

Cause: a refusal kept its connection open. A close shows to the loop only some turns after the request that was sent before it.

Evidence: tests.test_refusals.test_refused_callers_leave_a_late_instance and test_refused_callers_stay_while_there_is_room failed before (no header Connection in the response).

Change: while the loop is late, or from 0.8 of the bound on connections on, a 503 ends its connection, unless another request has been read on it, which is handled first. While the loop is late, the socket of a request is asked whether its caller has closed it, before the request is routed and again before it is delivered. The share of the bound is zero until something sets it.

tests.test_refusals tests.test_gateway tests.test_overload: 60 passed, 0 failed.

--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -29,6 +29,7 @@
 from dandelionplank.ingress.grace import GracePeriod
 from dandelionplank.ingress.loopdelay import LoopDelayMeter
 from dandelionplank.ingress.overload import OverloadControl
+from dandelionplank.ingress.presence import has_left, has_next_request
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
@@ -88,9 +89,10 @@
         started_s = time.monotonic()
         metadata = self.codec.request_metadata(request.headers)
         try:
+            self._check_present(request)
             return await self._serve(request, metadata, started_s)
         except DandelionplankError as error:
-            return self._refuse(metadata, error, started_s)
+            return self._refuse(request, metadata, error, started_s)
         except Exception as error:
             # One request must not end otherwise than with a response.
             failure = RefusalError(
@@ -99,7 +101,7 @@
                 code=ErrorCode.INTERNAL,
                 outcome=Outcome.UNKNOWN,
             )
-            return self._refuse(metadata, failure, started_s)
+            return self._refuse(request, metadata, failure, started_s)
         except asyncio.CancelledError:
             log_event(
                 Event.CALLER_GONE,
@@ -138,6 +140,7 @@
         # On a busy instance the caller may have left before its request is
         # read. One turn of the loop lets its close cancel this task.
         await asyncio.sleep(0)
+        self._check_present(request)
         self.delivery.budgets.record_request(caller.service, started_s)
         if route.kind is RequestKind.STREAM:
             return await self._stream(request, caller)
@@ -230,6 +233,15 @@
             retry_after_s=STALE_RETRY_S,
         )
 
+    def _check_present(self, request: web.BaseRequest) -> None:
+        """Drop a request whose caller has left while the loop was late.
+
+        :raises asyncio.CancelledError: as the server does for a closed one
+        """
+        if self.overload.is_late and has_left(request):
+            METRICS.add('callers_left_total')
+            raise asyncio.CancelledError
+
     def _check_overload(self, key: WorkKey, metadata: RequestMetadata) -> None:
         """Refuse a request that this instance could only serve late.
 
@@ -368,6 +380,7 @@
 
     def _refuse(
         self,
+        request: web.BaseRequest,
         metadata: RequestMetadata,
         error: DandelionplankError,
         started_s: float,
@@ -401,10 +414,22 @@
             ),
             text=f'{error.code.label} {error.code.meaning}\n',
         )
-        if self.is_leaving:
+        if self.is_leaving or self._ends_connection(request, status):
             response.force_close()
         return response
 
+    def _ends_connection(self, request: web.BaseRequest, status: int) -> bool:
+        """Return whether the connection of a refused request ends.
+
+        The caller retries on a new one. A request that was sent behind the
+        refused one is served first.
+        """
+        return (
+            status == HTTPStatus.SERVICE_UNAVAILABLE
+            and self.overload.is_pressed
+            and not has_next_request(request)
+        )
+
     def _account_name(self, metadata: RequestMetadata) -> str:
         """Return the account of a key for a log line, empty if unknown."""
         table = self.view.table
--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -20,6 +20,9 @@
 # Refusing fewer recent requests of an account relieves no loop: something else
 # delays it.
 RELIEVING_REQUESTS = 20
+# Share of the bound on connections from which refused ones end. Each retry
+# comes on a new connection, so that the others stay open without a request.
+NEAR_BOUND_SHARE = 0.8
 
 
 class OverloadControl:
@@ -31,6 +34,12 @@
         self.updated_s = 0.0
         self.recent: Counter[str] = Counter()
         self.recent_total = 0.0
+        self.connection_share = 0.0
+
+    @property
+    def is_pressed(self) -> bool:
+        """Whether refused callers are to leave their connections here."""
+        return self.is_late or self.connection_share >= NEAR_BOUND_SHARE
 
     @property
     def is_late(self) -> bool:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,12 +1,17 @@
 """Tests of refusals while an instance has more requests than it can handle."""
 
 import asyncio
+import contextlib
 import random
 from unittest import mock
 
 from nose2.tools import params
+from yarl import URL
 
+from bench.platform import request_headers
 from dandelionplank.errors import ErrorCode, RefusalError
+from dandelionplank.ingress.overload import NEAR_BOUND_SHARE
+from dandelionplank.ingress.presence import has_left
 from dandelionplank.routing import refusals as refusals_module
 from dandelionplank.routing.admission import (
     MAX_RETRY_S,
@@ -22,9 +27,15 @@
     REPEATED_S,
     RepeatedRefusals,
 )
-from tests.fixtures import TIME_LIMIT_S
+from tests.fixtures import (
+    TIME_LIMIT_S,
+    only,
+    run_async,
+    run_on_both_loops,
+    wait_until,
+)
 from tests.platformfleet import platform_fleet
-from tests.test_overload import LATE_S
+from tests.test_overload import LATE_S, admit_many
 
 KEY = ('account', 'llm')
 COST = 1000.0
@@ -133,8 +144,13 @@
         assert asked < OFFERED_PER_S * SECONDS / 2
 
 
-def make_late(gateway):
-    """Let the loop of an instance count as late from now on."""
+def make_late(gateway, account=''):
+    """Let the loop of an instance count as late from now on.
+
+    :param account: one that has had its share, if any
+    """
+    if account:
+        admit_many(gateway.overload, account)
     gateway.loop_delay.listener = NoListener()
     gateway.overload.delay_s = LATE_S
 
@@ -146,6 +162,37 @@
         """Forget a delay."""
 
 
+@run_async
+async def test_refused_callers_leave_a_late_instance():
+    """Their connections stayed open, and each retry opened another one."""
+    async with platform_fleet() as fleet:
+        gateway = fleet.gateways[0].gateway
+        assert (await fleet.call('/mine/x'))[0] == 200
+        make_late(gateway, 'account-a')
+        status, _, headers = await fleet.call('/mine/x', data=b'1' * 9000)
+        assert status == 503
+        assert headers['Connection'] == 'close'
+        await wait_until(lambda: not fleet.gateways[0].server.connection_count)
+        assert len(fleet.runs()) == 1
+
+
+@run_async
+async def test_refused_callers_stay_while_there_is_room():
+    """A refusal ends its connection near the bound on connections only."""
+    async with platform_fleet() as fleet:
+        for name in list(fleet.targets):
+            fleet.store.delete(f'servers/{name}')
+        daemon = fleet.gateways[0]
+        await wait_until(lambda: not daemon.view.registry.targets)
+        status, _, headers = await fleet.call('/mine/x')
+        assert status == 503
+        assert 'Connection' not in headers
+        daemon.gateway.overload.connection_share = NEAR_BOUND_SHARE
+        status, _, headers = await fleet.call('/mine/x')
+        assert status == 503
+        assert headers['Connection'] == 'close'
+
+
 @params((True, REPEATED_REFUSALS), (False, REQUESTS))
 def test_refusals_in_a_row_ask_no_owner(is_late, expected):
     """The owner of a pool was asked for each request of a busy instance."""
@@ -177,3 +224,70 @@
                 assert 0 < float(headers['Retry-After']) <= MAX_RETRY_S
         assert not fleet.runs()
         return acquire.call_count
+
+
+@contextlib.asynccontextmanager
+async def caller_of(fleet):
+    """Open a connection to the first gateway."""
+    url = URL(fleet.urls[0])
+    reader, writer = await asyncio.open_connection(url.host, url.port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+def request_block(request_id, path='/mine/x', body=''):
+    """Return a request over a raw connection."""
+    headers = request_headers(request_id, 'key-a')
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    length = f'Content-Length: {len(body)}'
+    head = '\r\n'.join((f'POST {path} HTTP/1.1', *lines, length))
+    return f'{head}\r\n\r\n{body}'.encode()
+
+
+@run_on_both_loops
+async def test_a_request_sent_behind_a_refused_one_gets_a_response():
+    """The connection of a refused request ended before the next one ran."""
+    async with platform_fleet() as fleet:
+        gateway = fleet.gateways[0].gateway
+        assert (await fleet.call('/mine/x'))[0] == 200
+        make_late(gateway, 'account-a')
+        async with caller_of(fleet) as (reader, writer):
+            writer.write(request_block('p1') + request_block('p2'))
+            responses = await reader.read()
+        assert responses.count(b'HTTP/1.1 503') == 2
+        assert responses.count(b'Connection: close') == 1
+
+
+@run_on_both_loops
+async def test_a_late_instance_drops_requests_of_callers_that_left():
+    """They were sent to targets after their callers had closed."""
+    async with platform_fleet() as fleet:
+        make_late(fleet.gateways[0].gateway)
+        async with caller_of(fleet) as (_, writer):
+            await wait_until(lambda: fleet.gateways[0].server.connection_count)
+            writer.write(request_block('g1'))
+            writer.close()
+        await wait_until(lambda: not fleet.gateways[0].server.connection_count)
+        assert not fleet.runs()
+        assert (await fleet.call('/mine/x'))[0] == 200
+
+
+@run_on_both_loops
+async def test_a_close_shows_before_it_is_read():
+    """A busy loop reads the request first, and the close some turns later."""
+    async with platform_fleet() as fleet:
+        server = fleet.gateways[0].server
+        async with caller_of(fleet) as (_, writer):
+            await wait_until(lambda: server.connection_count)
+            transport = only(server.connections).transport
+            request = mock.Mock(transport=transport)
+            assert not has_left(request)
+            transport.pause_reading()
+            writer.close()
+            await wait_until(lambda: has_left(request))
+            assert not transport.is_closing()
+            transport.resume_reading()
+            await wait_until(lambda: not server.connection_count)
+        assert has_left(request)
