Withdraw a small overloaded instance from the rotation for some seconds

Seen: the balancer spreads clients by a hash over the instances that report ready, whatever their size. An instance of 0.387 core that was ready took none of 1,272 new connections in 9 s, while the mean instance used 0.036 of a core.

Cause: readiness said nothing of the load.

Change: ingress/readiness.py decides by the smoothed delay of the loop, the share of the bound on connections and the share of requests refused by overload. An overload is announced to the other instances (three fields at the end of PeerReport) and withdraws the instance after 0.8 s, for 3 to 5 s, then not for 10 s, if it is among the first quarter of its data centre. Only instances that state less than one core do so. Events 216 and 217.

The bound on connections is CallerServer.connection_bound, zero until it is set.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -67,6 +67,16 @@
         Level.INFO,
         'the event loop was late; fields show the load of this instance',
     )
+    READINESS_WITHDRAWN = (
+        216,
+        Level.WARNING,
+        'the instance takes no new connections because it is overloaded',
+    )
+    READINESS_RESTORED = (
+        217,
+        Level.INFO,
+        'the instance takes new connections again',
+    )
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -5,7 +5,6 @@
 import functools
 import signal
 import time
-from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Self
 
@@ -23,6 +22,7 @@
 from dandelionplank.fleet.poolclient import PoolClient
 from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
+from dandelionplank.fleet.rotation import RotationTask
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
 from dandelionplank.fleet.sockets import (
     Page,
@@ -146,6 +146,7 @@
                 self.crashes.watch,
             ),
             parts.codec,
+            settings.instance.id,
         )
         self.follower = StoreFollower(
             self.view,
@@ -210,6 +211,13 @@
         """
         listen = self.settings.listen
         callers = Address.from_text(listen.callers)
+        rotation = RotationTask(
+            self.settings,
+            self.gateway.readiness,
+            self.gateway.overload,
+            self.exchange,
+            lambda: self.server.connection_share,
+        )
         for run in (
             self.follower.run,
             self.follower.run_expiry,
@@ -247,6 +255,7 @@
             self.crashes.run,
             self._keep_presence,
             self.server.idle.run,
+            rotation.run,
         ):
             self._spawn(run_open)
         log_event(
@@ -333,6 +342,7 @@
         is_ready = (
             self.view.is_loaded
             and not self.gateway.is_leaving
+            and not self.gateway.readiness.is_withdrawn
             and self.supervisor.failing.isdisjoint(SERVING_TASKS)
         )
         if is_ready and self.view.is_stale:
@@ -343,18 +353,14 @@
 
     def _readiness(self) -> Page:
         """Report to the balancer whether this instance is ready."""
-        return Page(
-            HTTPStatus.OK
-            if self._is_ready()
-            else HTTPStatus.SERVICE_UNAVAILABLE
-        )
+        return Page.from_readiness(is_ready=self._is_ready())
 
     def _metrics(self) -> Page:
         """Return the metrics as text."""
         METRICS.set_gauge('open_requests', self.gateway.open_requests)
         METRICS.set_gauge('view_age_seconds', self.view.capped_age_s)
         METRICS.set_gauge('peers', len(self.peer_loads.reports))
-        return Page(HTTPStatus.OK, METRICS.render())
+        return Page(METRICS.render())
 
     async def _sweep(self) -> None:
         """Close idle connections to targets periodically."""
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -56,6 +56,8 @@
     PeerReport | ViewQuery | ViewResponse | TicketMessage | CrashReport
 )
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
+# Adds to a report what other tasks state.
+ReportCompletion = Callable[[PeerReport], PeerReport]
 
 
 class Presence(Protocol):
@@ -93,6 +95,7 @@
         self.query_number = random.getrandbits(RANDOM_ID_BITS)
         self.pending_response: asyncio.Future[ViewResponse] | None = None
         self.transport: asyncio.DatagramTransport | None = None
+        self.complete_report: ReportCompletion = _unchanged
         self.receivers: dict[type, Callable[[Any], None]] = {
             PeerReport: self._receive_report,
             ViewQuery: self._respond,
@@ -289,7 +292,7 @@
         now_s = time.monotonic()
         levels = self.scheduler.local_service_levels.decay_to(now_s)
         table = self.view.table
-        return PeerReport(
+        report = PeerReport(
             self.name,
             self.incarnation,
             self.sequence,
@@ -302,6 +305,7 @@
             prefills,
             limit_reports(self.scheduler.loads, now_s),
         )
+        return self.complete_report(report)
 
     def _collect_prefills(self) -> tuple[PrefillReport, ...]:
         """Return the prompts since the last report and those to send again."""
@@ -312,6 +316,11 @@
         return tuple(_take_bytes(prefills, MAX_PREFILL_BYTES))
 
 
+def _unchanged(report: PeerReport) -> PeerReport:
+    """Return a report to which nothing is added."""
+    return report
+
+
 def _take_bytes(
     prefills: Iterable[PrefillReport], limit_bytes: int
 ) -> Iterator[PrefillReport]:
--- a/src/dandelionplank/fleet/peers.py
+++ b/src/dandelionplank/fleet/peers.py
@@ -73,6 +73,10 @@
     :param prefills: prompts recently sent to targets, some of them
         repeated from earlier reports in case one was lost
     :param limits: request rates that targets state
+    :param data_center: of the sender, empty if its version does not state it
+    :param pressure: load of a sender that is to be withdrawn from the
+        balancer's rotation, else zero
+    :param is_withdrawn: the sender is withdrawn, because it is overloaded
     """
 
     sender: str
@@ -86,6 +90,20 @@
     service: dict[str, float]
     prefills: tuple[PrefillReport, ...] = ()
     limits: dict[str, ReportedLimit] = {}
+    data_center: str = ''
+    pressure: float = 0
+    is_withdrawn: bool = False
+
+    def with_rotation(
+        self, data_center: str, pressure: float, *, is_withdrawn: bool
+    ) -> 'PeerReport':
+        """Return a report that states the sender's place in the rotation."""
+        return msgspec.structs.replace(
+            self,
+            data_center=data_center,
+            pressure=pressure,
+            is_withdrawn=is_withdrawn,
+        )
 
     def is_as_new_as(self, other: 'PeerReport') -> bool:
         """Return whether another report of the same process is no newer."""
--- a/src/dandelionplank/fleet/sockets.py
+++ b/src/dandelionplank/fleet/sockets.py
@@ -50,8 +50,15 @@
 class Page:
     """Response of a page."""
 
-    status: HTTPStatus
     text: str = ''
+    status: HTTPStatus = HTTPStatus.OK
+
+    @classmethod
+    def from_readiness(cls, *, is_ready: bool) -> 'Page':
+        """Return the page that the balancer checks."""
+        if is_ready:
+            return cls()
+        return cls(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
 
 class PageServer:
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -30,6 +30,7 @@
 from dandelionplank.ingress.loopdelay import LoopDelayMeter
 from dandelionplank.ingress.overload import OverloadControl
 from dandelionplank.ingress.presence import has_left, has_next_request
+from dandelionplank.ingress.readiness import LoadReadiness
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
@@ -70,8 +71,12 @@
         view: FleetView,
         delivery: Delivery,
         codec: RequestCodec,
+        name: str,
     ) -> None:
-        """Hold the view of the fleet and the delivery of requests."""
+        """Hold the view of the fleet and the delivery of requests.
+
+        :param name: this instance
+        """
         self.view = view
         self.delivery = delivery
         self.codec = codec
@@ -79,7 +84,8 @@
         self.open_requests = 0
         self.grace = GracePeriod()
         self.overload = OverloadControl()
-        self.loop_delay = LoopDelayMeter(self.overload)
+        self.readiness = LoadReadiness(name)
+        self.loop_delay = LoopDelayMeter(self.overload, self.readiness)
 
     async def handle_request(
         self, request: web.BaseRequest
--- a/src/dandelionplank/ingress/loopdelay.py
+++ b/src/dandelionplank/ingress/loopdelay.py
@@ -20,9 +20,9 @@
 class LoopDelayMeter:
     """Measures the delay of a timer, which all other events share."""
 
-    def __init__(self, listener: DelayListener) -> None:
+    def __init__(self, *listeners: DelayListener) -> None:
         """Hold the longest delay of the present period."""
-        self.listener = listener
+        self.listeners = listeners
         self.longest_s = 0.0
 
     async def run(self) -> None:
@@ -33,7 +33,8 @@
             now_s = time.monotonic()
             delay_s = max(0.0, now_s - due_s)
             self.longest_s = max(self.longest_s, delay_s)
-            self.listener.record_delay(delay_s, now_s)
+            for listener in self.listeners:
+                listener.record_delay(delay_s, now_s)
 
     def take_longest_s(self) -> float:
         """Return the longest delay and end the period."""
--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -34,6 +34,7 @@
         self.updated_s = 0.0
         self.recent: Counter[str] = Counter()
         self.recent_total = 0.0
+        self.recent_refused = 0.0
         self.connection_share = 0.0
 
     @property
@@ -41,6 +42,13 @@
         """Whether refused callers are to leave their connections here."""
         return self.is_late or self.connection_share >= NEAR_BOUND_SHARE
 
+    @property
+    def refused_share(self) -> float:
+        """Share of the recent requests that was refused here."""
+        if self.recent_refused < RELIEVING_REQUESTS:
+            return 0.0
+        return self.recent_refused / (self.recent_refused + self.recent_total)
+
     @property
     def is_late(self) -> bool:
         """Whether this instance has more work than it can handle."""
@@ -62,6 +70,7 @@
             }
         )
         self.recent_total = sum(self.recent.values())
+        self.recent_refused *= factor
 
     def admit(self, account: str) -> bool:
         """Return whether a request is taken, and count it if it is.
@@ -70,6 +79,7 @@
         less than an even share of all, gets no more taken.
         """
         if self.is_late and self._has_even_share(account):
+            self.recent_refused += 1
             return False
         self.recent[account] += 1
         self.recent_total += 1
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -31,6 +31,7 @@
         self.limits = RequestLimits()
         self.idle = IdleConnectionTask(_caller_settings(self.limits))
         view.listeners.append(self._configure)
+        self.connection_bound = 0
         self.server: web.Server | None = None
         self.acceptor: ConnectionAcceptor | None = None
 
@@ -44,6 +45,16 @@
         """Return how many callers' connections are open."""
         return len(self.connections)
 
+    @property
+    def connection_share(self) -> float:
+        """Return the open connections as a share of their bound.
+
+        Zero while nothing bounds them.
+        """
+        if not self.connection_bound:
+            return 0.0
+        return self.connection_count / self.connection_bound
+
     async def listen(self, address: Address) -> None:
         """Open the socket."""
         self.server = web.Server(
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -151,17 +151,10 @@
     """
     if account:
         admit_many(gateway.overload, account)
-    gateway.loop_delay.listener = NoListener()
+    gateway.loop_delay.listeners = ()
     gateway.overload.delay_s = LATE_S
 
 
-class NoListener:
-    """Takes the measured delays and forgets them."""
-
-    def record_delay(self, delay_s, now_s):
-        """Forget a delay."""
-
-
 @run_async
 async def test_refused_callers_leave_a_late_instance():
     """Their connections stayed open, and each retry opened another one."""
