Merge the handling of overloaded instances

The share of the connections is that of the bound on callers' connections. The ticket of a request is built by a function, which keeps PoolClient within the limit of methods.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -77,6 +77,16 @@
         Level.WARNING,
         'a bound on what callers hold together was reached or left',
     )
+    READINESS_WITHDRAWN = (
+        216,
+        Level.WARNING,
+        'the instance takes no new connections because it is overloaded',
+    )
+    READINESS_RESTORED = (
+        217,
+        Level.INFO,
+        'the instance takes new connections again',
+    )
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -5,7 +5,6 @@
 import functools
 import signal
 import time
-from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Self
 
@@ -23,6 +22,7 @@
 from dandelionplank.fleet.poolclient import PoolClient
 from dandelionplank.fleet.poolowner import PoolOwner
 from dandelionplank.fleet.reload import SettingsFollower
+from dandelionplank.fleet.rotation import RotationTask
 from dandelionplank.fleet.settings import GatewayBounds, GatewaySettings
 from dandelionplank.fleet.sockets import (
     Page,
@@ -153,6 +153,7 @@
             ),
             parts.codec,
             settings.limits,
+            settings.instance.id,
         )
         self.follower = StoreFollower(
             self.view,
@@ -217,6 +218,13 @@
         """
         listen = self.settings.listen
         callers = Address.from_text(listen.callers)
+        rotation = RotationTask(
+            self.settings,
+            self.gateway.readiness,
+            self.gateway.overload,
+            self.exchange,
+            lambda: self.server.connection_share,
+        )
         for run in (
             self.follower.run,
             self.follower.run_expiry,
@@ -256,6 +264,7 @@
             self._keep_presence,
             self.server.idle.run,
             self.server.run_checks,
+            rotation.run,
         ):
             self._spawn(run_open)
         log_event(
@@ -343,6 +352,7 @@
         is_ready = (
             self.view.is_loaded
             and not self.gateway.is_leaving
+            and not self.gateway.readiness.is_withdrawn
             and self.supervisor.failing.isdisjoint(SERVING_TASKS)
         )
         if is_ready and self.view.is_stale:
@@ -353,11 +363,7 @@
 
     def _readiness(self) -> Page:
         """Report to the balancer whether this instance is ready."""
-        return Page(
-            HTTPStatus.OK
-            if self._is_ready()
-            else HTTPStatus.SERVICE_UNAVAILABLE
-        )
+        return Page.from_readiness(is_ready=self._is_ready())
 
     def _metrics(self) -> Page:
         """Return the metrics as text."""
@@ -365,7 +371,7 @@
         METRICS.set_gauge('view_age_seconds', self.view.capped_age_s)
         METRICS.set_gauge('peers', len(self.peer_loads.reports))
         METRICS.set_gauge('excluded_targets', self.view.excluded_targets)
-        return Page(HTTPStatus.OK, METRICS.render())
+        return Page(METRICS.render())
 
     async def _sweep(self) -> None:
         """Close idle connections and update the cold targets periodically."""
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -152,6 +152,10 @@
             # The pool lost its last targets while the request waited there.
             return await self._acquire_in_order(pools, waiting)
 
+    def is_behind(self, account: str) -> bool:
+        """Return whether an account received less service than others."""
+        return self.dispatcher.is_behind(account)
+
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
         if grant.ticket_number < 0:
@@ -355,7 +359,7 @@
             while True:
                 reply = await self._next_reply(
                     owner,
-                    self._ticket(number, queue, waiting, is_overflow),
+                    _ticket(self.name, number, queue, waiting, is_overflow),
                     replies,
                 )
                 if reply is None:
@@ -433,34 +437,6 @@
             reply.number,
         )
 
-    def _ticket(
-        self,
-        number: int,
-        queue: str,
-        waiting: WaitingRequest,
-        is_overflow: bool,  # noqa: FBT001
-    ) -> Ticket:
-        """Return a ticket with the times that are left now."""
-        now_s = time.monotonic()
-        work = waiting.work or NO_WORK
-        return Ticket(
-            self.name,
-            number,
-            queue,
-            waiting.request_id,
-            waiting.account,
-            waiting.objective_deadline_s - now_s,
-            waiting.deadline_s - now_s,
-            waiting.cost,
-            work.model,
-            work.prompt_tokens,
-            work.output_tokens,
-            tuple((part.part_id, part.tokens) for part in work.parts),
-            waiting.avoided,
-            is_overflow,
-            waiting.work is None,
-        )
-
     def _report(self, grant: Grant, event: TicketEvent) -> None:
         """Report an event to the owner of a grant, if it is another one."""
         remote = self.grants.get(grant.ticket_number)
@@ -481,6 +457,35 @@
             self.send(owner, TicketEvents(self.name, tuple(events)))
 
 
+def _ticket(
+    sender: str,
+    number: int,
+    queue: str,
+    waiting: WaitingRequest,
+    is_overflow: bool,  # noqa: FBT001
+) -> Ticket:
+    """Return a ticket with the times that are left now."""
+    now_s = time.monotonic()
+    work = waiting.work or NO_WORK
+    return Ticket(
+        sender,
+        number,
+        queue,
+        waiting.request_id,
+        waiting.account,
+        waiting.objective_deadline_s - now_s,
+        waiting.deadline_s - now_s,
+        waiting.cost,
+        work.model,
+        work.prompt_tokens,
+        work.output_tokens,
+        tuple((part.part_id, part.tokens) for part in work.parts),
+        waiting.avoided,
+        is_overflow,
+        waiting.work is None,
+    )
+
+
 def _spread(queues: Sequence[str], rank: float) -> list[str]:
     """Choose pools besides its own for a request of an account behind.
 
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -15,6 +15,7 @@
     CallerRequest,
     CompleteResponse,
     Trace,
+    cost_of,
 )
 from dandelionplank.errors import (
     DandelionplankError,
@@ -30,9 +31,13 @@
 from dandelionplank.ingress.grace import GracePeriod
 from dandelionplank.ingress.loopdelay import LoopDelayMeter
 from dandelionplank.ingress.overload import OverloadControl
+from dandelionplank.ingress.presence import has_left, has_next_request
+from dandelionplank.ingress.readiness import LoadReadiness
 from dandelionplank.ingress.sinks import StreamSink
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
+from dandelionplank.routing.admission import WAIT_REASON
+from dandelionplank.routing.refusals import WorkKey
 from dandelionplank.routing.routes import (
     RequestKind,
     Route,
@@ -69,10 +74,12 @@
         delivery: Delivery,
         codec: RequestCodec,
         limits: GatewayLimits,
+        name: str,
     ) -> None:
         """Hold the view of the fleet and the delivery of requests.
 
         :param limits: what the machine grants the process
+        :param name: this instance
         """
         self.view = view
         self.delivery = delivery
@@ -83,7 +90,8 @@
         self.bodies = BodyReader(self.bounds)
         self.grace = GracePeriod()
         self.overload = OverloadControl()
-        self.loop_delay = LoopDelayMeter(self.overload)
+        self.readiness = LoadReadiness(name)
+        self.loop_delay = LoopDelayMeter(self.overload, self.readiness)
 
     async def handle_request(
         self, request: web.BaseRequest
@@ -93,9 +101,10 @@
         started_s = time.monotonic()
         metadata = self.codec.request_metadata(request.headers)
         try:
+            self._check_present(request)
             return await self._serve(request, metadata, started_s)
         except DandelionplankError as error:
-            return self._refuse(metadata, error, started_s)
+            return self._refuse(request, metadata, error, started_s)
         except Exception as error:
             # One request must not end otherwise than with a response.
             failure = RefusalError(
@@ -104,7 +113,7 @@
                 code=ErrorCode.INTERNAL,
                 outcome=Outcome.UNKNOWN,
             )
-            return self._refuse(metadata, failure, started_s)
+            return self._refuse(request, metadata, failure, started_s)
         except asyncio.CancelledError:
             log_event(
                 Event.CALLER_GONE,
@@ -126,7 +135,8 @@
         table = self._current_table()
         route = self._route(table, request)
         account = self._account(table, route, metadata)
-        self._check_overload(account)
+        service = route.pick_service(_split_point(metadata.request_id))
+        self._check_overload((account, service), metadata)
         with self.bodies.hold(account) as holding:
             body = await self.grace.limit(
                 self.bodies.read(request, holding, table.limits), Trace()
@@ -134,7 +144,7 @@
             self.grace.check_admission()
             self._check_key_confirmed(route, metadata)
             return await self._deliver(
-                request, body, metadata, route, account, started_s
+                request, body, metadata, route, service, account, started_s
             )
 
     async def _deliver(
@@ -143,12 +153,12 @@
         body: bytes,
         metadata: RequestMetadata,
         route: Route,
+        service: str,
         account: str,
         started_s: float,
     ) -> web.StreamResponse:
         """Deliver a complete request and return its response."""
         table = self._current_table()
-        service = route.pick_service(_split_point(metadata.request_id))
         caller = self._caller_request(
             request,
             body,
@@ -161,6 +171,7 @@
         # On a busy instance the caller may have left before its request is
         # read. One turn of the loop lets its close cancel this task.
         await asyncio.sleep(0)
+        self._check_present(request)
         self.delivery.budgets.record_request(caller.service, started_s)
         if route.kind is RequestKind.STREAM:
             return await self._stream(request, caller)
@@ -253,11 +264,25 @@
             retry_after_s=STALE_RETRY_S,
         )
 
-    def _check_overload(self, account: str) -> None:
+    def _check_present(self, request: web.BaseRequest) -> None:
+        """Drop a request whose caller has left while the loop was late.
+
+        :raises asyncio.CancelledError: as the server does for a closed one
+        """
+        if self.overload.is_late and has_left(request):
+            METRICS.add('callers_left_total')
+            raise asyncio.CancelledError
+
+    def _check_overload(self, key: WorkKey, metadata: RequestMetadata) -> None:
         """Refuse a request that this instance could only serve late.
 
-        :raises RefusalError: the account has had its share of this instance
+        :param key: account and service
+        :raises RefusalError: the account has had its share of this instance,
+            or its requests are refused anyway
         """
+        account = key[0]
+        if self.overload.is_late and account:
+            self._check_repeated(key, metadata)
         if self.overload.admit(account):
             return
         self.delivery.demand.record_refusal(account)
@@ -268,6 +293,33 @@
             retry_after_s=OVERLOADED_RETRY_S,
         )
 
+    def _check_repeated(self, key: WorkKey, metadata: RequestMetadata) -> None:
+        """Refuse a request like the last ones of its account.
+
+        :param key: account and service
+        :raises RefusalError: several in a row were refused a short time ago
+        """
+        account, service = key
+        cost = cost_of(metadata)
+        retry_after_s = self.delivery.refusals.repeat(
+            key,
+            cost,
+            time.monotonic(),
+            is_behind=self.delivery.dispatcher.is_behind(account),
+        )
+        if retry_after_s is None:
+            return
+        self.delivery.demand.record_arrival(account, cost)
+        self.delivery.demand.record_refusal(account)
+        METRICS.add('refusals_repeated_total')
+        raise RefusalError(
+            f'{WAIT_REASON} of the last requests',
+            step=STEP,
+            peer=service,
+            code=ErrorCode.QUEUE_TIMEOUT,
+            retry_after_s=retry_after_s,
+        )
+
     def _check_key_confirmed(
         self, route: Route, metadata: RequestMetadata
     ) -> None:
@@ -338,6 +390,7 @@
 
     def _refuse(
         self,
+        request: web.BaseRequest,
         metadata: RequestMetadata,
         error: DandelionplankError,
         started_s: float,
@@ -371,10 +424,22 @@
             ),
             text=f'{error.code.label} {error.code.meaning}\n',
         )
-        if self.is_leaving:
+        if self.is_leaving or self._ends_connection(request, status):
             response.force_close()
         return response
 
+    def _ends_connection(self, request: web.BaseRequest, status: int) -> bool:
+        """Return whether the connection of a refused request ends.
+
+        The caller retries on a new one. A request that was sent behind the
+        refused one is served first.
+        """
+        return (
+            status == HTTPStatus.SERVICE_UNAVAILABLE
+            and self.overload.is_pressed
+            and not has_next_request(request)
+        )
+
     def _account_name(self, metadata: RequestMetadata) -> str:
         """Return the account of a key for a log line, empty if unknown."""
         table = self.view.table
--- a/src/dandelionplank/ingress/server.py
+++ b/src/dandelionplank/ingress/server.py
@@ -73,6 +73,11 @@
         """Return how many callers' connections are open."""
         return len(self.connections)
 
+    @property
+    def connection_share(self) -> float:
+        """Return the open connections as a share of their bound."""
+        return self.connection_count / self.bounds.connections
+
     async def listen(self, address: Address) -> None:
         """Open the socket."""
         self.server = web.Server(
