--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -206,9 +206,8 @@
         self._fail_body('ended')
         self.http.close()
 
-    def take_unread(self) -> Unread['CallerConnection']:
+    def take_unread(self, size: int) -> Unread['CallerConnection']:
         """Return what the caller has not read, and remember it."""
-        size = self.transport.get_write_buffer_size() if self.transport else 0
         unread = Unread(self, size, self.unread_bytes)
         self.unread_bytes = size
         return unread
@@ -342,15 +341,19 @@
 
         Only as many as the bound on the unread bytes of all requires.
         """
-        unread = [each.take_unread() for each in self.connections.values()]
+        unread = []
+        for connection in self.connections.values():
+            transport = connection.transport
+            size = transport.get_write_buffer_size() if transport else 0
+            if size or connection.unread_bytes:
+                unread.append(connection.take_unread(size))
         self.unread_bytes = sum(each.size for each in unread)
         METRICS.set_gauge('caller_unread_bytes', self.unread_bytes)
         slow = find_slow_readers(unread, self.bounds.response_bytes)
         for each in tuple(slow):
             self.record_close('slow reader', each.size)
-            transport = each.writer.transport
-            if transport is not None:
-                transport.abort()
+            if each.writer.transport is not None:
+                each.writer.transport.abort()
 
     def has_pending(self, http: Any) -> bool:
         """Return whether bytes of a handler's connection wait."""
@@ -392,9 +395,7 @@
         for connection in tuple(self.connections.values()):
             if connection.refused_at_s is not None:
                 connection.close_if_refused(now_s)
-            elif connection.body is None and connection.meter.is_late(
-                limit_s, now_s
-            ):
+            elif connection.meter.is_late(limit_s, now_s):
                 connection.refuse(Excess.LATE_HEAD, now_s)
 
     def record_close(self, reason: str, held_bytes: int) -> None:
