Count bodies that arrive whole, and requests without a body, as complete

A body of 64 to 128 kB that arrived in one block stayed in the queue for a place, and was logged as refused after 2 s although it was served; requests without a body counted as stalled bodies.

--- a/src/dandelionplank/ingress/bodies.py
+++ b/src/dandelionplank/ingress/bodies.py
@@ -59,6 +59,7 @@
             is no room for it
         """
         if not request.body_exists:
+            self.held.complete(holding, time.monotonic())
             return b''
         timeout = asyncio.timeout(limits.idle_timeout_s)
         self.timeouts[holding] = timeout
--- a/src/dandelionplank/ingress/heldbytes.py
+++ b/src/dandelionplank/ingress/heldbytes.py
@@ -138,16 +138,19 @@
         return Decision.READ if holding in self._grant(now_s) else Decision.WAIT
 
     def complete(self, holding: Holding, now_s: float) -> list[Holding]:
-        """Record that a body is complete; keep no more than its size.
+        """Record that a body is complete; count no more than its size.
+
+        A body that was complete before it needed a place may exceed the limit.
 
         :return: those that get a place now
         """
         holding.is_complete = True
+        self.waiting.pop(holding, None)
         size = max(0, holding.received - RESERVED_BODY_BYTES)
-        if holding.place_bytes <= size:
-            return []
-        self._resize_place(holding, size)
-        return self._grant(now_s)
+        is_released = holding.place_bytes > size
+        if holding.place_bytes != size:
+            self._resize_place(holding, size)
+        return self._grant(now_s) if is_released else []
 
     def refuse_stalled(self, now_s: float) -> list[Holding]:
         """Refuse those that hold what others wait for, or wait too long.
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -126,6 +126,31 @@
     assert large.is_refused
 
 
+def test_a_body_that_arrives_whole_waits_for_nothing():
+    """One that needed no place was refused later while its request waited."""
+    held = held_bytes()
+    begin(held, 'a')
+    whole = held.open('a', 0)
+    held.add(whole, 100_000, BODY_BYTES, 0)
+    assert not held.complete(whole, 0)
+    assert not held.waiting
+    assert whole.place_bytes == 100_000 - RESERVED_BODY_BYTES
+    waiting, _ = begin(held, 'a', 9)
+    assert whole not in held.refuse_stalled(10)
+    held.close(whole, 10)
+    assert held.large_bytes == BODY_BYTES - RESERVED_BODY_BYTES
+    assert waiting.wanted_bytes
+
+
+def test_requests_without_a_body_are_not_refused():
+    """A request that waits for its target has not stalled."""
+    held = held_bytes()
+    bare = held.open('a', 0)
+    held.complete(bare, 0)
+    assert not held.refuse_idle(1, 100)
+    assert not bare.is_refused
+
+
 def test_a_wait_for_room_ends():
     """A body that waits is refused in time to be sent elsewhere."""
     held = held_bytes()
