--- a/tests/test_caller_input.py
+++ b/tests/test_caller_input.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from yarl import URL
 
-from bench.platform import request_headers
+from bench.platform import configuration, request_headers
 from dandelionplank.fleet import exchange as exchange_module
 from dandelionplank.ingress.callerbounds import CallerBounds
 from dandelionplank.ingress.connection import ConnectionGuard
@@ -29,7 +29,7 @@
     TurnQueue,
 )
 from dandelionplank.metrics import METRICS
-from tests.fixtures import run_async, run_on_both_loops
+from tests.fixtures import run_async, run_on_both_loops, wait_until
 from tests.platformfleet import platform_fleet
 
 HEADER_BYTES = 16_384
@@ -342,3 +342,44 @@
             writer.close()
         await asyncio.sleep(0.05)
         assert not guard.connections
+
+
+def stalled_request(request_id, size):
+    """Return the head of a request with a body, and what it sends of it."""
+    headers = request_headers(request_id, 'key-a')
+    headers['Content-Length'] = str(size)
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    head = '\r\n'.join(('POST /look/x HTTP/1.1', *lines, '', ''))
+    return head.encode(), b'x' * (size - 1)
+
+
+@run_async
+async def test_a_stalled_body_gives_its_place_to_the_next():
+    """Refusals of stalled bodies state that nothing ran, and when to retry."""
+    async with platform_fleet(engines=1) as fleet:
+        daemon = fleet.gateways[0]
+        daemon.gateway.bodies.held.large_limit_bytes = 1_000_000
+        document = configuration(2, safe={'TimeoutMs': 20_000})
+        document['Limits']['MaxBodyBytes'] = 4_194_304
+        fleet.store.put('op/config', document)
+        await wait_until(lambda: daemon.server.limits.body_bytes == 4_194_304)
+        url = URL(fleet.urls[0])
+        callers = []
+        for number in range(2):
+            callers.append(await asyncio.open_connection(url.host, url.port))
+            for piece in stalled_request(f'stalled-{number}', 600_000):
+                callers[-1][1].write(piece)
+            await asyncio.sleep(0.1)
+        (first, _), (second, writer) = callers
+        async with asyncio.timeout(5):
+            refused = await first.read()
+        assert refused.startswith(b'HTTP/1.1 503')
+        assert b'Dandelionplank-Request-Id: stalled-0' in refused
+        assert b'Retry-After: 0.50' in refused
+        writer.write(b'x')
+        async with asyncio.timeout(5):
+            served = await second.readline()
+        assert b'200' in served
+        assert [run.request_id for run in fleet.runs()] == ['stalled-1']
+        for _, each in callers:
+            each.close()
