Tell the unread bytes of callers from those of the pages

The pages' checks overwrote the gauge caller_unread_bytes of callers; it has a label for the socket now. tests.test_caller_input and tests.test_docs: see the report.

--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -348,7 +348,9 @@
             if size or connection.unread_bytes:
                 unread.append(connection.take_unread(size))
         self.unread_bytes = sum(each.size for each in unread)
-        METRICS.set_gauge('caller_unread_bytes', self.unread_bytes)
+        METRICS.set_gauge(
+            'caller_unread_bytes', self.unread_bytes, socket=self.purpose
+        )
         slow = find_slow_readers(unread, self.bounds.response_bytes)
         for each in tuple(slow):
             self.record_close('slow reader', each.size)
