Keep the bucket of a cold target between two queues

Cause: a target is in the queue of its pool and in that of its service. While an instance in charge of the pool also decided alone, each look at the queue of the service took its permission away and emptied the bucket, so that the target got nothing. Besides, all targets were paced after an outage of the store, because they had counted as cold for lack of knowledge.

A permission holds for 0.1 s after the queue that gave it was examined. The end of a coldness that had no other reason than silence begins no pace.

Evidence: two tests of tests.test_cold_targets that fail on the code before.

--- a/src/dandelionplank/routing/coldstart.py
+++ b/src/dandelionplank/routing/coldstart.py
@@ -30,6 +30,8 @@
 # A grant that is older than this is not sent to a cold target any more, so that
 # the grants of a frozen instance do not reach it together with later ones.
 LONGEST_GRANT_AGE_S = 0.5
+# Time for which a permission holds after the queue that gave it was examined.
+PERMITTED_S = 0.1
 # Longest debt, in seconds of the rate.
 LONGEST_DEBT_S = 2.0
 # Age of the latest knowledge of the store beyond which coldness that began
@@ -91,6 +93,7 @@
     :param read_until_s: the same as this instance read it in the store
     :param assumed_until_s: the same as this instance assumes it by itself
     :param is_lost: it accepted no connection at the last attempt
+    :param is_evident: there was a reason for the coldness besides silence
     :param is_permitted: this instance may send to the target while it is cold
     :param granted: requests that this instance granted while it was cold
     """
@@ -111,11 +114,13 @@
         self.is_lost = False
         self.distrusted_until_s = -math.inf
         self.responded_s = -math.inf
+        self.is_evident = False
         self.is_permitted = False
+        self.permitted_s = -math.inf
         self.granted = 0
         self.level = 0.0
         self.refilled_s = -math.inf
-        self.recent: deque[float] = deque(maxlen=MAX_RECENT)
+        self._recent: deque[float] = deque(maxlen=MAX_RECENT)
         self.is_announced = False
 
     @property
@@ -159,6 +164,7 @@
         else:
             self.until_s = max(self.until_s, until_s)
         self.read_until_s = until_s
+        self.is_evident |= left_s > 0
 
     def learn_from_peer(
         self, left_s: float, now_s: float, *, is_assumed: bool
@@ -172,6 +178,7 @@
             return
         until_s = now_s + min(left_s, self.bound.duration_s)
         self.until_s = max(self.until_s, until_s)
+        self.is_evident = True
         if is_assumed:
             self.distrusted_until_s = now_s + ENTRY_DELAY_S
 
@@ -185,6 +192,7 @@
         """Count as cold until an entry that is written later differs."""
         self.assumed_until_s = now_s + self.bound.duration_s
         self.until_s = max(self.until_s, self.assumed_until_s)
+        self.is_evident = True
         self.distrusted_until_s = now_s + ENTRY_DELAY_S
 
     def record_unreachable(self, sent_s: float, now_s: float) -> None:
@@ -220,7 +228,8 @@
         if is_cold and not self.is_announced:
             self._begin(now_s)
         if self.is_announced and not is_cold:
-            self.pace = TargetPace(now_s)
+            self.pace = TargetPace(now_s) if self.is_evident else None
+            self.is_evident = False
         self.is_announced = is_cold
         if not is_cold:
             return
@@ -231,11 +240,19 @@
             self.bound.burst, self.level + self.bound.rate * elapsed_s
         )
 
-    def permit(self, *, is_permitted: bool) -> None:
-        """Let this instance send or not; one that begins has nothing saved."""
-        if is_permitted and not self.is_permitted:
-            self.level = min(self.level, 0.0)
-        self.is_permitted = is_permitted
+    def permit(self, now_s: float, *, is_permitted: bool) -> None:
+        """Let this instance send or not; one that begins has nothing saved.
+
+        A target is in two queues, that of its pool and that of its service, of
+        which one permits nothing: this does not end what the other permits.
+        """
+        if is_permitted:
+            if not self.is_permitted:
+                self.level = min(self.level, 0.0)
+            self.permitted_s = now_s
+            self.is_permitted = True
+        elif now_s - self.permitted_s > PERMITTED_S:
+            self.is_permitted = False
 
     def grant(self, now_s: float, expected_s: float) -> None:
         """Count a request that this instance grants.
@@ -249,7 +266,7 @@
             self.granted += 1
             self.level -= 1
         else:
-            self.recent.append(now_s)
+            self._recent.append(now_s)
 
     def charge(self, requests: int) -> None:
         """Count requests that other instances have granted."""
@@ -332,8 +349,8 @@
 
     def _begin(self, now_s: float) -> None:
         """Empty the bucket as coldness begins."""
-        sent = sum(now_s - sent_s < WINDOW_S for sent_s in self.recent)
-        self.recent.clear()
+        sent = sum(now_s - sent_s < WINDOW_S for sent_s in self._recent)
+        self._recent.clear()
         debt = min(
             max(0.0, sent - self.bound.spare), self.bound.rate * WINDOW_S
         )
@@ -519,7 +536,7 @@
         if not is_recent and not self.is_informed(now_s):
             state.suppose(now_s)
         if state.is_cold(now_s):
-            state.permit(is_permitted=self.is_in_charge(queue, now_s))
+            state.permit(now_s, is_permitted=self.is_in_charge(queue, now_s))
         self._announce(target.name, FROM_SILENCE, now_s)
         return state
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -771,6 +771,37 @@
     assert member.owners.is_in_charge(queue, 1005.0) is is_assigning
 
 
+def test_a_queue_that_permits_nothing_does_not_empty_the_bucket():
+    """An owner may also decide alone, for requests of other pools."""
+    cold = make_cold()
+    target = make_target()
+    cold.is_in_charge = lambda queue, now_s: queue == 'llm#0'
+    cold.learn_entry(listed(target, COLD_S), 0.0)
+    granted = []
+    for step in range(int(COLD_S / STEP_S)):
+        granted.extend(take_all(cold, target, step * STEP_S, 'llm#0'))
+        granted.extend(take_all(cold, target, step * STEP_S + 0.01, 'llm'))
+    assert len(granted) >= RATE * COLD_S * USED_SHARE
+    assert most_in_a_second(granted) <= ALLOWED
+    cold.learn_entry(listed(target, COLD_S), 10.0)
+    assert not take_all(cold, target, 10.5, 'llm')
+
+
+def test_targets_are_not_paced_after_an_outage_of_the_store():
+    """Nothing shows that they were cold; their caches are as they were."""
+    cold = make_cold()
+    target = make_target()
+    cold.learn_entry(listed(target, 0.0), 0.0)
+    cold.is_informed = lambda now_s: False
+    assert not cold.prepared(target, 'llm', 5.0).has_request
+    cold.learn_entry(listed(target, 0.0), 6.0)
+    state = cold.prepared(target, 'llm', 6.0)
+    assert state.has_request
+    assert state.pace is None
+    cold.learn_entry(listed(target, 1.0), 7.0)
+    assert cold.prepared(target, 'llm', 8.0).pace
+
+
 def test_an_instance_that_shuts_down_is_not_in_charge():
     """Those that hear of it may take over at once."""
     fleet = FakeFleet(1)
