--- a/tests/stormsimulation.py
+++ b/tests/stormsimulation.py
@@ -37,7 +37,8 @@
 TIMEOUT_S = 3.0
 # Callers leave an instance that has not read their request by then.
 READ_TIMEOUT_S = 1.0
-RETRY_AFTER_S = 0.1
+# Retry-After of a late instance without controls.
+RETRY_S = 0.1
 CHECK_PERIOD_S = 1.0
 FAILED_CHECKS = 2
 READINESS_PERIOD_S = 0.1
@@ -85,26 +86,30 @@
         await self.processor.run(READ)
 
     async def serve(self, account, pool):
-        """Handle a request that was read; return whether it is served."""
+        """Handle a request that was read.
+
+        :return: None if it is served, else the time until it is sent again
+        """
         overload = self.processor.overload
         key = (account, KEY[1])
         now_s = time.monotonic()
         if self.has_controls and overload.is_late:
             retry_s = self.refusals.repeat(key, COST, now_s, is_behind=False)
             if retry_s is not None:
-                return False
+                return retry_s
         if not overload.admit(account):
-            return False
+            return overload.retry_after_s if self.has_controls else RETRY_S
         await self.processor.run(ASK)
         now_s = time.monotonic()
         if not pool.take(account):
-            self.refusals.record_refusal(key, COST, POOL_WAIT_S, now_s)
-            return False
+            retry_s = POOL_WAIT_S * random.uniform(0.5, 1.5)
+            self.refusals.record_refusal(key, COST, retry_s, now_s)
+            return retry_s
         self.refusals.record_grant(key)
         await self.processor.run(PASS_ON)
         await asyncio.sleep(TARGET_S)
         await self.processor.run(RESPOND)
-        return True
+        return None
 
 
 class StormPool:
@@ -201,9 +206,10 @@
                 await instance.read()
         except TimeoutError:
             return False
-        if await instance.serve(account, self.pool):
+        retry_s = await instance.serve(account, self.pool)
+        if retry_s is None:
             return True
-        await asyncio.sleep(RETRY_AFTER_S * (1 + random.random()))
+        await asyncio.sleep(retry_s * random.uniform(1, 2))
         return False
 
     async def send(self):
