Explain where an instance would send a request

Operators could only learn from logs, afterwards, why a target did not get a request.

The scheduler's own code decides on a copy of what it can change, so that the explanation cannot differ from the decision. The costs of engines, the check of a target's prefill queue and the queues of a request become public methods without a change of behaviour, and the owners of a pool can be looked up without renewing what is remembered of them.

Tests: tests.test_explanation, 36 passed (20 random plays with and without explanations, HTTP page and command against a fleet). Of 319 tests of the modules concerned (pools, owners, cold targets, start, precedence, limits, fair shares, evacuation, pacing, configuration, docs) 317 passed. The whole suite was not run.

--- a/src/dandelionplank/commands/assembly.py
+++ b/src/dandelionplank/commands/assembly.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from dandelionplank.fleet.daemon import GatewayDaemon, PlatformAdapter
+from dandelionplank.fleet.explainer import EXPLAIN_PATH, Explainer
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.platform import headers, names
 from dandelionplank.platform.engines import fetch_cached_parts
@@ -32,4 +33,9 @@
         StoreQuarantines(store),
         store.close,
     )
-    return GatewayDaemon.from_settings(settings, adapter, path)
+    daemon = GatewayDaemon.from_settings(settings, adapter, path)
+    explainer = Explainer(
+        daemon.view, daemon.pool_client, daemon.exchange.cold_owners
+    )
+    daemon.pages.queries[EXPLAIN_PATH] = explainer.answer
+    return daemon
--- a/src/dandelionplank/commands/check.py
+++ b/src/dandelionplank/commands/check.py
@@ -1,4 +1,4 @@
-"""Command line that checks settings, configurations and statements offline."""
+"""Command line that checks files offline, and explains decisions."""
 
 import sys
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 import cyclopts
 import msgspec
 
+from dandelionplank.commands.explain import explain
 from dandelionplank.configuration.model import (
     Configuration,
     check_consistency,
@@ -26,8 +27,9 @@
 
 app = cyclopts.App(
     name='dandelionplank-check',
-    help='Check settings and configuration files.',
+    help='Check settings and configuration files, and explain decisions.',
 )
+app.command(explain, name='explain')
 
 
 @app.command(name='settings')
--- a/src/dandelionplank/fleet/coldowners.py
+++ b/src/dandelionplank/fleet/coldowners.py
@@ -7,6 +7,7 @@
 seconds.
 """
 
+import copy
 import math
 from collections.abc import Mapping
 
@@ -45,6 +46,12 @@
         self.has_contact = True
         self.updated_s = -math.inf
 
+    def detached(self) -> 'ColdOwners':
+        """Return a copy whose updates have no effect on this one."""
+        copied = copy.copy(self)
+        copied.absent_since_s = dict(self.absent_since_s)
+        return copied
+
     def is_in_charge(self, queue: str, now_s: float) -> bool:
         """Return whether this instance assigns the cold targets of a queue."""
         self.update(now_s)
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -344,7 +344,10 @@
         listen = self.settings.listen
         ip = Address.from_text(listen.callers).ip
         await self.pages.serve(
-            Address(ip, listen.metrics_port), '/metrics', self._metrics
+            Address(ip, listen.metrics_port),
+            '/metrics',
+            self._metrics,
+            self.pages.queries,
         )
 
     def _is_ready(self) -> bool:
--- a/src/dandelionplank/fleet/owners.py
+++ b/src/dandelionplank/fleet/owners.py
@@ -54,13 +54,19 @@
 
     def owners_of(self, queue: str, now_s: float) -> list[str]:
         """Return the owner of a pool and the instances that follow it."""
-        ranked_s, owners = self.ranked.get(queue, (float('-inf'), []))
+        ranked_s, _ = self.ranked.get(queue, (float('-inf'), []))
+        owners = self.current_owners(queue, now_s)
         if now_s - ranked_s > OWNERS_MAX_AGE_S:
-            owners = rank_instances(queue, self._present(now_s))
-            owners = owners[:OWNERS_ASKED]
             self.ranked[queue] = (now_s, owners)
         return owners
 
+    def current_owners(self, queue: str, now_s: float) -> list[str]:
+        """Return the same owners, without any effect on later calls."""
+        ranked_s, owners = self.ranked.get(queue, (float('-inf'), []))
+        if now_s - ranked_s <= OWNERS_MAX_AGE_S:
+            return owners
+        return rank_instances(queue, self._present(now_s))[:OWNERS_ASKED]
+
     def record_silent(self, owner: str, now_s: float) -> None:
         """Record that an owner did not answer; it is not asked for a while."""
         METRICS.add('pool_owners_silent_total')
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -131,8 +131,8 @@
 
         :raises RefusalError: the request was rejected and not executed
         """
-        queues = self._queues_of(waiting)
         now_s = time.monotonic()
+        queues = self.queues_of(waiting, now_s)
         self.avoided.renew(now_s)
         if not queues or (
             self.avoided.closed
@@ -146,7 +146,7 @@
         try:
             return await self._acquire_in_order(queues, waiting)
         except RefusalError:
-            pools = self._queues_of(waiting)
+            pools = self.queues_of(waiting, time.monotonic())
             if not pools or queues[0] in pools:
                 raise
             # The pool lost its last targets while the request waited there.
@@ -245,22 +245,7 @@
         for owner, grants in by_owner.items():
             self.send(owner, OpenGrants(self.name, tuple(grants)))
 
-    async def _acquire_in_order(
-        self, queues: Sequence[str], waiting: WaitingRequest
-    ) -> Grant:
-        """Wait for a target of the preferred pool, or else of another one.
-
-        :raises RefusalError: the request was rejected and not executed
-        """
-        try:
-            return await self._acquire_in(queues[0], waiting)
-        except RefusalError:
-            grant = await self._acquire_elsewhere(queues[1:], waiting)
-            if grant is None:
-                raise
-            return grant
-
-    def _queues_of(self, waiting: WaitingRequest) -> list[str]:
+    def queues_of(self, waiting: WaitingRequest, now_s: float) -> list[str]:
         """Return the queues whose owners assign a target to a request.
 
         A request rate that all instances share needs one instance that uses
@@ -270,7 +255,7 @@
         """
         scheduler = self.dispatcher.scheduler
         service = waiting.service
-        needs_owner = scheduler.cold.needs_owner(service, time.monotonic())
+        needs_owner = scheduler.cold.needs_owner(service, now_s)
         # Each cold target is assigned in one queue only, whether a request
         # states a prompt or not: an engine by the owner of its pool.
         is_model = scheduler.engine_memory.get(service) is not None
@@ -283,6 +268,21 @@
             return [service]
         return []
 
+    async def _acquire_in_order(
+        self, queues: Sequence[str], waiting: WaitingRequest
+    ) -> Grant:
+        """Wait for a target of the preferred pool, or else of another one.
+
+        :raises RefusalError: the request was rejected and not executed
+        """
+        try:
+            return await self._acquire_in(queues[0], waiting)
+        except RefusalError:
+            grant = await self._acquire_elsewhere(queues[1:], waiting)
+            if grant is None:
+                raise
+            return grant
+
     async def _acquire_elsewhere(
         self, queues: Sequence[str], waiting: WaitingRequest
     ) -> Grant | None:
--- a/src/dandelionplank/fleet/sockets.py
+++ b/src/dandelionplank/fleet/sockets.py
@@ -9,8 +9,9 @@
 import functools
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
+from types import MappingProxyType
 
 from aiohttp import web
 
@@ -70,6 +71,7 @@
 
     text: str = ''
     status: HTTPStatus = HTTPStatus.OK
+    content_type: str = 'text/plain'
 
     @classmethod
     def from_readiness(cls, *, is_ready: bool) -> 'Page':
@@ -79,6 +81,11 @@
         return cls(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
 
+# Returns the page for the fields of a query.
+QueryRenderer = Callable[[Mapping[str, str]], Page]
+NO_QUERIES: Mapping[str, QueryRenderer] = MappingProxyType({})
+
+
 class PageServer:
     """Serves pages for the platform, each on an address of its own.
 
@@ -90,16 +97,28 @@
         self.runners: list[web.AppRunner] = []
         self.listeners: list[asyncio.Server] = []
         self.guards: list[ConnectionGuard] = []
+        # Pages that depend on a query, by path, served beside the metrics.
+        self.queries: dict[str, QueryRenderer] = {}
 
     async def serve(
-        self, address: Address, path: str, render: Callable[[], Page]
+        self,
+        address: Address,
+        path: str,
+        render: Callable[[], Page],
+        queries: Mapping[str, QueryRenderer] = NO_QUERIES,
     ) -> None:
         """Serve a page as soon as its address can be used.
 
         :param render: returns the page at each request
+        :param queries: pages that depend on a query, by their paths, at the
+            same address
         """
         application = web.Application()
         application.router.add_get(path, functools.partial(_respond, render))
+        for query_path, answer in queries.items():
+            application.router.add_get(
+                query_path, functools.partial(_respond_to_query, answer)
+            )
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -197,5 +216,18 @@
     render: Callable[[], Page], request: web.Request
 ) -> web.Response:
     """Return a page as a response."""
-    page = render()
-    return web.Response(status=page.status, text=page.text)
+    return _response(render())
+
+
+async def _respond_to_query(
+    answer: QueryRenderer, request: web.Request
+) -> web.Response:
+    """Return the page for a query as a response."""
+    return _response(answer(request.query))
+
+
+def _response(page: Page) -> web.Response:
+    """Return a page as a response."""
+    return web.Response(
+        status=page.status, text=page.text, content_type=page.content_type
+    )
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -157,6 +157,19 @@
             return False
         if self.running + others.running >= self.slots * RUNNING_SHARE:
             return False
+        return self.has_queue_room(uncached_tokens, others, queue_limit_s)
+
+    def has_queue_room(
+        self,
+        uncached_tokens: float,
+        others: TargetShare,
+        queue_limit_s: float,
+    ) -> bool:
+        """Return whether the prefill of a request would start soon.
+
+        :param others: load that the other instances put on the target
+        :param queue_limit_s: work that may be queued inside the target
+        """
         pending = self.pending_prefill_tokens + others.pending_prefill_tokens
         if pending <= 0:
             return True
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -241,14 +241,13 @@
             return _least_loaded(usable, now_s)
         return self._cheapest(usable, work, queue_limit_s, precedence)
 
-    def _cheapest(
+    def costs(
         self,
         snapshots: TargetSnapshots,
         work: TokenWork,
-        queue_limit_s: float,
         precedence: AccountPrecedence,
-    ) -> Placement:
-        """Return the engine with the lowest cost of waiting and prefill."""
+    ) -> tuple[dict[str, float], dict[str, float]]:
+        """Return the uncached tokens and the cost of each candidate engine."""
         candidates = _candidates(snapshots, work.prefix_id, precedence)
         uncached = {
             name: snapshot.load.uncached_tokens(work)
@@ -271,6 +270,17 @@
                 snapshots[preferred].cost_s(weighted_tokens, precedence)
                 - PREFERRED_ADVANTAGE_S
             )
+        return uncached, costs
+
+    def _cheapest(
+        self,
+        snapshots: TargetSnapshots,
+        work: TokenWork,
+        queue_limit_s: float,
+        precedence: AccountPrecedence,
+    ) -> Placement:
+        """Return the engine with the lowest cost of waiting and prefill."""
+        uncached, costs = self.costs(snapshots, work, precedence)
         best = min(costs, key=costs.__getitem__)
         chosen = snapshots[best]
         return Placement(
