--- a/src/dandelionplank/routing/coldstart.py
+++ b/src/dandelionplank/routing/coldstart.py
@@ -5,6 +5,7 @@
 only the instance in charge of its pool spends from.
 """
 
+import copy
 import dataclasses
 import math
 from collections import deque
@@ -347,6 +348,15 @@
         self.is_announced = False
         self.pace = None
 
+    def copied(self) -> 'ColdState':
+        """Return a copy whose changes leave this state as it is."""
+        copied = copy.copy(self)
+        copied._recent = self._recent.copy()
+        if self.pace:
+            copied.pace = copy.copy(self.pace)
+            copied.pace.due_s = dict(self.pace.due_s)
+        return copied
+
     def _begin(self, now_s: float) -> None:
         """Empty the bucket as coldness begins."""
         sent = sum(now_s - sent_s < WINDOW_S for sent_s in self._recent)
--- a/src/dandelionplank/routing/explanation.py
+++ b/src/dandelionplank/routing/explanation.py
@@ -324,16 +324,6 @@
     for target in targets:
         state = cold.states.get(target.name)
         if state:
-            copied.states[target.name] = _copy_state(state)
+            copied.states[target.name] = state.copied()
             copied.services[target.name] = cold.services[target.name]
     return copied
-
-
-def _copy_state(state: ColdState) -> ColdState:
-    """Copy the coldness, the bucket and the pace of a target."""
-    copied = copy.copy(state)
-    copied.recent = state.recent.copy()
-    if state.pace:
-        copied.pace = copy.copy(state.pace)
-        copied.pace.due_s = dict(state.pace.due_s)
-    return copied
