Follow the messages that the handler parses as it resumes

Callers that pipeline requests with bodies over 128 kB, or more than 32 requests, lost those that had been read: their connection closed without a response.

Cause: aiohttp parses the rest of a block by itself as its handler resumes reading. The layer did not see a message that begins there, took its body for a head without end and refused it.

The layer now compares the handler's count of messages as it resumes.

--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -118,6 +118,7 @@
         self.refused_at_s: float | None = None
         self.cost_s = 0.0
         self.unread_bytes = 0
+        self.parsed_count = 0
 
     @property
     def is_idle(self) -> bool:
@@ -229,7 +230,8 @@
         # turn of the loop: its count and its queue show it at once.
         count = http._request_count  # noqa: SLF001
         http.data_received(block)
-        is_new = http._request_count != count  # noqa: SLF001
+        self.parsed_count = http._request_count  # noqa: SLF001
+        is_new = self.parsed_count != count
         if is_new:
             message, body = http._messages[-1]  # noqa: SLF001
             if not was_open and not self.meter.head_bytes and body.is_eof():
@@ -281,7 +283,17 @@
         self.body.feed_eof()
 
     def _on_handler_resumed(self) -> None:
-        """Continue with the bytes that waited for the handler."""
+        """Continue with the bytes that waited for the handler.
+
+        As it resumes, it parses the rest of the last block by itself.
+        """
+        http = self.http
+        if http._request_count != self.parsed_count:  # noqa: SLF001
+            self.parsed_count = http._request_count  # noqa: SLF001
+            message, body = http._messages[-1]  # noqa: SLF001
+            self._open_message(message, body, time.monotonic())
+            if body.is_eof():
+                self.body = None
         if self.pending:
             self.guard.enqueue(self)
 
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,89 @@
+"""Tests of callers' connections to a listening server, without a gateway.
+
+Guard against requests that are read and dropped, responses that are cut, and
+refusals that a caller does not get.
+"""
+
+import asyncio
+import contextlib
+from unittest import mock
+
+from aiohttp import web
+
+from bench.fleet import reserve_ports
+from dandelionplank.ingress.bodies import BodyReader
+from dandelionplank.ingress.callerbounds import CallerBounds
+from dandelionplank.ingress.server import CallerServer
+from dandelionplank.routing.routes import RequestLimits
+from dandelionplank.settings import Address
+from tests.fixtures import run_on_both_loops, running
+
+LARGE_BODY_BYTES = 4_194_304
+ANY_BODIES = CallerBounds()
+# Room for one large body at a time.
+ONE_BODY = CallerBounds(held_bytes=2 * LARGE_BODY_BYTES)
+END_OF_STREAM = b'last event'
+
+
+class EchoGateway:
+    """Answers each request with the size of its body."""
+
+    def __init__(self, bounds):
+        self.bounds = bounds
+        self.bodies = BodyReader(bounds)
+        self.may_end = asyncio.Event()
+        self.may_end.set()
+        self.started = 0
+
+    async def handle_request(self, request):
+        self.started += 1
+        with self.bodies.hold('a') as holding:
+            body = await self.bodies.read(request, holding, RequestLimits())
+        await self.may_end.wait()
+        return web.Response(body=b'%d bytes;' % len(body) + END_OF_STREAM)
+
+
+@contextlib.asynccontextmanager
+async def echo_server(bounds=ANY_BODIES):
+    """Run a server; yield its gateway, itself and its address."""
+    gateway = EchoGateway(bounds)
+    server = CallerServer(gateway, mock.Mock())
+    address = Address('127.0.0.1', reserve_ports(1)[0])
+    await server.listen(address)
+    try:
+        async with running(server.run_checks()):
+            yield gateway, server, (address.ip, address.port)
+    finally:
+        server.stop_accepting()
+        for connection in server.connections:
+            connection.force_close()
+
+
+def post(size):
+    """Return a request with a body."""
+    head = f'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n'
+    return b'%b%b' % (head.encode(), b'x' * size)
+
+
+async def read_responses(reader, count):
+    """Return what arrives until there are some responses."""
+    received = b''
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(10):
+            while received.count(END_OF_STREAM) < count:
+                block = await reader.read(65_536)
+                if not block:
+                    break
+                received += block
+    return received
+
+
+@run_on_both_loops
+async def test_pipelined_requests_with_large_bodies_are_all_answered():
+    """A message that began in a block left over was taken for a long head."""
+    async with echo_server() as (_, _, address):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(post(140_000) * 5)
+        received = await read_responses(reader, 5)
+        writer.close()
+    assert received.count(b'140000 bytes;') == 5
