Refuse late heads only while no response is sent

A stream was cut 15 s after the timeout of heads if two bytes had followed its request, such as an empty line, which a server has to ignore.

Cause: they counted as the begin of a head that is late, and a refused connection is aborted after 15 s whatever its handler does. Heads are now late only while the handler is idle; their size stays bounded.

--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -409,7 +409,9 @@
         for connection in tuple(self.connections.values()):
             if connection.refused_at_s is not None:
                 connection.close_if_refused(now_s)
-            elif connection.meter.is_late(limit_s, now_s):
+            elif connection.is_idle and connection.meter.is_late(
+                limit_s, now_s
+            ):
                 connection.refuse(Excess.LATE_HEAD, now_s)
 
     def record_close(self, reason: str, held_bytes: int) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 from unittest import mock
 
 from aiohttp import web
@@ -16,7 +17,7 @@
 from dandelionplank.ingress.server import CallerServer
 from dandelionplank.routing.routes import RequestLimits
 from dandelionplank.settings import Address
-from tests.fixtures import run_on_both_loops, running
+from tests.fixtures import run_on_both_loops, running, wait_until
 
 LARGE_BODY_BYTES = 4_194_304
 ANY_BODIES = CallerBounds()
@@ -87,3 +88,21 @@
         received = await read_responses(reader, 5)
         writer.close()
     assert received.count(b'140000 bytes;') == 5
+
+
+@run_on_both_loops
+async def test_a_response_is_complete_whatever_follows_its_request():
+    """An empty line after a body was refused as a head that is late."""
+    async with echo_server() as (gateway, server, address):
+        gateway.may_end.clear()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(post(10))
+        await wait_until(lambda: gateway.started)
+        writer.write(b'\r\n')
+        await asyncio.sleep(0.1)
+        for later_s in (100, 200):
+            server.guard.refuse_late_heads(3, time.monotonic() + later_s)
+        gateway.may_end.set()
+        received = await read_responses(reader, 1)
+        writer.close()
+    assert received.endswith(END_OF_STREAM), received
