Send 431 before the handler of a new connection has started

A head over its limit that arrived with a new connection closed it without a response, so that callers, who do not retry after 431, came back.

Cause: the handler is not idle before its task has started, and a busy handler gets no response written for it.

tests.test_caller_connections.test_a_long_head_is_refused_on_a_new_connection: 0 passed, 1 failed before, 1 passed, 0 failed now.

--- a/src/dandelionplank/ingress/connection.py
+++ b/src/dandelionplank/ingress/connection.py
@@ -192,7 +192,9 @@
         self.pending.clear()
         held_bytes = self.meter.head_bytes or self.meter.wire_bytes
         self.guard.record_close(excess.label, held_bytes)
-        if self.body is None and self.is_idle:
+        # A head may be refused before the handler's task has started.
+        is_unused = self.is_idle or not self.http._request_count  # noqa: SLF001
+        if self.body is None and is_unused:
             assert self.transport is not None
             self.transport.write(_render_refusal(excess))
             self.http.force_close()
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -126,3 +126,15 @@
         writer.close()
         holder.close()
     assert b'100000 bytes;' in received, received[:40]
+
+
+@run_on_both_loops
+async def test_a_long_head_is_refused_on_a_new_connection():
+    """It was closed without a response, so that its caller came back."""
+    async with echo_server() as (_, _, address):
+        for _ in range(5):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b'GET / HTTP/1.1\r\nX: %b' % (b'x' * 18_000))
+            line = await asyncio.wait_for(reader.readline(), 10)
+            writer.close()
+            assert b' 431 ' in line, line
