--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from bench.fleet import reserve_ports
+from dandelionplank.fleet.sockets import PAGE_BOUNDS, Page, PageServer
 from dandelionplank.ingress.bodies import BodyReader
 from dandelionplank.ingress.callerbounds import CallerBounds
 from dandelionplank.ingress.server import CallerServer
@@ -138,3 +139,32 @@
             line = await asyncio.wait_for(reader.readline(), 10)
             writer.close()
             assert b' 431 ' in line, line
+
+
+@run_on_both_loops
+async def test_unfinished_requests_do_not_block_a_page():
+    """Responses that waited for the rest of a body used up its connections."""
+    address = Address('127.0.0.1', reserve_ports(1)[0])
+    pages = PageServer()
+    await pages.serve(address, '/ready', lambda: Page('ready'))
+    head = b'GET /ready HTTP/1.1\r\nHost: a\r\n%b\r\n'
+    unfinished = b'%bx' % (head % b'Content-Length: 9\r\n')
+    opened = []
+    try:
+        for _ in range(PAGE_BOUNDS.connections):
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port
+            )
+            opened.append(writer)
+            writer.write(unfinished)
+            await reader.readline()
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        opened.append(writer)
+        writer.write(head % b'')
+        with contextlib.suppress(ConnectionError):
+            line = await asyncio.wait_for(reader.readline(), 10)
+    finally:
+        for each in opened:
+            each.close()
+        await pages.close()
+    assert b' 200 ' in line, line
