Accept all waiting connections at a planned stop

At a planned stop with 600 connections waiting, 344 were reset with their requests.

tests.test_caller_connections.test_all_connections_that_wait_are_accepted_before_a_stop: 0 passed, 1 failed before, 1 passed, 0 failed now.

--- a/src/dandelionplank/ingress/acceptor.py
+++ b/src/dandelionplank/ingress/acceptor.py
@@ -61,7 +61,7 @@
         listening = self.listening
         if listening is None:
             return
-        self._accept_waiting()
+        self._accept_waiting(self.backlog)
         self.listening = None
         asyncio.get_running_loop().remove_reader(listening)
         listening.close()
@@ -73,12 +73,15 @@
                 self.listening, self._accept_waiting
             )
 
-    def _accept_waiting(self) -> None:
-        """Accept the connections that wait now, up to the limit of a turn."""
+    def _accept_waiting(self, limit: int = ACCEPTS_PER_TURN) -> None:
+        """Accept the connections that wait now.
+
+        :param limit: most connections to accept
+        """
         listening = self.listening
         if listening is None:
             return
-        for _ in range(ACCEPTS_PER_TURN):
+        for _ in range(limit):
             try:
                 connection, _ = listening.accept()
             except BlockingIOError:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from unittest import mock
 
@@ -168,3 +169,14 @@
             each.close()
         await pages.close()
     assert b' 200 ' in line, line
+
+
+@run_on_both_loops
+async def test_all_connections_that_wait_are_accepted_before_a_stop():
+    """Those beyond one turn's worth were reset with their requests."""
+    async with echo_server() as (gateway, server, address):
+        callers = [socket.create_connection(address) for _ in range(300)]
+        server.stop_accepting()
+        await wait_until(lambda: server.connection_count == len(callers))
+        for each in callers:
+            each.close()
