Leave bodies alone whose time is over

The periodic check of callers' connections could end with a RuntimeError, as it rescheduled a timeout that was expiring; the other bodies of that check then held their memory until their own timeout. Found in review.

tests.test_caller_connections.test_a_body_whose_time_is_over_is_not_refused_again: 0 passed, 1 failed before, 1 passed, 0 failed now.

--- a/src/dandelionplank/ingress/bodies.py
+++ b/src/dandelionplank/ingress/bodies.py
@@ -174,7 +174,7 @@
                 held_bytes=holding.received,
             )
             timeout = self.timeouts.get(holding)
-            if timeout is not None:
+            if timeout is not None and not timeout.expired():
                 timeout.reschedule(loop.time())
 
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -180,3 +180,19 @@
         await wait_until(lambda: server.connection_count == len(callers))
         for each in callers:
             each.close()
+
+
+def test_a_body_whose_time_is_over_is_not_refused_again():
+    """The error ended the checks of all other connections."""
+    reader = BodyReader(CallerBounds())
+    with reader.hold('a') as holding:
+        expiring = mock.Mock(
+            expired=mock.Mock(return_value=True),
+            reschedule=mock.Mock(side_effect=RuntimeError('expiring')),
+        )
+        reader.timeouts[holding] = expiring
+        loop = asyncio.new_event_loop()
+        with mock.patch('asyncio.get_running_loop', return_value=loop):
+            reader._refuse('body', [holding])
+        loop.close()
+    assert not expiring.reschedule.call_count
