Let a body that becomes complete while it waits be served

What the connection has received meanwhile, up to 128 kB, is now read once it is the rest of the body.

--- a/src/dandelionplank/ingress/bodies.py
+++ b/src/dandelionplank/ingress/bodies.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from collections.abc import Iterable, Iterator
 from typing import Any
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import StreamReader
 
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.events import Event
@@ -129,26 +131,33 @@
                 # A complete body needs no place, whatever the others hold.
                 self.held.add(holding, len(block), size_bytes, time.monotonic())
                 break
-            await self._wait_for_room(holding, len(block), size_bytes)
+            if not self._has_room(holding, len(block), size_bytes):
+                await self._wait_for_room(holding, source)
             block = await source.readany()
         self._wake(self.held.complete(holding, time.monotonic()))
         return bytes(body)
 
-    async def _wait_for_room(
-        self, holding: Holding, count: int, size_bytes: int
-    ) -> None:
-        """Count a block and wait until the body may be read further.
+    def _has_room(self, holding: Holding, count: int, size_bytes: int) -> bool:
+        """Count a block; return whether the body may be read further.
 
         :raises RefusalError: there is no room
         """
         now_s = time.monotonic()
         decision = self.held.add(holding, count, size_bytes, now_s)
-        if decision is Decision.READ:
-            return
         if decision is Decision.REFUSE:
             raise _no_room()
+        return decision is Decision.READ
+
+    async def _wait_for_room(
+        self, holding: Holding, source: StreamReader
+    ) -> None:
+        """Wait until the body may be read further, or has arrived completely.
+
+        The connection holds some bytes beyond those that were read.
+        """
         waiter = asyncio.get_running_loop().create_future()
         self.waiters[holding] = waiter
+        source.on_eof(functools.partial(_resolve, waiter))
         try:
             await waiter
         finally:
@@ -158,8 +167,8 @@
         """Let bodies be read that got a place."""
         for holding in granted:
             waiter = self.waiters.get(holding)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(None)
+            if waiter is not None:
+                _resolve(waiter)
 
     def _refuse(self, reason: str, refused: Iterable[Holding]) -> None:
         """End the reading of some bodies now."""
@@ -178,6 +187,12 @@
                 timeout.reschedule(loop.time())
 
 
+def _resolve(waiter: 'asyncio.Future[None]') -> None:
+    """End a wait that has not ended yet."""
+    if not waiter.done():
+        waiter.set_result(None)
+
+
 def _close_after_response(request: web.BaseRequest, holding: Holding) -> None:
     """Close the connection of a body that stalls after its refusal.
 
