Fill in the bounds of cold targets without sections of the template

Cause: cold_over and cold_slack, which some deployments do not state, were rendered by sections. Now the template passes the whole table, and the tag !field takes a field from it, or none. The test of the template fills in the table as the platform does and no longer renders sections; its expectations are as before.

--- a/src/dandelionplank/yamlloader.py
+++ b/src/dandelionplank/yamlloader.py
@@ -12,14 +12,16 @@
 
 
 class DocumentLoader(yaml.SafeLoader):
-    """Loads YAML with the numbers of JSON, and ``!ms`` before milliseconds."""
+    """Loads YAML with the numbers of JSON, ``!ms`` and ``!field``."""
 
 
 def load_document(text: str) -> Any:
     """Load a YAML text.
 
     An empty field is left out, so that it has its default. A number after
-    ``!ms`` is converted from milliseconds to seconds.
+    ``!ms`` is converted from milliseconds to seconds. ``!field`` before a list
+    of a name and a table stands for that field of the table, which may be
+    missing there.
 
     :raises yaml.YAMLError: the text is not valid
     :raises ValueError: a value is not valid
@@ -40,6 +42,21 @@
     return found / MS_PER_SECOND
 
 
+def _field(loader: yaml.SafeLoader, node: yaml.Node) -> Any:
+    """Return a field of a table, none if it or the table is missing."""
+    found = None
+    if isinstance(node, yaml.SequenceNode):
+        found = loader.construct_sequence(node, deep=True)
+    match found:
+        case [str(name), dict(table)]:
+            return table.get(name)
+        case [str()] | [str(), None]:
+            return None
+    raise yaml.constructor.ConstructorError(
+        None, None, 'a name and a table are expected', node.start_mark
+    )
+
+
 def _without_empty(document: Any) -> Any:
     """Return a document without its empty fields."""
     if isinstance(document, dict):
@@ -57,3 +74,4 @@
     'tag:yaml.org,2002:float', _FLOAT, list('-+.0123456789')
 )
 DocumentLoader.add_constructor('!ms', _seconds)
+DocumentLoader.add_constructor('!field', _field)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -4,7 +4,6 @@
 import contextlib
 import functools
 import math
-import re
 import signal
 import socket
 import subprocess
@@ -12,6 +11,7 @@
 from pathlib import Path
 from unittest import mock
 
+import yaml
 from nose2.tools import params
 
 from bench.fleet import reserve_ports
@@ -26,6 +26,7 @@
 )
 from dandelionplank.fleet.sockets import RETRY_S
 from dandelionplank.settings import Address, parse_yaml
+from dandelionplank.yamlloader import load_document
 from tests.fixtures import run_async, run_on_both_loops, wait_until
 from tests.platformfleet import platform_fleet, stop
 
@@ -51,28 +52,24 @@
     'Limits.CpuCores': '1.548',
 }
 
-SECTION = re.compile(
-    r'{{#(?P<name>[\w.]+)}}(?P<body>.*?){{/(?P=name)}}', re.DOTALL
-)
-FALSE_FIGURES = (None, '', 'null', '0')
-
-
-def fill_sections(text, fields):
-    """Keep the sections whose field is present and true, as the platform."""
 
-    def fill(section):
-        is_kept = fields.get(section['name']) not in FALSE_FIGURES
-        return section['body'] if is_kept else ''
-
-    return SECTION.sub(fill, text)
+def to_table(fields, name):
+    """Return the figures of a table as the platform writes them in JSON."""
+    figures = ', '.join(
+        f'"{field.removeprefix(f"{name}.")}": {figure or "null"}'
+        for field, figure in fields.items()
+        if field.startswith(f'{name}.')
+    )
+    return f'{{{figures}}}'
 
 
 def settings_from_template(**bounds):
     """Return the settings for some figures, as the platform fills them in."""
     text = TEMPLATE.read_text(encoding='utf-8')
     changed = {f'Bounds.{name}': figure for name, figure in bounds.items()}
-    text = fill_sections(text, {**FIELDS, **changed})
-    for name, replacement in {**FIELDS, **changed}.items():
+    fields = {**FIELDS, **changed}
+    fields['Bounds|json'] = to_table(fields, 'Bounds')
+    for name, replacement in fields.items():
         text = text.replace(f'{{{{{name}}}}}', replacement)
     assert '{{' not in text
     return parse_yaml(text, GatewaySettings, origin='settings')
@@ -143,6 +140,20 @@
     assert (bounds.cold_over, bounds.cold_slack) == (over, slack)
 
 
+@params('', 'null', '{}')
+def test_a_table_that_the_platform_does_not_state_has_no_fields(table):
+    """A field of a missing table kept a gateway from starting."""
+    text = f'cold_over: !field [ColdOver, {table}]'
+    assert load_document(text) == {}
+
+
+@params('1.5', '[1, {}]', '[ColdOver, 1.5]', '[ColdOver, {}, 1]')
+def test_malformed_fields_are_rejected(text):
+    """A mistake in the template must not pass for a missing figure."""
+    with contextlib.suppress(yaml.YAMLError):
+        raise AssertionError(load_document(f'cold_over: !field {text}'))
+
+
 def test_retries_and_grace_may_be_zero():
     """An installation may allow none."""
     bounds = settings_from_template(
