--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -49,6 +49,8 @@
 STEP = 'ingress'
 NOT_READY_RETRY_S = 0.5
 STALE_RETRY_S = 1.0
+# Callers reach another instance when they retry.
+OVERLOADED_RETRY_S = 0.1
 # A prompt that is too large does not fit later either.
 TOO_LARGE_RETRY_S = 3600.0
 # Callers disconnect from a stream that is silent for the longest of these: a
@@ -288,7 +290,7 @@
             f'event loop is {self.overload.delay_s:.2f} s late',
             step=STEP,
             code=ErrorCode.OVERLOADED,
-            retry_after_s=self.overload.retry_after_s,
+            retry_after_s=OVERLOADED_RETRY_S,
         )
 
     def _check_repeated(self, key: WorkKey, metadata: RequestMetadata) -> None:
--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -20,10 +20,6 @@
 # Refusing fewer recent requests of an account relieves no loop: something else
 # delays it.
 RELIEVING_REQUESTS = 20
-# Shortest time after which a refused caller retries, which reaches another
-# instance if this one is withdrawn, and what is added if all are refused.
-FIRST_RETRY_S = 0.1
-LONGER_RETRY_S = 0.3
 # Share of the bound on connections from which refused ones end. Each retry
 # comes on a new connection, so that the others stay open without a request.
 NEAR_BOUND_SHARE = 0.8
@@ -58,15 +54,6 @@
         """Whether this instance has more work than it can handle."""
         return self.delay_s > LATE_LOOP_S
 
-    @property
-    def retry_after_s(self) -> float:
-        """Time after which a refused caller should retry.
-
-        The larger the part of the requests that is refused, the more of the
-        processor time is spent on the retries of refused callers.
-        """
-        return FIRST_RETRY_S + LONGER_RETRY_S * self.refused_share
-
     def record_delay(self, delay_s: float, now_s: float) -> None:
         """Record by how much the event loop is late.
 
