Add a failing test of an account with one prefix beside idle engines

An account whose prompts share one prefix asks for 5,000,000 tokens a second through one entry and begins 480,000; another one with 100 prefixes asks for 1,700,000 and begins 1,600,000. Engines are half idle.

--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -171,6 +171,24 @@
     assert not fleet.shortfalls(WINDOW_S + 1, WINDOW_S)
 
 
+@params(1, 2)
+def test_an_account_with_one_prefix_is_not_refused_beside_idle_engines(seed):
+    """An account got a quarter of what another one got, and engines were idle.
+
+    Its prompts were placed at the engines that cached their prefix, and
+    refused for the wait there.
+    """
+
+    async def plan(fleet):
+        await asyncio.gather(
+            fleet.send('narrow', (1,), 1, 600, WINDOW_S + 1),
+            fleet.send('wide', range(INSTANCES), 100, 200, WINDOW_S + 1),
+        )
+
+    fleet = run_in_virtual_time(simulate(plan, ENGINES, INSTANCES), seed)
+    assert not fleet.shortfalls(WINDOW_S + 1, WINDOW_S)
+
+
 def draw_accounts(seed, instances):
     """Return accounts of random size, prefixes and entries."""
     source = random.Random(seed * SEED_STRIDE)
