Read a prefix again rather than refuse its account beside idle engines

What callers saw: an account whose prompts share one prefix was refused for an expected wait of 0.6 s and more, and got less than half of what another account got, while engines had room (FAIR).

Cause: the placement counts another prefill of a prefix ten times, so that it prefers a wait of seconds at an engine that caches it to an idle one; admission then refuses the request because it would miss its objective of less than a second. Nothing compared the two: the target was chosen without regard to the refusal that follows. The class is that of docs/incidents/shares-at-busy-entries.md, where an account is served is decided without regard to its share.

Change: a request that would miss its objective is placed again without the extra weight. It takes that placement if the engine has nothing to do, or if its account is behind others (below three quarters of the highest service level). The same holds for requests that ask another pool for an idle target.

--- a/src/dandelionplank/fairness/waiting.py
+++ b/src/dandelionplank/fairness/waiting.py
@@ -29,6 +29,8 @@
     :param avoided: targets at which an earlier attempt failed, or that want no
         request of the instance that sends it
     :param is_ticket: another instance sends it
+    :param accepts_reread: a prefix that busy targets cache is prefilled again
+        rather than waited for
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     placed_s: float = 0
     avoided: tuple[str, ...] = ()
     is_ticket: bool = False
+    accepts_reread: bool = False
 
     @property
     def objective_deadline_s(self) -> float:
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -332,7 +332,9 @@
         self, queue: str, waiting: WaitingRequest, *, is_overflow: bool
     ) -> Grant:
         """Wait for a target of a pool that this instance owns."""
-        own = dataclasses.replace(waiting, service=queue)
+        own = dataclasses.replace(
+            waiting, service=queue, accepts_reread=is_overflow
+        )
         scheduler = self.dispatcher.scheduler
         if is_overflow and not scheduler.may_start(own, time.monotonic()):
             raise _refusal(waiting, 'pool has no idle target', 0)
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -258,6 +258,7 @@
         cost=ticket.cost,
         avoided=ticket.avoided,
         is_ticket=True,
+        accepts_reread=ticket.is_overflow,
     )
 
 
--- a/src/dandelionplank/routing/placement.py
+++ b/src/dandelionplank/routing/placement.py
@@ -218,6 +218,7 @@
         queue_limit_s: float,
         precedence: AccountPrecedence,
         avoided: Sequence[str] = (),
+        reread_weight: float = EXTRA_PREFILL_WEIGHT,
     ) -> Placement | None:
         """Return the cheapest target, or None if there is no usable one.
 
@@ -226,6 +227,8 @@
         :param queue_limit_s: work that may be queued inside the target
         :param precedence: accounts that are served later
         :param avoided: targets that have failed this request
+        :param reread_weight: extra cost of another prefill of a prefix, as a
+            multiple of its own time
         """
         usable = snapshots
         if avoided:
@@ -239,13 +242,16 @@
         is_model = next(iter(usable.values())).load.prefix_cache is not None
         if work is None or not is_model:
             return _least_loaded(usable, now_s)
-        return self._cheapest(usable, work, queue_limit_s, precedence)
+        return self._cheapest(
+            usable, work, queue_limit_s, precedence, reread_weight
+        )
 
     def costs(
         self,
         snapshots: TargetSnapshots,
         work: TokenWork,
         precedence: AccountPrecedence,
+        reread_weight: float = EXTRA_PREFILL_WEIGHT,
     ) -> tuple[dict[str, float], dict[str, float]]:
         """Return the uncached tokens and the cost of each candidate engine."""
         candidates = _candidates(snapshots, work.prefix_id, precedence)
@@ -256,7 +262,8 @@
         fewest = min(uncached.values())
         costs = {
             name: snapshot.cost_s(
-                _weighted_tokens(uncached[name], fewest), precedence
+                _weighted_tokens(uncached[name], fewest, reread_weight),
+                precedence,
             )
             for name, snapshot in candidates.items()
         }
@@ -265,7 +272,9 @@
             uncached[preferred] = snapshots[preferred].load.uncached_tokens(
                 work
             )
-            weighted_tokens = _weighted_tokens(uncached[preferred], fewest)
+            weighted_tokens = _weighted_tokens(
+                uncached[preferred], fewest, reread_weight
+            )
             costs[preferred] = (
                 snapshots[preferred].cost_s(weighted_tokens, precedence)
                 - PREFERRED_ADVANTAGE_S
@@ -278,9 +287,10 @@
         work: TokenWork,
         queue_limit_s: float,
         precedence: AccountPrecedence,
+        reread_weight: float,
     ) -> Placement:
         """Return the engine with the lowest cost of waiting and prefill."""
-        uncached, costs = self.costs(snapshots, work, precedence)
+        uncached, costs = self.costs(snapshots, work, precedence, reread_weight)
         best = min(costs, key=costs.__getitem__)
         chosen = snapshots[best]
         return Placement(
@@ -343,6 +353,6 @@
     )
 
 
-def _weighted_tokens(tokens: float, fewest: float) -> float:
+def _weighted_tokens(tokens: float, fewest: float, weight: float) -> float:
     """Return uncached tokens, with extra weight beyond the best engine's."""
-    return tokens + (tokens - fewest) * EXTRA_PREFILL_WEIGHT
+    return tokens + (tokens - fewest) * weight
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -11,7 +11,10 @@
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 
-from dandelionplank.fairness.precedence import AccountPrecedence
+from dandelionplank.fairness.precedence import (
+    BEHIND_RANK,
+    AccountPrecedence,
+)
 from dandelionplank.fairness.waiting import WaitingQueue, WaitingRequest
 from dandelionplank.fleet.peers import (
     PeerLoadTable,
@@ -34,6 +37,7 @@
     opens_in_s,
 )
 from dandelionplank.routing.placement import (
+    EXTRA_PREFILL_WEIGHT,
     Placement,
     PlacementPolicy,
     TargetSnapshot,
@@ -174,17 +178,26 @@
                 self.jitter(),
             )
         queue = self.queues.setdefault(waiting.service, WaitingQueue())
-        if not placement.has_capacity or queue.count:
-            estimate = self._estimate_latency(waiting, placement, queue)
+        estimate = self._estimate_wait(waiting, placement, queue)
+        if estimate:
             waiting.objective_s = attainable_objective_s(
                 estimate, waiting.objective_s
             )
-            if misses_objective(estimate, waiting.objective_deadline_s - now_s):
-                return Rejection(
-                    waiting,
-                    wait_reason(estimate),
-                    retry_after_s(estimate, self.jitter()),
-                )
+        if _misses(waiting, estimate, now_s):
+            # The placement prefers a wait for targets that cache the prefix.
+            # Others may be idle, or serve accounts that are ahead.
+            waiting.accepts_reread = True
+            other = self._place(waiting, snapshots, queue_limit_s, now_s)
+            is_behind = self._rank(waiting.account) < BEHIND_RANK
+            if other and (is_behind or not other.wait_s):
+                placement = other
+                estimate = self._estimate_wait(waiting, placement, queue)
+        if estimate and _misses(waiting, estimate, now_s):
+            return Rejection(
+                waiting,
+                wait_reason(estimate),
+                retry_after_s(estimate, self.jitter()),
+            )
         self._start_waiting(waiting, placement, now_s)
         queue.add(waiting)
         return None
@@ -437,6 +450,7 @@
             queue_limit_s,
             AccountPrecedence.from_levels(waiting.account, self.service_levels),
             waiting.avoided + closed,
+            0 if waiting.accepts_reread else EXTRA_PREFILL_WEIGHT,
         )
 
     def _rank(self, account: str) -> float:
@@ -460,13 +474,18 @@
             1 + FAIRNESS_QUEUE_BONUS * (1 - self._rank(account))
         )
 
-    def _estimate_latency(
+    def _estimate_wait(
         self,
         waiting: WaitingRequest,
         placement: Placement,
         queue: WaitingQueue,
-    ) -> LatencyEstimate:
-        """Estimate when a new request would be served in fair order."""
+    ) -> LatencyEstimate | None:
+        """Estimate when a new request would be served in fair order.
+
+        :return: None if it does not wait
+        """
+        if placement.has_capacity and not queue.count:
+            return None
         ahead = queue.cost_ahead(
             waiting.account, waiting.cost, self.service_levels
         )
@@ -509,6 +528,15 @@
             load.stop_waiting(waiting.account, waiting.uncached_tokens)
 
 
+def _misses(
+    waiting: WaitingRequest, estimate: LatencyEstimate | None, now_s: float
+) -> bool:
+    """Return whether a request that waits can't meet its objective."""
+    if estimate is None:
+        return False
+    return misses_objective(estimate, waiting.objective_deadline_s - now_s)
+
+
 def _reject_without_target(
     waiting: WaitingRequest, opens_s: float, jitter: float
 ) -> Rejection:
