Take the requests of an account that is behind at a late instance

Cause: an instance whose loop is late admitted an even share of itself to each account. An account that is served at other instances too then got as much here as one that has no other instance.

Change: among the accounts with many requests at a late instance, those whose service, fleet-wide, is ahead of another one of them get no more taken; those that are behind get theirs taken; between accounts of about the same level the even share holds.

The levels replace is_behind in the interface of the assigner.

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from typing import Protocol
 
 from dandelionplank.errors import ErrorCode, RefusalError
-from dandelionplank.fairness.precedence import BEHIND_RANK
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.routing.scheduler import Grant, Rejection, Scheduler
 
@@ -27,8 +27,8 @@
         :raises RefusalError: the request was rejected and not executed
         """
 
-    def is_behind(self, account: str) -> bool:
-        """Return whether an account received less service than others."""
+    def service_levels(self) -> Mapping[str, float]:
+        """Return the service that accounts received lately, fleet-wide."""
 
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
@@ -94,9 +94,10 @@
             self.futures.pop(id(waiting), None)
             self.scheduler.withdraw(waiting)
 
-    def is_behind(self, account: str) -> bool:
-        """Return whether an account received less service than others."""
-        return self.scheduler.rank(account, time.monotonic()) < BEHIND_RANK
+    def service_levels(self) -> Mapping[str, float]:
+        """Return the service that accounts received lately, fleet-wide."""
+        self.scheduler.refresh_service_levels(time.monotonic())
+        return self.scheduler.service_levels
 
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
--- a/src/dandelionplank/fairness/precedence.py
+++ b/src/dandelionplank/fairness/precedence.py
@@ -26,10 +26,19 @@
         """Return the precedence of an account at the present levels."""
         return cls(levels.get(account, 0), levels)
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the requests of some other account are served later."""
+        return any(map(self.precedes, self.levels))
+
     def precedes(self, other: str) -> bool:
         """Return whether the requests of another account are served later."""
         return self.level < self.levels.get(other, 0) * BEHIND_RANK
 
+    def yields_to(self, other: str) -> bool:
+        """Return whether the requests of another account are served first."""
+        return self.levels.get(other, 0) < self.level * BEHIND_RANK
+
     def yielding_tokens(self, queued: Mapping[str, float]) -> float:
         """Return the queued tokens that are served later.
 
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -12,7 +12,7 @@
 import random
 import time
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from dandelionplank.delivery.dispatch import Dispatcher
@@ -152,9 +152,9 @@
             # The pool lost its last targets while the request waited there.
             return await self._acquire_in_order(pools, waiting)
 
-    def is_behind(self, account: str) -> bool:
-        """Return whether an account received less service than others."""
-        return self.dispatcher.is_behind(account)
+    def service_levels(self) -> Mapping[str, float]:
+        """Return the service that accounts received lately, fleet-wide."""
+        return self.dispatcher.service_levels()
 
     def record_first_event(self, grant: Grant) -> None:
         """Record that a target has started to respond."""
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import time
+from collections.abc import Mapping
 from http import HTTPStatus
 
 import xxhash
@@ -24,6 +25,7 @@
     RefusalError,
 )
 from dandelionplank.events import Event
+from dandelionplank.fairness.precedence import AccountPrecedence
 from dandelionplank.fleet.settings import GatewayLimits
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.ingress.bodies import BodyReader
@@ -281,9 +283,10 @@
             or its requests are refused anyway
         """
         account = key[0]
+        levels = self.delivery.dispatcher.service_levels()
         if self.overload.is_late and account:
-            self._check_repeated(key, metadata)
-        if self.overload.admit(account):
+            self._check_repeated(key, metadata, levels)
+        if self.overload.admit(account, levels):
             return
         self.delivery.demand.record_refusal(account)
         raise RefusalError(
@@ -293,10 +296,16 @@
             retry_after_s=OVERLOADED_RETRY_S,
         )
 
-    def _check_repeated(self, key: WorkKey, metadata: RequestMetadata) -> None:
+    def _check_repeated(
+        self,
+        key: WorkKey,
+        metadata: RequestMetadata,
+        levels: Mapping[str, float],
+    ) -> None:
         """Refuse a request like the last ones of its account.
 
         :param key: account and service
+        :param levels: service that the accounts received lately
         :raises RefusalError: several in a row were refused a short time ago
         """
         account, service = key
@@ -305,7 +314,7 @@
             key,
             cost,
             time.monotonic(),
-            is_behind=self.delivery.dispatcher.is_behind(account),
+            is_behind=AccountPrecedence.from_levels(account, levels).is_behind,
         )
         if retry_after_s is None:
             return
--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -7,6 +7,10 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from dandelionplank.fairness.precedence import AccountPrecedence
 
 # Weight of the last delay in the smoothed one: a single short delay, as from
 # reading a large configuration, refuses nothing.
@@ -23,6 +27,7 @@
 # Share of the bound on connections from which refused ones end. Each retry
 # comes on a new connection, so that the others stay open without a request.
 NEAR_BOUND_SHARE = 0.8
+NO_LEVELS: Mapping[str, float] = MappingProxyType({})
 
 
 class OverloadControl:
@@ -72,22 +77,37 @@
         self.recent_total = sum(self.recent.values())
         self.recent_refused *= factor
 
-    def admit(self, account: str) -> bool:
+    def admit(
+        self, account: str, levels: Mapping[str, float] = NO_LEVELS
+    ) -> bool:
         """Return whether a request is taken, and count it if it is.
 
-        While the loop is late, an account that has had many requests, and no
-        less than an even share of all, gets no more taken.
+        While the loop is late, accounts that have had many requests get no more
+        taken: those that received more service than another one of them, or
+        else those that have had no less than an even share.
+
+        :param levels: service that the accounts received lately, fleet-wide
         """
-        if self.is_late and self._has_even_share(account):
+        if self.is_late and self._has_its_share(account, levels):
             self.recent_refused += 1
             return False
         self.recent[account] += 1
         self.recent_total += 1
         return True
 
-    def _has_even_share(self, account: str) -> bool:
+    def _has_its_share(self, account: str, levels: Mapping[str, float]) -> bool:
         """Return whether an account has had its share of this instance."""
         recent = self.recent[account]
         if recent < RELIEVING_REQUESTS:
             return False
+        others = [
+            other
+            for other, count in self.recent.items()
+            if count >= RELIEVING_REQUESTS
+        ]
+        precedence = AccountPrecedence.from_levels(account, levels)
+        if any(map(precedence.precedes, others)):
+            return False
+        if any(map(precedence.yields_to, others)):
+            return True
         return recent * len(self.recent) >= self.recent_total
--- a/src/dandelionplank/routing/explanation.py
+++ b/src/dandelionplank/routing/explanation.py
@@ -117,7 +117,7 @@
         """Return what would happen to a request, and why."""
         waiting = dataclasses.replace(request)
         queue = waiting.service
-        self._refresh_service_levels(now_s)
+        self.refresh_service_levels(now_s)
         snapshots = self._snapshots(queue, now_s)
         targets = self._explain_targets(waiting, snapshots, now_s)
         known = self.queues.get(queue)
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -167,7 +167,7 @@
 
     def submit(self, waiting: WaitingRequest, now_s: float) -> Rejection | None:
         """Queue a request, or reject it at once."""
-        self._refresh_service_levels(now_s)
+        self.refresh_service_levels(now_s)
         snapshots = self._snapshots(waiting.service, now_s)
         queue_limit_s = self._queue_limit_s(waiting.account)
         placement = self._place(waiting, snapshots, queue_limit_s, now_s)
@@ -216,9 +216,21 @@
 
         :return: from zero to one; one for requests without an account
         """
-        self._refresh_service_levels(now_s)
+        self.refresh_service_levels(now_s)
         return self._rank(account) if account else 1.0
 
+    def refresh_service_levels(self, now_s: float) -> None:
+        """Sum the service each account received lately from all instances."""
+        if now_s - self.service_levels_updated_s <= SERVICE_LEVELS_MAX_AGE_S:
+            return
+        self.service_levels_updated_s = now_s
+        self.service_levels = self.peers.service_levels(now_s)
+        for account, level in self.local_service_levels.decay_to(now_s).items():
+            self.service_levels[account] = (
+                self.service_levels.get(account, 0) + level
+            )
+        self.highest_level = max(self.service_levels.values(), default=0.0)
+
     def withdraw(self, waiting: WaitingRequest) -> None:
         """Remove a request from its queue."""
         queue = self.queues.get(waiting.service)
@@ -230,7 +242,7 @@
         queue = self.queues.get(service)
         if queue is None or not queue.count:
             return []
-        self._refresh_service_levels(now_s)
+        self.refresh_service_levels(now_s)
         snapshots = self._snapshots(service, now_s)
         grants = []
         candidates = queue.in_fair_order(self.service_levels, now_s)
@@ -496,18 +508,6 @@
             placement.load.prefill_s(placement.uncached_tokens),
         )
 
-    def _refresh_service_levels(self, now_s: float) -> None:
-        """Sum the service each account received lately from all instances."""
-        if now_s - self.service_levels_updated_s <= SERVICE_LEVELS_MAX_AGE_S:
-            return
-        self.service_levels_updated_s = now_s
-        self.service_levels = self.peers.service_levels(now_s)
-        for account, level in self.local_service_levels.decay_to(now_s).items():
-            self.service_levels[account] = (
-                self.service_levels.get(account, 0) + level
-            )
-        self.highest_level = max(self.service_levels.values(), default=0.0)
-
     def _start_waiting(
         self,
         waiting: WaitingRequest,
--- a/tests/fleetsimulation.py
+++ b/tests/fleetsimulation.py
@@ -283,7 +283,8 @@
         processor = self.processors[entry.name]
         read, ask, pass_on, respond = PROCESSOR_SHARES
         await processor.run(read)
-        if not processor.overload.admit(account):
+        levels = entry.client.service_levels()
+        if not processor.overload.admit(account, levels):
             record.refused_s = self.now_s
             return
         arrived_s = time.monotonic()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -58,6 +58,19 @@
     assert refused['small'] <= limit
 
 
+def test_a_late_loop_takes_the_requests_of_an_account_that_is_behind():
+    """An even share here is none, if the others are served elsewhere too."""
+    overload = OverloadControl()
+    for account in ('behind', 'ahead'):
+        admit_many(overload, account)
+    overload.record_delay(LATE_S, 0)
+    levels = {'behind': 1000, 'ahead': 4000}
+    assert overload.admit('behind', levels)
+    assert not overload.admit('ahead', levels)
+    even = dict.fromkeys(levels, 1000)
+    assert not overload.admit('behind', even)
+
+
 def test_one_short_delay_refuses_nothing():
     """Instances stay open while they read a large configuration."""
     overload = OverloadControl()
