Take back the charge for grants that no target began

Cause: an account is charged when a target is granted. The charge was taken back only if the target was unreachable or stated that it had not run the request. A grant that was given back before (its caller had left, its entry was late) or whose target broke off before its first event stayed charged, so that an account with late requests was moved back in the fair order although nothing of it had begun. Shares count what begins.

Change: a grant that ends without a first event is taken back, less the part of the charge that has decayed since, in the one place at which grants end.

Evidence: tests.test_pool_owners .test_grants_that_are_given_back_cost_an_account_nothing fails without the change and passes with it.

--- a/src/dandelionplank/delivery/dispatch.py
+++ b/src/dandelionplank/delivery/dispatch.py
@@ -7,6 +7,7 @@
 
 from dandelionplank.errors import ErrorCode, RefusalError
 from dandelionplank.fairness.waiting import WaitingRequest
+from dandelionplank.fleet.peers import decay
 from dandelionplank.routing.scheduler import Grant, Rejection, Scheduler
 
 # How often waiting requests are checked if no other event triggers a pass.
@@ -123,7 +124,6 @@
             grant.load.target, grant.sent.sent_s, now_s
         )
         self._record_failure(grant, now_s)
-        self._refund(grant)
 
     def record_not_executed(
         self, grant: Grant, *, is_misdirected: bool
@@ -134,14 +134,15 @@
         grant.load.health.pause_until(now_s + pause_s)
         if not is_misdirected:
             self._record_failure(grant, now_s)
-        self._refund(grant)
 
     def record_closed(self, grant: Grant) -> None:
         """Check the waiting requests: their targets may all be closed."""
         self.wake(grant.waiting.service)
 
     def release(self, grant: Grant) -> None:
-        """Record that a request has left its target."""
+        """Record that a request has left its target, or never reached it."""
+        if not grant.sent.is_prefilled:
+            self._refund(grant)
         grant.load.record_end(grant.sent)
         self.wake(grant.waiting.service)
 
@@ -179,14 +180,18 @@
         )
 
     def _refund(self, grant: Grant) -> None:
-        """Take back the charge for a request that its target did not run.
+        """Take back the charge for a request that its target did not begin.
 
-        The instance that granted the target has charged it.
+        The instance that granted the target has charged it. Part of the charge
+        has decayed since.
         """
-        if grant.ticket_number < 0:
-            self.scheduler.local_service_levels.refund(
-                grant.waiting.account, grant.waiting.cost, time.monotonic()
-            )
+        if grant.ticket_number >= 0:
+            return
+        now_s = time.monotonic()
+        cost = grant.waiting.cost * decay(now_s - grant.sent.sent_s)
+        self.scheduler.local_service_levels.refund(
+            grant.waiting.account, cost, now_s
+        )
 
     def _run_due_passes(self) -> None:
         """Run the scheduled passes."""
@@ -201,7 +206,7 @@
         for grant in self.scheduler.run_pass(service, now_s):
             future = self.futures.get(id(grant.waiting))
             if future is None or future.done():
-                grant.load.record_end(grant.sent)
+                self.release(grant)
                 continue
             future.set_result(grant)
 
--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -389,6 +389,25 @@
             raise AssertionError('no engine can start the prompt in time')
 
 
+@run_async
+async def test_grants_that_are_given_back_cost_an_account_nothing():
+    """Those that a caller or a late entry gave back stayed charged."""
+    async with pooled_fleet() as network:
+        work = make_work('subject', 'own')
+        owner = owner_of(network, work)
+        entry = entry_other_than(network, owner.name)
+        levels = owner.scheduler.local_service_levels
+        for client in (entry.client, owner.client):
+            grant = await client.acquire(make_waiting(work))
+            client.release(grant)
+            await asyncio.sleep(4 * DELAY_S)
+            assert levels.levels.get('x', 0) < work.cost / 100
+        grant = await owner.client.acquire(make_waiting(work))
+        owner.client.record_first_event(grant)
+        owner.client.release(grant)
+        assert levels.levels['x'] > work.cost / 2
+
+
 @run_async
 async def test_grants_that_no_target_ran_cost_an_account_nothing():
     """Tries at lost engines moved an account back in the fair order."""
