--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,283 @@
+"""Tests of streams while targets of several software versions serve.
+
+What two versions write does not fit together: a stream goes on at the version
+that began it, or not at all.
+"""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from dandelionplank_standins.platformtarget import TargetFaults
+from tests.fixtures import only, run_async, wait_until
+from tests.platformfleet import platform_fleet, stop
+
+OLD = '1'
+NEW = '1.2'
+BOTH = (OLD, NEW)
+TWICE = (OLD, NEW, OLD, NEW)
+REPEATS = 8
+# Events of a stream that goes on for two seconds.
+MANY_EVENTS = 200
+# Time after which a stream can be taken up at any instance.
+KNOWN_S = 0.7
+
+
+@contextlib.asynccontextmanager
+async def mixed_fleet(versions, *, events=MANY_EVENTS, **options):
+    """Run a fleet whose engines have the given software versions."""
+    async with platform_fleet(engines=0, **options) as fleet:
+        for number, version in enumerate(versions):
+            target = await fleet.start_target(
+                f'llm-{number}', 'llm', Version=version
+            )
+            target.version = version
+            target.events = events
+        await wait_until(lambda: are_listed(fleet, versions))
+        yield fleet
+
+
+def are_listed(fleet, versions):
+    """Return whether all gateways list targets of these versions alone."""
+    return all(
+        sorted(each.version for each in gateway.view.targets_of('llm'))
+        == sorted(versions)
+        for gateway in fleet.gateways
+    )
+
+
+def version_of(fleet, request_id):
+    """Return the software version of the target that ran a request."""
+    return only(
+        [
+            target.version
+            for target in fleet.targets.values()
+            for run in target.runs
+            if run.request_id == request_id
+        ]
+    )
+
+
+async def drain(fleet, request_id):
+    """Give no more work to the target that ran a request."""
+    name = only(
+        [
+            name
+            for name, target in fleet.targets.items()
+            for run in target.runs
+            if run.request_id == request_id
+        ]
+    )
+    fleet.store.delete(f'servers/{name}')
+    await wait_until(
+        lambda: (
+            not any(
+                name in gateway.view.registry.targets
+                for gateway in fleet.gateways
+            )
+        )
+    )
+
+
+def has_run(fleet, request_id):
+    """Return whether any target ran a request."""
+    return request_id in {run.request_id for run in fleet.runs()}
+
+
+def request_headers(request_id, prompt, **headers):
+    """Return the headers of a request.
+
+    :param prompt: id of the prompt, which no other one shares
+    """
+    return {
+        **MODEL_HEADERS,
+        'Dandelionplank-Request-Id': request_id,
+        'Dandelionplank-Prefix-Hash': f'{prompt}:300',
+        **headers,
+    }
+
+
+def begin(fleet, request_id, gateway=0, **headers):
+    """Return a context in which the stream of a request is open."""
+    prompt = headers.get('Resumes', request_id)
+    return fleet.open(
+        '/draft/x',
+        gateway=gateway,
+        headers=request_headers(request_id, prompt, **headers),
+    )
+
+
+async def interrupt(fleet, request_id, gateway=0, **headers):
+    """Begin a stream, and close its connection after the first event."""
+    async with begin(fleet, request_id, gateway, **headers) as response:
+        await response.content.readuntil(b'\n\n')
+        response.close()
+
+
+def taken_up(begun, last_event=1):
+    """Return the headers with which a caller takes a stream up."""
+    return {'Last-Event-Id': str(last_event), 'Resumes': begun}
+
+
+async def take_up(fleet, request_id, begun, gateway=0):
+    """Take a stream up; return the status of the response."""
+    headers = taken_up(begun)
+    async with begin(fleet, request_id, gateway, **headers) as response:
+        response.close()
+        return response.status
+
+
+async def kill_all(fleet):
+    """End all gateways without a planned stop."""
+    for daemon in fleet.gateways:
+        await stop(daemon)
+
+
+async def start_again(fleet, versions):
+    """Start as many gateways as there were, with the same names."""
+    count = len(fleet.gateways)
+    fleet.gateways.clear()
+    fleet.urls.clear()
+    for _ in range(count):
+        await fleet.start_gateway()
+    await wait_until(
+        lambda: all(each.view.is_loaded for each in fleet.gateways)
+    )
+    await wait_until(lambda: are_listed(fleet, versions))
+
+
+@contextlib.asynccontextmanager
+async def killed_fleet(versions):
+    """Run a fleet with open streams, and kill all gateways.
+
+    :return: the fleet, and the ids of the requests
+    """
+    request_ids = [f'begun{number}' for number in range(REPEATS)]
+    async with mixed_fleet(versions, gateways=2) as fleet:
+        async with contextlib.AsyncExitStack() as streams:
+            for number, request_id in enumerate(request_ids):
+                response = await streams.enter_async_context(
+                    begin(fleet, request_id, number % 2)
+                )
+                await response.content.readuntil(b'\n\n')
+            await asyncio.sleep(KNOWN_S)
+            await kill_all(fleet)
+        yield fleet, request_ids
+
+
+@run_async
+async def test_a_broken_stream_does_not_go_on_at_another_version():
+    """A stream held events of two versions and ended as complete."""
+    async with mixed_fleet(BOTH, events=5) as fleet:
+        shared_faults = TargetFaults(truncate_after=2)
+        for target in fleet.targets.values():
+            target.faults = shared_faults
+        is_truncated = False
+        try:
+            await fleet.call('/draft/x', headers=MODEL_HEADERS)
+        except aiohttp.ClientError:
+            is_truncated = True
+        assert is_truncated
+        assert len(fleet.runs()) == 1
+
+
+@run_async
+async def test_a_broken_stream_goes_on_at_its_own_version():
+    """It is resumed as before if a target of its version is left."""
+    async with mixed_fleet(TWICE, events=5) as fleet:
+        for number in range(REPEATS):
+            shared_faults = TargetFaults(truncate_after=2)
+            for target in fleet.targets.values():
+                target.faults = shared_faults
+            async with begin(fleet, f'r{number}') as response:
+                assert await response.read() == COMPLETE_STREAM
+            versions = [
+                target.version
+                for target in fleet.targets.values()
+                for run in target.runs
+                if run.request_id == f'r{number}'
+            ]
+            assert len(versions) == 2
+            assert len(set(versions)) == 1
+
+
+@run_async
+async def test_a_stream_that_a_caller_takes_up_goes_on_at_its_version():
+    """It went on at any version, at any instance."""
+    async with mixed_fleet(TWICE * REPEATS, gateways=2) as fleet:
+        for number in range(REPEATS):
+            begun = f'begun{number}'
+            await interrupt(fleet, begun)
+            await asyncio.sleep(KNOWN_S)
+            again = f'again{number}'
+            await drain(fleet, begun)
+            assert await take_up(fleet, again, begun, number % 2) == 200
+            assert version_of(fleet, again) == version_of(fleet, begun)
+
+
+@run_async
+async def test_a_stream_taken_up_twice_stays_at_its_version():
+    """The second time, its caller may name the first or the second request."""
+    async with mixed_fleet(TWICE) as fleet:
+        for number in range(REPEATS):
+            first, second, third = (f'{part}{number}' for part in 'abc')
+            await interrupt(fleet, first)
+            await interrupt(fleet, second, **taken_up(first))
+            named = (first, second)[number % 2]
+            assert await take_up(fleet, third, named) == 200
+            assert version_of(fleet, second) == version_of(fleet, first)
+            assert version_of(fleet, third) == version_of(fleet, first)
+
+
+@run_async
+async def test_streams_stay_at_their_version_when_all_instances_were_killed():
+    """Streams that were taken up after a kill were joined of two versions."""
+    async with killed_fleet(TWICE) as (fleet, request_ids):
+        await start_again(fleet, TWICE)
+        for number, begun in enumerate(request_ids):
+            again = f'again{number}'
+            assert await take_up(fleet, again, begun, number % 2) == 200
+            assert version_of(fleet, again) == version_of(fleet, begun)
+        assert await take_up(fleet, 'againx', 'never') == 503
+        assert not has_run(fleet, 'againx')
+
+
+@run_async
+async def test_a_stream_whose_version_left_during_a_kill_is_refused():
+    """The targets of the old version had just left; the new one took over."""
+    async with killed_fleet(TWICE) as (fleet, request_ids):
+        for number, version in enumerate(TWICE):
+            if version == OLD:
+                fleet.store.delete(f'servers/llm-{number}')
+        await start_again(fleet, (NEW, NEW))
+        for number, begun in enumerate(request_ids):
+            again = f'again{number}'
+            is_left = version_of(fleet, begun) == OLD
+            expected = 503 if is_left else 200
+            assert await take_up(fleet, again, begun) == expected
+            assert has_run(fleet, again) is not is_left
+
+
+@run_async
+async def test_streams_of_one_version_need_no_record():
+    """They are taken up after a kill, and the store holds nothing of them."""
+    async with killed_fleet((OLD, OLD)) as (fleet, request_ids):
+        await start_again(fleet, (OLD, OLD))
+        for number, begun in enumerate(request_ids):
+            assert await take_up(fleet, f'again{number}', begun) == 200
+        assert not any(
+            key.startswith('streams/') for key in fleet.store.entries
+        )
+
+
+@run_async
+async def test_a_stream_that_brought_no_event_may_begin_at_any_version():
+    """Its request is retried without the id of an event."""
+    async with mixed_fleet(BOTH) as fleet:
+        await interrupt(fleet, 'begun')
+        await drain(fleet, 'begun')
+        async with begin(fleet, 'again', Resumes='begun') as response:
+            assert response.status == 200
+        assert version_of(fleet, 'again') != version_of(fleet, 'begun')
