Bind streams to the software version that began them

What callers saw: while two software versions of a service served, streams held events of both and ended as complete (ORDER): within one response, when they took a stream up at any instance, and after all instances were killed.

Cause: the version of a target was known and was no condition of a resume. Class of fault: a request that continues earlier work carried the place at which to continue (Last-Event-Id) and not with whom it may continue, and what an instance knows of its streams ended with it.

Change (docs/design/stream-versions.md): the first event that is passed on binds a stream to the version of its target. The version is a condition of a request that waits for a target, asked where targets are chosen: in the scheduler, in tickets to the owners of pools, in the choice of pools, and again at the entry, as an owner may be of an earlier release. A stream begins at a new version once the store knows that version, so that the absence of records after a kill shows that there was one version. With one version nothing is written or read.

--- a/src/dandelionplank/commands/assembly.py
+++ b/src/dandelionplank/commands/assembly.py
@@ -2,7 +2,8 @@
 
 from pathlib import Path
 
-from dandelionplank.fleet.daemon import GatewayDaemon, PlatformAdapter
+from dandelionplank.fleet.adapter import PlatformAdapter
+from dandelionplank.fleet.daemon import GatewayDaemon
 from dandelionplank.fleet.explainer import EXPLAIN_PATH, Explainer
 from dandelionplank.fleet.settings import GatewaySettings
 from dandelionplank.platform import headers, names
@@ -11,6 +12,7 @@
     StoreChangeSource,
     StorePresence,
     StoreQuarantines,
+    StoreStreamRecords,
 )
 from dandelionplank.platform.store import PlatformStore
 
@@ -31,6 +33,7 @@
         names.READY_PATH,
         fetch_cached_parts,
         StoreQuarantines(store),
+        StoreStreamRecords(store, settings.instance.id),
         store.close,
     )
     daemon = GatewayDaemon.from_settings(settings, adapter, path)
--- a/src/dandelionplank/delivery/delivery.py
+++ b/src/dandelionplank/delivery/delivery.py
@@ -23,7 +23,11 @@
     record_grant,
 )
 from dandelionplank.delivery.requests import CallerRequest, CompleteResponse
-from dandelionplank.delivery.streams import CallerSink, StreamRelay
+from dandelionplank.delivery.streams import (
+    CallerSink,
+    StreamOrigins,
+    StreamRelay,
+)
 from dandelionplank.errors import (
     DandelionplankError,
     ErrorCode,
@@ -66,8 +70,10 @@
         codec: RequestCodec,
         budgets: ServiceRetryBudgets,
         crashes: CrashWatch,
+        origins: StreamOrigins,
     ) -> None:
         """Hold the state shared by all requests."""
+        self.origins = origins
         self.dispatcher = dispatcher
         self.pool = pool
         self.codec = codec
@@ -96,7 +102,9 @@
         :raises DandelionplankError: there is no complete response; events may
             have been passed on
         """
-        progress = Progress()
+        progress = Progress(
+            versions=await self.origins.allowed_versions(request)
+        )
         try:
             with self._count_demand(request):
                 return await self._relay_until_done(request, sink, progress)
@@ -240,10 +248,14 @@
                 progress,
                 sink,
                 self.codec,
+                functools.partial(
+                    _bind_stream, self.origins, attempt, progress
+                ),
                 functools.partial(self._record_events, attempt),
                 functools.partial(self._reserve_target, request, progress),
             )
             await relay.run(attempt)
+            self.origins.record_end(request)
             self.dispatcher.record_outcome(attempt.grant, is_success=True)
             self.crashes.record_response(attempt)
             return None
@@ -292,7 +304,7 @@
 
         A target may turn this instance away while the request waits, or while
         another instance that does not know assigns it. So may an order exclude
-        it, which another instance may learn later.
+        it, which another instance may learn later, or its software version.
 
         :raises RefusalError: there is none
         """
@@ -302,13 +314,18 @@
         for _ in range(MAX_TRIES):
             if self.dispatcher.is_excluded(grant):
                 self.dispatcher.record_excluded(grant)
-            elif grant.load.availability.is_open(time.monotonic()):
+            elif progress.allows(grant) and grant.load.availability.is_open(
+                time.monotonic()
+            ):
                 return grant
             self.dispatcher.release(grant)
             closed = grant.load.target.name
             progress.avoided = (*progress.avoided, closed)
             grant = await self._assign(request, progress)
-        return grant
+        if progress.allows(grant):
+            return grant
+        self.dispatcher.release(grant)
+        raise _wrong_version(request, grant)
 
     async def _assign(
         self, request: CallerRequest, progress: Progress
@@ -317,7 +334,9 @@
 
         :raises RefusalError: the request was rejected and not executed
         """
-        waiting = request.to_waiting_request(progress.avoided)
+        waiting = request.to_waiting_request(
+            progress.avoided, progress.versions
+        )
         try:
             grant = await self.dispatcher.acquire(waiting)
         except RefusalError as error:
@@ -476,12 +495,15 @@
         try:
             async with asyncio.timeout(RESERVE_TIMEOUT_S):
                 grant = await self.dispatcher.acquire(
-                    request.to_waiting_request(progress.avoided),
+                    request.to_waiting_request(
+                        progress.avoided, progress.versions
+                    ),
                 )
         except (RefusalError, TimeoutError):
             return False
         is_usable = (
             grant.load.target.name not in progress.avoided
+            and progress.allows(grant)
             and not self.dispatcher.is_excluded(grant)
         )
         if not is_usable or not self._may_resume(request, progress):
@@ -515,6 +537,28 @@
         )
 
 
+def _bind_stream(
+    origins: StreamOrigins, attempt: Attempt, progress: Progress
+) -> None:
+    """Bind a stream to the software version whose event is passed on."""
+    target = attempt.grant.load.target
+    progress.versions = (target.version,)
+    if attempt.request.route.can_resume:
+        origins.record_begin(attempt.request, target)
+
+
+def _wrong_version(request: CallerRequest, grant: Grant) -> RefusalError:
+    """Return the error for a request that was granted unfit targets only."""
+    return RefusalError(
+        f'granted version {grant.load.target.version}',
+        step=STEP,
+        peer=grant.load.target.name,
+        code=ErrorCode.QUEUE_TIMEOUT,
+        request_id=request.metadata.request_id,
+        retry_after_s=TIMED_OUT_RETRY_S,
+    )
+
+
 def _may_execute_again(
     request: CallerRequest, progress: Progress, outcome: Outcome
 ) -> bool:
--- a/src/dandelionplank/delivery/progress.py
+++ b/src/dandelionplank/delivery/progress.py
@@ -20,6 +20,8 @@
     :param error_response: a target's complete response with a server error
     :param reserved: target that is to resume the stream, None if the next
         attempt still has to acquire one
+    :param versions: software versions of the targets that may be tried, none
+        for any
     """
 
     possible_executions: int = 0
@@ -29,6 +31,12 @@
     error_response: CompleteResponse | None = None
     avoided: tuple[str, ...] = ()
     reserved: Grant | None = None
+    versions: tuple[str, ...] = ()
+
+    def allows(self, grant: Grant) -> bool:
+        """Return whether a granted target may be sent the request."""
+        version = grant.load.target.version
+        return not self.versions or version in self.versions
 
     def take_reserved(self) -> Grant | None:
         """Return the reserved target for the next attempt, if there is one."""
@@ -72,6 +80,7 @@
     trace = request.trace
     trace.tries += 1
     trace.target = grant.load.target.name
+    trace.version = grant.load.target.version
     trace.waited_s = grant.sent.sent_s - request.arrived_s
     trace.uncached_tokens = grant.sent.uncached_tokens
     trace.expected_s = grant.expected_s
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -27,6 +27,7 @@
 
     :param tries: targets that were tried
     :param target: the last one
+    :param version: its software version
     :param waited_s: time until a target was granted
     :param uncached_tokens: estimated tokens of the prompt not in the cache
     :param expected_s: expected time from the grant to the first event
@@ -36,6 +37,7 @@
 
     tries: int = 0
     target: str = ''
+    version: str = ''
     waited_s: float = 0
     uncached_tokens: float = 0
     expected_s: float = 0
@@ -47,6 +49,7 @@
         """Return the fields of the log line."""
         return {
             'target': self.target,
+            'version': self.version,
             'tries': self.tries,
             'waited_s': round(self.waited_s, 3),
             'read_tokens': round(self.uncached_tokens),
@@ -112,10 +115,13 @@
         digest.update(self.body)
         return REQUEST_PREFIX + digest.hexdigest()
 
-    def to_waiting_request(self, avoided: tuple[str, ...]) -> WaitingRequest:
+    def to_waiting_request(
+        self, avoided: tuple[str, ...], versions: tuple[str, ...] = ()
+    ) -> WaitingRequest:
         """Return the request as the scheduler queues it.
 
         :param avoided: targets that were already tried
+        :param versions: software versions that may take it, none for any
         """
         return WaitingRequest(
             self.metadata.request_id,
@@ -127,6 +133,7 @@
             min(self.deadline_s, self.first_event_deadline_s),
             cost=self.cost,
             avoided=avoided,
+            versions=versions,
         )
 
 
--- a/src/dandelionplank/delivery/streams.py
+++ b/src/dandelionplank/delivery/streams.py
@@ -16,6 +16,7 @@
     record_pause,
 )
 from dandelionplank.delivery.requests import CallerRequest
+from dandelionplank.targets import Target
 
 # A resumable stream that is silent for this many times its gap target is
 # resumed at another target.
@@ -39,10 +40,31 @@
         """Send complete events."""
 
 
+class StreamOrigins(Protocol):
+    """Knows at which software version a stream may begin or go on."""
+
+    async def allowed_versions(self, request: CallerRequest) -> tuple[str, ...]:
+        """Return the versions that may take a request, none for any.
+
+        :raises RefusalError: its caller takes up a stream, and the version
+            that began it is not known
+        """
+
+    def record_begin(self, request: CallerRequest, target: Target) -> None:
+        """Record the target whose event is the first that is passed on."""
+
+    def record_end(self, request: CallerRequest) -> None:
+        """Record that a stream is complete."""
+
+    async def run(self) -> None:
+        """Keep what other instances need to know, until cancelled."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamRelay:
     """Passes the events of one attempt to the caller.
 
+    :param on_start: called before the first event is passed on
     :param on_events: called for each block of events received
     :param reserve_target: reserves another target to resume the stream, and
         returns whether there is one
@@ -52,6 +74,7 @@
     progress: Progress
     sink: CallerSink
     codec: RequestCodec
+    on_start: Callable[[], None]
     on_events: Callable[[], None]
     reserve_target: Callable[[], Awaitable[bool]]
 
@@ -95,6 +118,7 @@
         if self.progress.is_started:
             return
         self.progress.is_started = True
+        self.on_start()
         response = attempt.response
         assert response is not None
         await self.sink.start(
--- a/src/dandelionplank/errors.py
+++ b/src/dandelionplank/errors.py
@@ -76,6 +76,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'the instance has more requests than it can handle',
     )
+    STREAM_UNKNOWN = (
+        3009,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'the software version that began the stream is not known',
+    )
     TARGET_UNREACHABLE = (
         4001,
         HTTPStatus.BAD_GATEWAY,
--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -87,6 +87,16 @@
         Level.INFO,
         'the instance takes new connections again',
     )
+    STREAM_TAKEN_UP = (
+        218,
+        Level.INFO,
+        'a caller takes a stream up; fields show the version that began it',
+    )
+    STREAMS_RECORDED = (
+        219,
+        Level.INFO,
+        'the record of open streams in the store was begun or removed',
+    )
     POOL_TAKEN = (300, Level.INFO, 'this instance dispatches a pool')
     POOL_OPENED = (301, Level.INFO, 'a pool grants after recovery')
     POOL_RELEASED = (302, Level.INFO, 'another instance dispatches a pool')
--- a/src/dandelionplank/fairness/waiting.py
+++ b/src/dandelionplank/fairness/waiting.py
@@ -31,6 +31,8 @@
     :param is_ticket: another instance sends it
     :param accepts_reread: a prefix that busy targets cache is prefilled again
         rather than waited for
+    :param versions: software versions of the targets that may take it, none
+        for any
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     avoided: tuple[str, ...] = ()
     is_ticket: bool = False
     accepts_reread: bool = False
+    versions: tuple[str, ...] = ()
 
     @property
     def objective_deadline_s(self) -> float:
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -1,22 +1,21 @@
 """The gateway daemon: builds all tasks, runs them and shuts them down."""
 
 import asyncio
-import dataclasses
 import functools
 import signal
 import time
 from pathlib import Path
-from typing import Any, Self
+from typing import Self
 
-from dandelionplank.delivery.codec import RequestCodec
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.delivery import Delivery
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
-from dandelionplank.fleet.crashreports import CrashReporter, QuarantineStore
-from dandelionplank.fleet.exchange import PeerExchange, Presence, keep_presence
-from dandelionplank.fleet.follower import ChangeSource, StoreFollower
+from dandelionplank.fleet.adapter import PlatformAdapter
+from dandelionplank.fleet.crashreports import CrashReporter
+from dandelionplank.fleet.exchange import PeerExchange, keep_presence
+from dandelionplank.fleet.follower import StoreFollower
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.peers import PeerLoadTable
 from dandelionplank.fleet.poolclient import PoolClient
@@ -29,9 +28,10 @@
     PageServer,
     open_when_possible,
 )
+from dandelionplank.fleet.streamrecords import StreamRecordKeeper
 from dandelionplank.fleet.supervision import Supervisor, TaskFactory
 from dandelionplank.fleet.view import FleetView
-from dandelionplank.fleet.warmup import CachedPartsReader, CacheWarmup
+from dandelionplank.fleet.warmup import CacheWarmup
 from dandelionplank.ingress.gateway import Gateway
 from dandelionplank.ingress.server import CallerServer
 from dandelionplank.logs import log_event
@@ -60,22 +60,6 @@
 LEAVE_TIMEOUT_S = 0.3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformAdapter:
-    """Components that the platform's adapter provides.
-
-    :param ready_path: path at which the balancer checks readiness
-    """
-
-    source: ChangeSource
-    presence: Presence
-    codec: RequestCodec
-    ready_path: str
-    fetch_cached_parts: CachedPartsReader
-    quarantines: QuarantineStore
-    close: Any
-
-
 class GatewayDaemon:
     """An instance that serves callers through the platform."""
 
@@ -139,6 +123,15 @@
         self.view.quarantine_listeners.append(self.crashes.learn)
         self.view.restoration_listeners.append(self.crashes.store_again)
         self.exchange.receivers.update(self.crashes.receivers)
+        streams = StreamRecordKeeper(
+            settings.instance.id,
+            self.view,
+            parts.stream_records,
+            self._count_instances,
+        )
+        self.view.listeners.append(streams.configure)
+        self.view.entry_listeners.append(streams.see_entry)
+        self.view.restoration_listeners.append(streams.store_again)
         budgets = ServiceRetryBudgets(
             _retry_limits(bounds), self._count_instances
         )
@@ -150,6 +143,7 @@
                 parts.codec,
                 budgets,
                 self.crashes.watch,
+                streams,
             ),
             parts.codec,
             settings.limits,
@@ -162,6 +156,7 @@
             self._forget_targets,
             self.exchange,
         )
+        self.follower.stream_listeners.append(streams.apply_record)
         self.warmup = CacheWarmup(
             self.view,
             self.scheduler,
@@ -233,6 +228,7 @@
             self.pool_client.run_listing,
             self.warmup.run,
             self.crashes.run_storing,
+            self.gateway.delivery.origins.run,
             self.settings_follower.run,
             self._sweep,
             self.gateway.loop_delay.run,
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -21,6 +21,7 @@
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.routes import RouteTable
+from dandelionplank.routing.streamversions import StreamRecord
 from dandelionplank.targets import Target
 
 # Minimum time between the starts of two watches. Targets that start together
@@ -38,6 +39,10 @@
 MISSED_REPORTS = 2
 
 
+# Takes the name of an instance and its record, None if it was removed.
+StreamListener = Callable[[str, StreamRecord | None], None]
+
+
 class ChangeSink(Protocol):
     """Receives changes of the store from the platform's adapter."""
 
@@ -71,6 +76,11 @@
     def data_center_restored(self, name: str) -> None:
         """Record that the targets of a data centre may be used again."""
 
+    def streams_recorded(
+        self, instance: str, record: StreamRecord | None
+    ) -> None:
+        """Record the open streams of another instance, none if removed."""
+
     def part_quarantined(
         self, part_id: str, age_s: float, left_s: float
     ) -> None:
@@ -138,6 +148,7 @@
         self.store_back_s = float('-inf')
         self.failures = 0
         self.batch: list[StoredChange] = []
+        self.stream_listeners: list[StreamListener] = []
         self.era: int | None = None
         # Documents are being applied that may be older than known ones.
         self.is_older_copy = False
@@ -199,6 +210,7 @@
                 Event.TARGET_LISTED,
                 target=target.name,
                 service=target.service,
+                version=target.version,
                 address=target.address.text,
             )
         elif was_known:
@@ -228,6 +240,13 @@
         """Use the targets of a data centre again."""
         self.view.restore(name, 'key removed')
 
+    def streams_recorded(
+        self, instance: str, record: StreamRecord | None
+    ) -> None:
+        """Pass a record of open streams on to the listeners."""
+        for listener in self.stream_listeners:
+            listener(instance, record)
+
     def part_quarantined(
         self, part_id: str, age_s: float, left_s: float
     ) -> None:
@@ -362,7 +381,8 @@
                 self.is_older_copy = False
             self._record_contact()
             self.view.confirm(queried_at_s)
-            self._drop_unlisted(listed)
+            for name in self.view.registry.targets.keys() - listed:
+                self.target_removed(name)
             for name in self.view.evacuations.take_unlisted():
                 self.view.restore(name, 'not listed')
             self.view.revision = revision
@@ -398,12 +418,6 @@
         self.batch.clear()
         self.view.revision = revision
 
-    def _drop_unlisted(self, listed: frozenset[str]) -> None:
-        """Remove targets that a resync does not list, after any grace."""
-        for name in tuple(self.view.registry.targets):
-            if name not in listed:
-                self.target_removed(name)
-
     def _record_contact(self) -> None:
         """Record that the store has responded."""
         now_s = time.monotonic()
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -261,7 +261,7 @@
         is_model = scheduler.engine_memory.get(service) is not None
         if self.owners.is_pooled and (is_model or not needs_owner):
             if waiting.work is not None:
-                return self.pools.rank(service, waiting.work)
+                return self.pools.rank(service, waiting.work, waiting.versions)
             if needs_owner:
                 return self.pools.pools_of(service).rank(waiting.request_id)
         if needs_owner or scheduler.has_limits(service):
@@ -485,6 +485,7 @@
         waiting.avoided,
         is_overflow,
         waiting.work is None,
+        waiting.versions,
     )
 
 
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -259,6 +259,7 @@
         avoided=ticket.avoided,
         is_ticket=True,
         accepts_reread=ticket.is_overflow,
+        versions=ticket.versions,
     )
 
 
--- a/src/dandelionplank/fleet/tickets.py
+++ b/src/dandelionplank/fleet/tickets.py
@@ -19,6 +19,7 @@
     :param avoided: targets at which an earlier attempt failed
     :param is_overflow: another pool is preferred; only an idle target counts
     :param is_plain: the request has no prompt
+    :param versions: software versions that may take it, none for any
     """
 
     sender: str
@@ -36,6 +37,7 @@
     avoided: tuple[str, ...]
     is_overflow: bool
     is_plain: bool = False
+    versions: tuple[str, ...] = ()
 
 
 class TicketGrant(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -24,6 +24,7 @@
     RouteTable,
     WeightedService,
 )
+from dandelionplank.routing.streamversions import StreamRecord
 from dandelionplank.settings import Address
 from dandelionplank.targets import (
     MAX_TARGET_LIMIT,
@@ -157,6 +158,19 @@
         ) from error
 
 
+def decode_stream_record(document: bytes) -> StreamRecord:
+    """Decode the record of an instance's open streams.
+
+    :raises MalformedDocumentError: the entry is no such record
+    """
+    try:
+        return msgspec.json.decode(document, type=StreamRecord)
+    except DECODE_ERRORS as error:
+        raise MalformedDocumentError(
+            f'streams: {error!r}', step=STEP
+        ) from error
+
+
 def _text(entry: Any, name: str) -> str:
     """Return a field that must be a non-empty string."""
     found = entry[name]
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -1,5 +1,6 @@
 """Source of typed store changes, and this instance's entry in the store."""
 
+import contextlib
 import time
 
 import msgspec
@@ -17,6 +18,7 @@
     decode_data_center,
     decode_peer_address,
     decode_quarantine,
+    decode_stream_record,
     decode_target,
 )
 from dandelionplank.platform.store import (
@@ -25,6 +27,10 @@
     RevisionCompactedError,
     StoreLease,
 )
+from dandelionplank.routing.streamversions import (
+    STREAM_AGE_S,
+    StreamRecord,
+)
 
 ALL_KEYS = ''
 # Characters of the reason why a document cannot be decoded.
@@ -161,12 +167,25 @@
         sink.data_center_evacuated(name, change.revision)
 
 
+def _apply_streams(change: StoredChange, sink: ChangeSink) -> None:
+    """Pass on the record of an instance's open streams, or its removal.
+
+    :raises MalformedDocumentError: the entry is no such record
+    """
+    instance = change.key.removeprefix(names.STREAM_PREFIX)
+    if change.document is None:
+        sink.streams_recorded(instance, None)
+    else:
+        sink.streams_recorded(instance, decode_stream_record(change.document))
+
+
 _APPLIED_BY_PREFIX = (
     (names.CONFIGURATION_KEY, _apply_configuration),
     (names.TARGET_PREFIX, _apply_target),
     (names.PEER_PREFIX, _apply_peer),
     (names.QUARANTINE_PREFIX, _apply_quarantine),
     (names.EVACUATION_PREFIX, _apply_evacuation),
+    (names.STREAM_PREFIX, _apply_streams),
 )
 
 
@@ -212,6 +231,78 @@
             await self.store.revoke_lease(lease)
 
 
+class StoreStreamRecords:
+    """Record of this instance's open streams in the store, under a lease.
+
+    It outlives the process, so that the streams that a kill interrupts can be
+    taken up at the software version that began them.
+    """
+
+    def __init__(self, store: PlatformStore, name: str) -> None:
+        """Hold the key of the record; nothing is written.
+
+        :param name: this instance
+        """
+        self.store = store
+        self.key = names.STREAM_PREFIX + name
+        self.lease: StoreLease | None = None
+        self.renewed_s = float('-inf')
+
+    async def put(self, record: StreamRecord) -> None:
+        """Write the record.
+
+        :raises StoreError: it may not have been written
+        """
+        lease = await self._renewed_lease()
+        try:
+            await self.store.put(self.key, msgspec.json.encode(record), lease)
+        except LeaseEndedError:
+            self.lease = None
+            raise
+
+    async def remove(self) -> None:
+        """Remove the record.
+
+        :raises StoreError: it stays until its lease ends
+        """
+        lease = self.lease
+        self.lease = None
+        if lease:
+            await self.store.revoke_lease(lease)
+
+    async def read(self) -> dict[str, StreamRecord]:
+        """Return the records of all instances by their names.
+
+        :raises StoreError: the store did not respond
+        """
+        batch = await self.store.read_range(names.STREAM_PREFIX)
+        found = {}
+        for change in batch.entries:
+            instance = change.key.removeprefix(names.STREAM_PREFIX)
+            if change.document is not None:
+                with contextlib.suppress(MalformedDocumentError):
+                    found[instance] = decode_stream_record(change.document)
+        return found
+
+    async def _renewed_lease(self) -> StoreLease:
+        """Return a lease that lasts for as long as the record is needed.
+
+        :raises StoreError: there is none
+        """
+        now_s = time.monotonic()
+        if self.lease and now_s - self.renewed_s > STREAM_AGE_S / 2:
+            try:
+                await self.store.renew_lease(self.lease)
+            except LeaseEndedError:
+                self.lease = None
+            else:
+                self.renewed_s = now_s
+        if self.lease is None:
+            self.lease = await self.store.grant_lease(2 * STREAM_AGE_S)
+            self.renewed_s = now_s
+        return self.lease
+
+
 class StorePresence:
     """Entry of this instance in the store, under a lease."""
 
--- a/src/dandelionplank/platform/headers.py
+++ b/src/dandelionplank/platform/headers.py
@@ -53,6 +53,7 @@
         time_left_s=_parse_milliseconds(headers.get(names.DEADLINE, '')),
         work=_token_work(headers),
         last_event_id=headers.get(names.LAST_EVENT, ''),
+        resumes=escape_bytes(headers.get(names.RESUMES, '')),
     )
 
 
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -16,6 +16,9 @@
 # Set to 1 in all responses of a target that is leaving.
 LEAVING = 'Server-Leaving'
 LAST_EVENT = 'Last-Event-Id'
+# Request whose response brought the first event of a stream that its caller
+# takes up.
+RESUMES = 'Resumes'
 RETRY_AFTER = 'Retry-After'
 
 # Not forwarded from a caller's request: headers that the fleet or targets
@@ -51,6 +54,8 @@
 TARGET_PREFIX = 'servers/'
 PEER_PREFIX = 'fleet/'
 QUARANTINE_PREFIX = 'quarantine/'
+# Followed by the name of an instance.
+STREAM_PREFIX = 'streams/'
 # Followed by the name of a data centre whose targets may be sent nothing.
 EVACUATION_PREFIX = 'op/evacuate/'
 
--- a/src/dandelionplank/routing/pools.py
+++ b/src/dandelionplank/routing/pools.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -130,16 +130,29 @@
             bool(separator) and self.is_service_withdrawn(service)
         )
 
-    def rank(self, service: str, work: TokenWork) -> list[str]:
+    def rank(
+        self, service: str, work: TokenWork, versions: Sequence[str] = ()
+    ) -> list[str]:
         """Return the queues of a service in order of preference for a prompt.
 
         Prompts that share a long prefix prefer the same pool; the others are
         spread by their own last part, which the turns of a session share.
+
+        :param versions: software versions that may take it, none for any;
+            pools without a target of these are left out
         """
         key = work.prefix_id
         if _prefix_tokens(work) < MIN_HOME_PREFIX_TOKENS and work.parts:
             key = work.parts[-1].part_id
-        return self.pools_of(service).rank(key)
+        pools = self.pools_of(service)
+        ranked = pools.rank(key)
+        if not versions:
+            return ranked
+        return [
+            queue
+            for queue in ranked
+            if any(each.version in versions for each in pools.by_queue[queue])
+        ]
 
 
 def _pool_count(target_count: int) -> int:
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import MappingProxyType
 
 from dandelionplank.fairness.precedence import (
@@ -290,7 +290,7 @@
     def load_of(self, target: Target) -> TargetLoad:
         """Return the load of a target, a fresh one if it has restarted."""
         load = self.loads.get(target.name)
-        if load is None or load.target.started_ms != target.started_ms:
+        if load is None or not load.target.is_same_start(target):
             load = TargetLoad(target, self.engine_memory.get(target.service))
             self.loads[target.name] = load
         return load
@@ -340,6 +340,12 @@
             if not queue.count:
                 continue
             names = self._snapshots(name, now_s).keys()
+            versions = {target.version for target in self.targets_of(name)}
+            rejections.extend(
+                _reject_without_target(waiting, 0, self.jitter())
+                for waiting in queue.all_requests()
+                if waiting.versions and versions.isdisjoint(waiting.versions)
+            )
             if names - set(self.closed[name]):
                 continue
             opens_s = opens_in_s(self.loads_of(name), now_s)
@@ -456,7 +462,7 @@
         if not waiting.is_ticket:
             closed = self.closed.get(waiting.service, ())
         return self._policy(waiting.service).choose(
-            snapshots,
+            _of_versions(snapshots, waiting.versions),
             waiting.work,
             now_s,
             queue_limit_s,
@@ -547,7 +553,23 @@
     retry_s = NO_TARGET_RETRY_S
     if 0 < opens_s < math.inf:
         retry_s = opens_s + jitter * min(opens_s, NO_TARGET_RETRY_S)
-    return Rejection(waiting, NO_TARGET, retry_s)
+    reason = NO_TARGET
+    if waiting.versions:
+        reason = f'{NO_TARGET} of version {", ".join(waiting.versions)}'
+    return Rejection(waiting, reason, retry_s)
+
+
+def _of_versions(
+    snapshots: TargetSnapshots, versions: Sequence[str]
+) -> TargetSnapshots:
+    """Return the targets of some software versions, all if none are given."""
+    if not versions:
+        return snapshots
+    return {
+        name: snapshot
+        for name, snapshot in snapshots.items()
+        if snapshot.load.target.version in versions
+    }
 
 
 def _keeps_waiting(
--- a/src/dandelionplank/routing/work.py
+++ b/src/dandelionplank/routing/work.py
@@ -67,6 +67,9 @@
 
     :param time_left_s: seconds that the caller waits, none if not stated
     :param work: size of a model's work, none for plain requests
+    :param last_event_id: last event that the caller has of a stream that it
+        takes up, empty if it takes up none
+    :param resumes: id of the request whose response brought the first event
     """
 
     request_id: str
@@ -74,3 +77,4 @@
     time_left_s: float | None
     work: TokenWork | None
     last_event_id: str = ''
+    resumes: str = ''
--- a/src/dandelionplank/targets.py
+++ b/src/dandelionplank/targets.py
@@ -44,6 +44,13 @@
     version: str = ''
     cold_left_s: float | None = None
 
+    def is_same_start(self, other: 'Target') -> bool:
+        """Return whether two entries of a target describe the same start."""
+        return (
+            self.started_ms == other.started_ms
+            and self.version == other.version
+        )
+
     @property
     def url(self) -> str:
         """Return the base URL of the target."""
