Let the soak check the versions of streams

Targets of the soak have two software versions by turns, and a stream that goes on at another one is a violation. The stand-in of a target states its version in each run.

--- a/bench/guarantees.py
+++ b/bench/guarantees.py
@@ -142,6 +142,23 @@
     ]
 
 
+def joined_streams(
+    sent: Mapping[str, Call], runs: Iterable[ExecutedRequest]
+) -> list[str]:
+    """Return streams that went on at another software version."""
+    last_versions: dict[str, str] = {}
+    joined = []
+    for run in sorted(runs, key=lambda each: each.started_at_s):
+        before = last_versions.get(run.request_id, run.version)
+        last_versions[run.request_id] = run.version
+        is_resumed = 'Last-Event-Id' in run.headers
+        if is_resumed and run.request_id in sent and before != run.version:
+            joined.append(
+                f'{run.request_id} went on at {run.version} after {before}'
+            )
+    return joined
+
+
 def incorrect_responses(calls: Iterable[Call]) -> list[str]:
     """Return successes whose body is not the target's complete response."""
     incorrect = []
--- a/bench/platformsoak.py
+++ b/bench/platformsoak.py
@@ -18,6 +18,7 @@
     duplicate_runs,
     evacuated_runs,
     incorrect_responses,
+    joined_streams,
     refused_runs,
     revoked_key_runs,
     unrequested_runs,
@@ -61,6 +62,7 @@
         revoked_key_runs(sent, runs, fleet.revoked),
         evacuated_runs(fleet.runs_by_data_center(), fleet.orders.evacuations),
         incorrect_responses(fleet.calls),
+        joined_streams(sent, runs),
         unstructured_log_lines(gateway.log_path for gateway in fleet.gateways),
     ):
         for text in violations:
--- a/bench/soakfleet.py
+++ b/bench/soakfleet.py
@@ -39,6 +39,8 @@
 START_TIMEOUT_S = 15.0
 READY_POLL_S = 0.1
 CALL_TIMEOUT_S = 4.0
+# Software versions of the targets, by turns.
+VERSIONS = ('1', '2')
 
 
 class SoakFleet:
@@ -93,8 +95,12 @@
 
     async def add_target(self, name: str, data_center: str) -> None:
         """Start a target behind a relay and add it to the store."""
-        service = name.partition('-')[0]
-        target = TargetStandin(name, streams=service == 'llm')
+        service, _, number = name.partition('-')
+        target = TargetStandin(
+            name,
+            streams=service == 'llm',
+            version=VERSIONS[int(number) % len(VERSIONS)],
+        )
         address, runner = await start_server(target.application)
         self.stack.push_async_callback(runner.cleanup)
         port = reserve_ports(1)[0]
@@ -111,7 +117,12 @@
         address = f'127.0.0.1:{self.relays[name].port}'
         service = name.partition('-')[0]
         entry = target_entry(
-            name, service, address, Zone=self.data_centers[name], **changes
+            name,
+            service,
+            address,
+            Zone=self.data_centers[name],
+            Version=self.targets[name].version,
+            **changes,
         )
         self.store.put(f'servers/{name}', entry)
 
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -17,6 +17,7 @@
     """A request that a target executed, as the target received it.
 
     :param started_at_s: monotonic time at which execution started
+    :param version: software version of the target
     """
 
     request_id: str
@@ -25,6 +26,7 @@
     body: bytes
     headers: dict[str, str]
     started_at_s: float
+    version: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,14 +97,17 @@
         *,
         streams: bool = False,
         events: int = 5,
+        version: str = '',
     ) -> None:
         """Hold the faults, at first none, and the executed requests.
 
         :param name: instance id of the target
         :param streams: whether it is an engine
         :param events: number of events in each stream
+        :param version: software version, as its entry in the store states it
         """
         self.name = name
+        self.version = version
         self.streams = streams
         self.events = events
         self.faults = TargetFaults()
@@ -166,6 +171,7 @@
                 body,
                 dict(request.headers),
                 asyncio.get_running_loop().time(),
+                self.version,
             ),
         )
         if self.faults.lost_responses:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,6 +14,7 @@
     duplicate_runs,
     evacuated_runs,
     incorrect_responses,
+    joined_streams,
     refused_runs,
     revoked_key_runs,
     unrequested_runs,
@@ -102,6 +103,22 @@
     assert len(evacuated_runs({'a': runs}, [Evacuation('a', 100)])) == 2
 
 
+def test_the_soak_detects_streams_of_two_versions():
+    """A stream that brought no event may begin again at any version."""
+    sent = {name: make_call(name, '/draft/') for name in ('joined', 'anew')}
+    runs = [
+        ExecutedRequest(name, 'POST', '/draft/x', b'', headers, at_s, version)
+        for name, headers, at_s, version in (
+            ('joined', {}, 1, '1'),
+            ('joined', {'Last-Event-Id': '2'}, 2, '2'),
+            ('anew', {}, 1, '1'),
+            ('anew', {}, 2, '2'),
+            ('anew', {'Last-Event-Id': '2'}, 3, '2'),
+        )
+    ]
+    assert joined_streams(sent, runs) == ['joined went on at 2 after 1']
+
+
 def test_the_soak_detects_wrong_responses_and_unstructured_logs():
     """A success needs a complete response; log lines must be JSON."""
     truncated = make_call('a', '/chat/', status=200, body=b'id: 1\ndata: x\n\n')
