--- a/src/dandelionplank/delivery/progress.py
+++ b/src/dandelionplank/delivery/progress.py
@@ -84,7 +84,9 @@
     trace.waited_s = grant.sent.sent_s - request.arrived_s
     trace.uncached_tokens = grant.sent.uncached_tokens
     trace.expected_s = grant.expected_s
-    trace.tokens_per_s = grant.load.tokens_per_s
+    # Another instance that granted the target knows its speed.
+    is_own = grant.ticket_number < 0
+    trace.tokens_per_s = grant.load.tokens_per_s if is_own else 0
 
 
 def record_first_event(request: CallerRequest, grant: Grant) -> bool:
--- a/src/dandelionplank/delivery/requests.py
+++ b/src/dandelionplank/delivery/requests.py
@@ -32,6 +32,8 @@
     :param uncached_tokens: estimated tokens of the prompt not in the cache
     :param expected_s: expected time from the grant to the first event
     :param first_event_s: time from the grant to the first event
+    :param tokens_per_s: speed of the target as known here, zero if another
+        instance granted it
     :param longest_pause_s: longest time between two blocks of events
     """
 
