Let streams begin at a new version once all instances know it

Cause: the record in the store was acknowledged, but not read by all instances.

Change: a new version takes new streams after the time within which an instance must have seen the store to take keyed requests (4 s at the usual bound), unless there is no other version.

Evidence: tests.test_stream_versions .test_a_new_version_takes_streams_once_all_instances_know_it, which fails before as the version counts as known with the acknowledgement. 11 tests of the module pass.

--- a/src/dandelionplank/fleet/streamrecords.py
+++ b/src/dandelionplank/fleet/streamrecords.py
@@ -10,7 +10,7 @@
 from dandelionplank.delivery.requests import CallerRequest
 from dandelionplank.errors import ErrorCode, RefusalError, StoreError
 from dandelionplank.events import Event
-from dandelionplank.fleet.view import FleetView
+from dandelionplank.fleet.view import KEY_AGE_SHARE, FleetView
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.routes import RouteTable
@@ -95,8 +95,7 @@
         if not request.route.can_resume:
             return ()
         if not request.metadata.last_event_id:
-            listed = frozenset(self.view.versions_of(request.service))
-            return self.versions.begin_versions(request.service, listed)
+            return self._begin_versions(request.service)
         origin = self._origin_of(request)
         source = 'known'
         if origin is None:
@@ -179,6 +178,19 @@
         }
         self.versions.see(listed, now_s)
 
+    def _begin_versions(self, service: str) -> tuple[str, ...]:
+        """Return the versions at which a stream may begin, none for any.
+
+        An instance whose view is older than the limit for keys takes no
+        request.
+        """
+        limit_s = self.view.revoked_after_s * KEY_AGE_SHARE
+        return self.versions.begin_versions(
+            service,
+            frozenset(self.view.versions_of(service)),
+            time.monotonic() - limit_s,
+        )
+
     def _origin_of(self, request: CallerRequest) -> StreamOrigin | None:
         """Return where the stream that a caller takes up began."""
         return self.versions.origin_of(
@@ -223,7 +235,7 @@
             return
         self.written = record
         if record:
-            self.versions.establish(record)
+            self.versions.announce(record, time.monotonic())
 
     def _log_taken_up(
         self, request: CallerRequest, origin: StreamOrigin | None, source: str
--- a/src/dandelionplank/routing/streamversions.py
+++ b/src/dandelionplank/routing/streamversions.py
@@ -62,7 +62,10 @@
         """Hold no stream and no version."""
         self.streams: dict[str, OpenStream] = {}
         self.seen_s: dict[str, dict[str, float]] = defaultdict(dict)
+        # The only version of a service while there was one.
         self.established: dict[str, frozenset[str]] = {}
+        # Monotonic time at which the store acknowledged each other version.
+        self.announced_s: dict[str, dict[str, float]] = defaultdict(dict)
         self.records: dict[str, ReceivedRecord] = {}
         self.recorded: dict[str, StreamOrigin] = {}
 
@@ -77,11 +80,13 @@
             possible = self.possible_versions(service, now_s)
             if len(possible) == 1:
                 self.established[service] = possible
+                self.announced_s.pop(service, None)
 
-    def establish(self, record: StreamRecord) -> None:
-        """Let streams begin at the versions that the store knows of."""
+    def announce(self, record: StreamRecord, now_s: float) -> None:
+        """Record that the store has acknowledged a record."""
         for service, versions in record.versions.items():
-            self.established[service] = frozenset(versions)
+            for version in versions:
+                self.announced_s[service].setdefault(version, now_s)
 
     def record_begin(
         self, request_id: str, origin: StreamOrigin, now_s: float
@@ -149,15 +154,23 @@
         return StreamOrigin(service, *versions) if len(versions) == 1 else None
 
     def begin_versions(
-        self, service: str, listed: frozenset[str]
+        self, service: str, listed: frozenset[str], known_by_s: float
     ) -> tuple[str, ...]:
         """Return the versions at which a stream may begin, none for any.
 
-        A version that the store does not know of yet is left out unless there
-        is no other: after a kill of all instances its streams would be taken
-        for those of the others.
+        A version that other instances may not know of yet is left out unless
+        there is no other: they would take its streams for those of the others.
+
+        :param known_by_s: monotonic time; what the store acknowledged before
+            it is known to all instances that serve the stream's caller
         """
-        usable = listed.intersection(self.established.get(service, ()))
+        usable = {
+            version
+            for version, announced_s in self.announced_s[service].items()
+            if announced_s <= known_by_s
+        }
+        usable.update(self.established.get(service, ()))
+        usable &= listed
         return tuple(sorted(usable)) if usable and usable != listed else ()
 
     def own_record(self, now_s: float) -> StreamRecord | None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,6 +10,11 @@
 import aiohttp
 
 from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from dandelionplank.routing.streamversions import (
+    STREAM_AGE_S,
+    StreamOrigin,
+    StreamVersions,
+)
 from dandelionplank_standins.platformtarget import TargetFaults
 from tests.fixtures import only, run_async, wait_until
 from tests.platformfleet import platform_fleet, stop
@@ -26,16 +31,16 @@
 
 
 @contextlib.asynccontextmanager
-async def mixed_fleet(versions, *, events=MANY_EVENTS, **options):
+async def mixed_fleet(versions, *, events=MANY_EVENTS, gateways=1):
     """Run a fleet whose engines have the given software versions."""
-    async with platform_fleet(engines=0, **options) as fleet:
+    async with platform_fleet(engines=0, gateways=0) as fleet:
         for number, version in enumerate(versions):
             target = await fleet.start_target(
                 f'llm-{number}', 'llm', Version=version
             )
             target.version = version
             target.events = events
-        await wait_until(lambda: are_listed(fleet, versions))
+        await start_gateways(fleet, gateways, versions)
         yield fleet
 
 
@@ -135,11 +140,8 @@
         await stop(daemon)
 
 
-async def start_again(fleet, versions):
-    """Start as many gateways as there were, with the same names."""
-    count = len(fleet.gateways)
-    fleet.gateways.clear()
-    fleet.urls.clear()
+async def start_gateways(fleet, count, versions):
+    """Start gateways and wait until they list targets of these versions."""
     for _ in range(count):
         await fleet.start_gateway()
     await wait_until(
@@ -148,6 +150,14 @@
     await wait_until(lambda: are_listed(fleet, versions))
 
 
+async def start_again(fleet, versions):
+    """Start as many gateways as there were, with the same names."""
+    count = len(fleet.gateways)
+    fleet.gateways.clear()
+    fleet.urls.clear()
+    await start_gateways(fleet, count, versions)
+
+
 @contextlib.asynccontextmanager
 async def killed_fleet(versions):
     """Run a fleet with open streams, and kill all gateways.
@@ -281,3 +291,44 @@
         async with begin(fleet, 'again', Resumes='begun') as response:
             assert response.status == 200
         assert version_of(fleet, 'again') != version_of(fleet, 'begun')
+
+
+def test_a_new_version_takes_streams_once_all_instances_know_it():
+    """Streams that it began were taken for those of the only version known."""
+    versions = StreamVersions()
+    versions.see({'llm': {OLD}}, 0)
+    listed = frozenset(BOTH)
+    assert not versions.begin_versions('llm', frozenset((OLD,)), 0)
+    versions.see({'llm': listed}, 1)
+    assert versions.begin_versions('llm', listed, 1) == (OLD,)
+    assert not versions.begin_versions('llm', frozenset((NEW,)), 1)
+    versions.announce(versions.own_record(1), 2)
+    assert versions.begin_versions('llm', listed, 1.9) == (OLD,)
+    assert not versions.begin_versions('llm', listed, 2)
+
+
+def test_versions_that_have_left_count_for_as_long_as_streams_are_taken_up():
+    """The record is needed until no caller takes one of their streams up."""
+    versions = StreamVersions()
+    versions.see({'llm': {OLD, NEW}}, 0)
+    versions.record_begin('r', StreamOrigin('llm', OLD), 0)
+    versions.see({'llm': {NEW}}, STREAM_AGE_S)
+    assert versions.origin_of('other', 'llm', STREAM_AGE_S) is None
+    assert versions.own_record(STREAM_AGE_S).streams
+    late_s = STREAM_AGE_S + 1
+    versions.see({'llm': {NEW}}, late_s)
+    assert versions.own_record(late_s) is None
+    assert versions.origin_of('other', 'llm', late_s).version == NEW
+
+
+def test_the_record_of_an_earlier_process_is_taken_over():
+    """It names streams and versions that the new process has not seen."""
+    before = StreamVersions()
+    before.see({'llm': {OLD, NEW}}, 0)
+    before.record_begin('r', StreamOrigin('llm', OLD), 0)
+    after = StreamVersions()
+    after.adopt(before.own_record(1), 1)
+    after.see({'llm': {NEW}}, 1)
+    assert after.origin_of('r', 'llm', 1).version == OLD
+    assert after.origin_of('other', 'llm', 1) is None
+    assert after.own_record(1) == before.own_record(1)
