Keep the streams of two accounts apart, and bound their ids

Two accounts with the same id shared one version, so that one of them could be joined; ids of any length went into the record in the store; and a stream that was taken up without the id of a request, while there was one version, was recorded under the empty id and would have stood for all later ones.

Change: a stream is recorded by its account and its id, if that has 1 to 64 characters. A failed read of the records whose callers have all left leaves no unhandled error.

--- a/src/dandelionplank/fleet/streamrecords.py
+++ b/src/dandelionplank/fleet/streamrecords.py
@@ -31,6 +31,8 @@
 STORE_RETRY_S = 0.5
 # Another instance writes what it has not yet written within this time.
 UNKNOWN_RETRY_S = 0.5
+# Callers choose the ids of requests; longer ones are not recorded.
+MAX_ID_LENGTH = 64
 
 
 class StreamRecordStore(Protocol):
@@ -117,15 +119,12 @@
         """Record the target whose event is the first that is passed on."""
         origin = StreamOrigin(target.service, target.version)
         now_s = time.monotonic()
-        self.versions.record_begin(request.metadata.request_id, origin, now_s)
-        if request.metadata.last_event_id:
-            self.versions.record_begin(request.metadata.resumes, origin, now_s)
+        for stream_id in _stream_ids(request):
+            self.versions.record_begin(stream_id, origin, now_s)
 
     def record_end(self, request: CallerRequest) -> None:
         """Record that a stream is complete."""
-        self.versions.record_end(
-            request.metadata.request_id, request.metadata.resumes
-        )
+        self.versions.record_end(*_stream_ids(request))
 
     def apply_record(self, instance: str, record: StreamRecord | None) -> None:
         """Apply a record that the store has changed.
@@ -194,13 +193,16 @@
     def _origin_of(self, request: CallerRequest) -> StreamOrigin | None:
         """Return where the stream that a caller takes up began."""
         return self.versions.origin_of(
-            request.metadata.resumes, request.service, time.monotonic()
+            _stream_id(request, request.metadata.resumes),
+            request.service,
+            time.monotonic(),
         )
 
     async def _read_records(self) -> None:
         """Read the records of all instances, once for all that wait."""
         if self.reading is None:
             self.reading = asyncio.ensure_future(self.store.read())
+            self.reading.add_done_callback(_take_error)
         reading = self.reading
         try:
             records = await asyncio.shield(reading)
@@ -255,3 +257,30 @@
                 )
             ),
         )
+
+
+def _stream_id(request: CallerRequest, request_id: str) -> str:
+    """Return the id of a stream, empty if it is not recorded.
+
+    Two accounts may use the same id of a request.
+
+    :param request_id: request whose response brings its first event
+    """
+    if not 0 < len(request_id) <= MAX_ID_LENGTH:
+        return ''
+    return f'{request.account}/{request_id}'
+
+
+def _stream_ids(request: CallerRequest) -> tuple[str, ...]:
+    """Return the ids by which a caller may take up the stream of a request."""
+    metadata = request.metadata
+    own = _stream_id(request, metadata.request_id)
+    if not metadata.last_event_id:
+        return (own,)
+    return own, _stream_id(request, metadata.resumes)
+
+
+def _take_error(reading: 'asyncio.Task[Mapping[str, StreamRecord]]') -> None:
+    """Take the error of a read whose callers have all left."""
+    if not reading.cancelled():
+        reading.exception()
--- a/src/dandelionplank/routing/streamversions.py
+++ b/src/dandelionplank/routing/streamversions.py
@@ -92,6 +92,8 @@
         self, request_id: str, origin: StreamOrigin, now_s: float
     ) -> None:
         """Record that the first event of a request's stream is passed on."""
+        if not request_id:
+            return
         self.streams.pop(request_id, None)
         self.streams[request_id] = OpenStream(origin, now_s)
         if len(self.streams) > MAX_STREAMS:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from bench.platform import COMPLETE_STREAM, MODEL_HEADERS
+from bench.platform import COMPLETE_STREAM, MODEL_HEADERS, configuration
 from dandelionplank.routing.streamversions import (
     STREAM_AGE_S,
     StreamOrigin,
@@ -293,6 +293,33 @@
         assert version_of(fleet, 'again') != version_of(fleet, 'begun')
 
 
+@run_async
+async def test_a_take_up_without_the_id_of_a_request_is_of_unknown_version():
+    """It is refused, and no target runs it."""
+    async with mixed_fleet(BOTH) as fleet:
+        await interrupt(fleet, 'begun')
+        assert await take_up(fleet, 'first', 'begun') == 200
+        for request_id in ('second', 'third'):
+            async with begin(fleet, request_id, **taken_up('')) as response:
+                assert response.status == 503
+            assert not has_run(fleet, request_id)
+
+
+@run_async
+async def test_accounts_may_use_the_same_id_of_a_request():
+    """The stream of one account was taken for that of another one."""
+    async with mixed_fleet(BOTH) as fleet:
+        changed = configuration(2)
+        changed['Tenants'].append({'Name': 'other', 'ApiKeys': ['key-b']})
+        fleet.store.put('op/config', changed)
+        view = fleet.gateways[0].view
+        await wait_until(lambda: view.table.version == 2)
+        await interrupt(fleet, 'begun')
+        headers = {**taken_up('begun'), 'Dandelionplank-Key': 'key-b'}
+        async with begin(fleet, 'again', **headers) as response:
+            assert response.status == 503
+
+
 def test_a_new_version_takes_streams_once_all_instances_know_it():
     """Streams that it began were taken for those of the only version known."""
     versions = StreamVersions()
