Refuse no account at a late instance for a smaller one

An account that asks for little is always behind, and lacks nothing.

Change: an account yields only to accounts that have had an even share themselves, which would be refused otherwise.

--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -82,9 +82,10 @@
     ) -> bool:
         """Return whether a request is taken, and count it if it is.
 
-        While the loop is late, accounts that have had many requests get no more
-        taken: those that received more service than another one of them, or
-        else those that have had no less than an even share.
+        While the loop is late, accounts that have had many requests, and no
+        less than an even share of all, get no more taken, unless they are
+        behind another one with many requests. Those that are ahead of them get
+        no more taken either.
 
         :param levels: service that the accounts received lately, fleet-wide
         """
@@ -97,17 +98,21 @@
 
     def _has_its_share(self, account: str, levels: Mapping[str, float]) -> bool:
         """Return whether an account has had its share of this instance."""
-        recent = self.recent[account]
-        if recent < RELIEVING_REQUESTS:
+        if self.recent[account] < RELIEVING_REQUESTS:
             return False
+        precedence = AccountPrecedence.from_levels(account, levels)
         others = [
             other
             for other, count in self.recent.items()
             if count >= RELIEVING_REQUESTS
         ]
-        precedence = AccountPrecedence.from_levels(account, levels)
         if any(map(precedence.precedes, others)):
             return False
-        if any(map(precedence.yields_to, others)):
-            return True
-        return recent * len(self.recent) >= self.recent_total
+        return self._has_even_share(account) or any(
+            precedence.yields_to(other) and self._has_even_share(other)
+            for other in others
+        )
+
+    def _has_even_share(self, account: str) -> bool:
+        """Return whether an account has had an even share of requests."""
+        return self.recent[account] * len(self.recent) >= self.recent_total
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -71,6 +71,19 @@
     assert not overload.admit('behind', even)
 
 
+def test_a_late_loop_refuses_no_account_for_a_smaller_one():
+    """One that sends little here is behind all others, and lacks nothing."""
+    overload = OverloadControl()
+    admit_many(overload, 'small')
+    admit_many(overload, 'middle')
+    for _ in range(4):
+        admit_many(overload, 'large')
+    overload.record_delay(LATE_S, 0)
+    levels = {'small': 1000, 'middle': 9000, 'large': 9000}
+    assert overload.admit('middle', levels)
+    assert not overload.admit('large', levels)
+
+
 def test_one_short_delay_refuses_nothing():
     """Instances stay open while they read a large configuration."""
     overload = OverloadControl()
