Ask for the service levels at a late instance only

Change: they are asked for while the loop is late, and for requests of an account. Requests without an account have no level: they get an even share of a late instance again, as before, in place of being behind all others for ever.

Evidence: lint, and the tests of overload, refusals, readiness, late requests and the gateway (93 passed). Nothing was measured. No test covers requests without an account at a late instance.

--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -32,7 +32,7 @@
 from dandelionplank.ingress.callerbounds import derive_bounds
 from dandelionplank.ingress.grace import GracePeriod
 from dandelionplank.ingress.loopdelay import LoopDelayMeter
-from dandelionplank.ingress.overload import OverloadControl
+from dandelionplank.ingress.overload import NO_LEVELS, OverloadControl
 from dandelionplank.ingress.presence import has_left, has_next_request
 from dandelionplank.ingress.readiness import LoadReadiness
 from dandelionplank.ingress.sinks import StreamSink
@@ -283,8 +283,9 @@
             or its requests are refused anyway
         """
         account = key[0]
-        levels = self.delivery.dispatcher.service_levels()
+        levels = NO_LEVELS
         if self.overload.is_late and account:
+            levels = self.delivery.dispatcher.service_levels()
             self._check_repeated(key, metadata, levels)
         if self.overload.admit(account, levels):
             return
