Log once a second which owners of pools did not reply in time

What callers saw: an account refused for seconds at the one instance that its callers use. The logs state the refusals, and neither that owners were silent nor that their replies were read late: hypotheses 1 to 3 of docs/incidents/shares-after-a-jump.md and an instance that takes its own lateness for the silence of others look alike. Event 324 states tickets, unanswered ones by owner, replies read late, grants given back, decisions alone and owners suspected; nothing while all owners answer.

--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -173,6 +173,11 @@
         Level.INFO,
         'the targets of a data centre are used again',
     )
+    OWNERS_SILENT = (
+        324,
+        Level.INFO,
+        'owners of pools did not reply to tickets in time in a period',
+    )
     MEMBER_ALIVE = (400, Level.INFO, 'an instance is alive')
     MEMBER_SUSPECT = (401, Level.WARNING, 'an instance does not respond')
     MEMBER_DEAD = (402, Level.WARNING, 'an instance is considered failed')
--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -386,6 +386,7 @@
         while True:
             await asyncio.sleep(LOAD_PERIOD_S)
             self.gateway.delivery.log_demand(self.scheduler.service_levels)
+            self._log_owner_replies()
             delay_s = self.gateway.loop_delay.take_longest_s()
             METRICS.observe_s('loop_delay_seconds', delay_s)
             if delay_s >= LOGGED_LOOP_DELAY_S:
@@ -397,6 +398,15 @@
                     processor_s=round(time.process_time(), 2),
                 )
 
+    def _log_owner_replies(self) -> None:
+        """Log how owners replied since the last call, if one was silent."""
+        replies = self.pool_client.owner_replies.take_report()
+        if replies:
+            suspected = self.pool_client.owners.count_suspected(
+                time.monotonic()
+            )
+            log_event(Event.OWNERS_SILENT, **replies, suspected=suspected)
+
     def _forget_targets(self, names: tuple[str, ...]) -> None:
         """Drop connections and state of removed targets."""
         for name in names:
--- a/src/dandelionplank/fleet/owners.py
+++ b/src/dandelionplank/fleet/owners.py
@@ -81,6 +81,12 @@
         """Record that an owner answered."""
         self.suspicions.pop(owner, None)
 
+    def count_suspected(self, now_s: float) -> int:
+        """Return how many instances are not asked at present."""
+        return sum(
+            now_s < suspicion.until_s for suspicion in self.suspicions.values()
+        )
+
     def _present(self, now_s: float) -> list[str]:
         """Return the instances that may own a pool."""
         return [
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -20,6 +20,7 @@
 from dandelionplank.fairness.precedence import BEHIND_RANK
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet.avoidedtargets import AvoidedTargets
+from dandelionplank.fleet.ownerreplies import OwnerReplies
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.replytimes import ReplyTimes
 from dandelionplank.fleet.tickets import (
@@ -111,6 +112,7 @@
         self.numbers = itertools.count(random.getrandbits(RANDOM_NUMBER_BITS))
         self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
         self.reply_times = ReplyTimes()
+        self.owner_replies = OwnerReplies()
         self.avoided = AvoidedTargets(owners.view.registry)
         self.grants: dict[int, RemoteGrant] = {}
         self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
@@ -222,8 +224,10 @@
             return
         owner = self.reply_times.record_late(reply.number, time.monotonic())
         if owner:
+            self.owner_replies.late += 1
             self.owners.record_answer(owner)
         if isinstance(reply, TicketGrant) and reply.number not in self.grants:
+            self.owner_replies.returned += 1
             self._put_event(reply.owner, reply.number, TicketEvent.ENDED)
 
     async def run_listing(self) -> None:
@@ -325,6 +329,7 @@
                 return grant
         if is_overflow:
             raise _refusal(waiting, 'pool has no owner', 0)
+        self.owner_replies.alone += 1
         METRICS.add('pool_decisions_alone_total')
         return await self.dispatcher.acquire(waiting)
 
@@ -357,6 +362,7 @@
         replies: asyncio.Queue[TicketReply] = asyncio.Queue()
         self.replies[number] = replies
         is_settled = False
+        self.owner_replies.asked += 1
         try:
             while True:
                 reply = await self._next_reply(
@@ -365,6 +371,7 @@
                     replies,
                 )
                 if reply is None:
+                    self.owner_replies.unanswered[owner] += 1
                     self.owners.record_silent(owner, time.monotonic())
                     return None
                 self.owners.record_answer(owner)
