--- a/tests/fleetsimulation.py
+++ b/tests/fleetsimulation.py
@@ -9,10 +9,13 @@
 from unittest import mock
 
 from dandelionplank.errors import RefusalError
+from dandelionplank.fairness.precedence import AccountPrecedence
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet.peers import PeerReport
 from dandelionplank.ingress.loopdelay import SAMPLE_PERIOD_S
 from dandelionplank.ingress.overload import OverloadControl
+from dandelionplank.routing.admission import is_wait_reason
+from dandelionplank.routing.refusals import RepeatedRefusals
 from dandelionplank.routing.work import PromptPart, TokenWork
 from dandelionplank.settings import Address
 from dandelionplank.targets import Target
@@ -110,6 +113,9 @@
     overload: OverloadControl = dataclasses.field(
         default_factory=OverloadControl
     )
+    refusals: RepeatedRefusals = dataclasses.field(
+        default_factory=RepeatedRefusals
+    )
 
     async def measure_delay(self):
         """Record by how much new work is late, until cancelled."""
@@ -119,6 +125,25 @@
             delay_s = max(0, self.busy_until_s - now_s)
             self.overload.record_delay(delay_s, now_s)
 
+    def stall(self, seconds):
+        """Do no work for a time."""
+        now_s = time.monotonic()
+        self.busy_until_s = max(now_s, self.busy_until_s) + seconds
+
+    def admit(self, account, cost, levels):
+        """Return whether the gateway would take a request."""
+        if self.overload.is_late:
+            precedence = AccountPrecedence.from_levels(account, levels)
+            retry_after_s = self.refusals.repeat(
+                (account, 'llm'),
+                cost,
+                time.monotonic(),
+                is_behind=precedence.is_behind,
+            )
+            if retry_after_s is not None:
+                return False
+        return self.overload.admit(account, levels)
+
     async def run(self, share):
         """Do a part of the work of a request."""
         if not self.request_s:
@@ -284,7 +309,7 @@
         read, ask, pass_on, respond = PROCESSOR_SHARES
         await processor.run(read)
         levels = entry.client.service_levels()
-        if not processor.overload.admit(account, levels):
+        if not processor.admit(account, work.cost, levels):
             record.refused_s = self.now_s
             return
         arrived_s = time.monotonic()
@@ -304,9 +329,17 @@
             await processor.run(ask)
             try:
                 grant = await entry.client.acquire(waiting)
-            except RefusalError:
+            except RefusalError as error:
                 record.refused_s = self.now_s
+                if not avoided and is_wait_reason(error.reason):
+                    processor.refusals.record_refusal(
+                        (account, 'llm'),
+                        work.cost,
+                        error.retry_after_s,
+                        time.monotonic(),
+                    )
                 return
+            processor.refusals.record_grant((account, 'llm'))
             avoided = (*avoided, grant.load.target.name)
             await processor.run(pass_on)
             try:
