Count tickets that were sent together as one silence of an owner

Cause: each ticket that got no reply doubled the time for which its owner is not asked, also those that were sent before the first of them timed out. Five requests in progress excluded an owner for 8 s in place of 0.5 s.

The test is changed: it waited for requests that take 3 s, in which an owner is rightly asked and found silent again; it looks at the first suspicion now, and fails on the code before as it did.

--- a/src/dandelionplank/fleet/owners.py
+++ b/src/dandelionplank/fleet/owners.py
@@ -67,10 +67,17 @@
             return owners
         return rank_instances(queue, self._present(now_s))[:OWNERS_ASKED]
 
-    def record_silent(self, owner: str, now_s: float) -> None:
-        """Record that an owner did not answer; it is not asked for a while."""
+    def record_silent(self, owner: str, sent_s: float, now_s: float) -> None:
+        """Record that an owner did not answer; it is not asked for a while.
+
+        Tickets sent before the last suspicion ended show the same silence.
+
+        :param sent_s: monotonic time at which its ticket was sent
+        """
         METRICS.add('pool_owners_silent_total')
         known = self.suspicions.get(owner)
+        if known and sent_s < known.until_s:
+            return
         length_s = FIRST_SUSPICION_S
         if known:
             length_s = min(LONGEST_SUSPICION_S, known.length_s * 2)
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -359,6 +359,7 @@
         :raises RefusalError: the owner rejected the request
         """
         number = next(self.numbers)
+        sent_s = time.monotonic()
         replies: asyncio.Queue[TicketReply] = asyncio.Queue()
         self.replies[number] = replies
         is_settled = False
@@ -372,7 +373,7 @@
                 )
                 if reply is None:
                     self.owner_replies.unanswered[owner] += 1
-                    self.owners.record_silent(owner, time.monotonic())
+                    self.owners.record_silent(owner, sent_s, time.monotonic())
                     return None
                 self.owners.record_answer(owner)
                 if isinstance(reply, TicketRejection):
--- a/tests/test_late_replies.py
+++ b/tests/test_late_replies.py
@@ -16,7 +16,13 @@
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.routing.scheduler import Scheduler
 from dandelionplank.settings import Address
-from tests.fixtures import reserve_ports, run_async, run_on_both_loops
+from tests.fixtures import (
+    reserve_ports,
+    run_async,
+    run_on_both_loops,
+    running,
+    wait_until,
+)
 from tests.fleetsimulation import run_in_virtual_time, simulate
 from tests.test_fair_shares import CRASHED, ENGINES, WINDOW_S
 from tests.test_pool_owners import (
@@ -147,14 +153,14 @@
         owner = owner_of(network, work)
         entry = entry_other_than(network, owner.name)
         network.silent.add(owner.name)
-        await asyncio.gather(
-            *(
-                entry.client.acquire(make_waiting(work))
-                for _ in range(CONCURRENT)
-            )
-        )
-        suspicion = entry.directory.suspicions[owner.name]
-        assert suspicion.length_s == FIRST_SUSPICION_S
+        requests = [
+            entry.client.acquire(make_waiting(work)) for _ in range(CONCURRENT)
+        ]
+        async with running(*requests):
+            suspicions = entry.directory.suspicions
+            await wait_until(lambda: owner.name in suspicions)
+            await asyncio.sleep(FIRST_SUSPICION_S / 4)
+            assert suspicions[owner.name].length_s == FIRST_SUSPICION_S
 
 
 @run_on_both_loops
--- a/tests/test_pool_owners.py
+++ b/tests/test_pool_owners.py
@@ -297,8 +297,9 @@
         entry = entry_other_than(network, owner.name)
         grant = await entry.client.acquire(make_waiting(work))
         network.silent.add(owner.name)
+        now_s = time.monotonic()
         for instance in network.instances.values():
-            instance.directory.record_silent(owner.name, time.monotonic())
+            instance.directory.record_silent(owner.name, now_s, now_s)
         successor = owner_of(network, work)
         if successor is not entry:
             await wait_until(successor.count_running)
