Let a late instance take what it handled in time before

Cause: however late the loop and whatever delayed it, an account with an even share of the instance got 20 requests a second taken, so that its only account was left with a tenth of what the instance had handled a second before.

Now a late loop takes as many as it handled in time, which falls with a time constant of 5 s while it stays late. tests.test_overload fails before: 20 of 400 requests in the first late second.

--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -24,6 +24,12 @@
 # Refusing fewer recent requests of an account relieves no loop: something else
 # delays it.
 RELIEVING_REQUESTS = 20
+# Time constant of the number of recent requests that the loop handles in time.
+USUAL_S = 2.0
+# Share of it that a late loop takes, and time constant with which that falls
+# while the loop stays late.
+LATE_SHARE = 1.0
+LATE_DECAY_S = 5.0
 # Share of the bound on connections from which refused ones end. Each retry
 # comes on a new connection, so that the others stay open without a request.
 NEAR_BOUND_SHARE = 0.8
@@ -41,6 +47,8 @@
         self.recent_total = 0.0
         self.recent_refused = 0.0
         self.connection_share = 0.0
+        self.usual = 0.0
+        self.allowance = 0.0
 
     @property
     def is_pressed(self) -> bool:
@@ -65,7 +73,8 @@
         :param now_s: monotonic time at which it was measured
         """
         self.delay_s += DELAY_WEIGHT * (delay_s - self.delay_s)
-        factor = math.exp((self.updated_s - now_s) / DECAY_S)
+        elapsed_s = now_s - self.updated_s
+        factor = math.exp(-elapsed_s / DECAY_S)
         self.updated_s = now_s
         self.recent = Counter(
             {
@@ -76,6 +85,7 @@
         )
         self.recent_total = sum(self.recent.values())
         self.recent_refused *= factor
+        self._allow(elapsed_s)
 
     def admit(
         self, account: str, levels: Mapping[str, float] = NO_LEVELS
@@ -83,19 +93,39 @@
         """Return whether a request is taken, and count it if it is.
 
         While the loop is late, accounts that have had many requests, and no
-        less than an even share of all, get no more taken, unless they are
-        behind another one with many requests. Those that are ahead of them get
-        no more taken either.
+        less than an even share of all, get no more taken than a part of what
+        it handled in time, unless they are behind another one with many
+        requests. Those that are ahead of them get no more taken either.
 
         :param levels: service that the accounts received lately, fleet-wide
         """
         if self.is_late and self._has_its_share(account, levels):
-            self.recent_refused += 1
-            return False
+            if self.allowance < 1:
+                self.recent_refused += 1
+                return False
+            self.allowance -= 1
         self.recent[account] += 1
         self.recent_total += 1
         return True
 
+    def _allow(self, elapsed_s: float) -> None:
+        """Allow a late loop some more requests of accounts with many.
+
+        One that takes hardly any leaves its callers without service for as
+        long as it is late, although it would handle these.
+
+        :param elapsed_s: time since the last measurement
+        """
+        if self.is_late:
+            elapsed_s = min(elapsed_s, DECAY_S)
+            allowed = self.usual * LATE_SHARE * elapsed_s / DECAY_S
+            self.allowance = min(self.allowance + allowed, RELIEVING_REQUESTS)
+            self.usual *= math.exp(-elapsed_s / LATE_DECAY_S)
+        else:
+            weight = 1 - math.exp(-elapsed_s / USUAL_S)
+            self.usual += weight * (self.recent_total - self.usual)
+            self.allowance = 0.0
+
     def _has_its_share(self, account: str, levels: Mapping[str, float]) -> bool:
         """Return whether an account has had its share of this instance."""
         if self.recent[account] < RELIEVING_REQUESTS:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -19,6 +19,10 @@
 LATE_S = 1.0
 SECONDS = 5
 RATES_PER_S = {'large': 700, 'middle': 90, 'small': 7}
+# Requests a second that a loop handles in time for some seconds, and then late.
+USUAL_PER_S = 400
+USUAL_TIME_S = 10.0
+LATE_FOR_S = 6.0
 # Largest part of the requests of small accounts that may be refused.
 LARGEST_REFUSED_SHARE = 0.1
 
@@ -95,6 +99,25 @@
     assert overload.admit('other')
 
 
+def test_a_late_loop_takes_what_it_handled_in_time():
+    """It took twenty requests a second of an account, whatever delayed it."""
+    overload = OverloadControl()
+    now_s = 0.0
+    taken = []
+    while now_s < USUAL_TIME_S + LATE_FOR_S:
+        now_s += SAMPLE_PERIOD_S
+        is_late = now_s > USUAL_TIME_S
+        overload.record_delay(LATE_S if is_late else 0, now_s)
+        count = round(USUAL_PER_S * SAMPLE_PERIOD_S)
+        admitted = sum(overload.admit('only') for _ in range(count))
+        if is_late:
+            taken.append(admitted)
+    per_second = round(1 / SAMPLE_PERIOD_S)
+    assert sum(taken[:per_second]) > USUAL_PER_S / 2
+    # Requests relieve a loop that is late because of them.
+    assert sum(taken[-per_second:]) < USUAL_PER_S / 2
+
+
 @run_async
 async def test_a_request_refused_by_a_late_instance_may_return_at_once():
     """It was not executed, and its instance serves it once it has caught up."""
