Attribute no delay of a late instance to the targets

Cause, the same class as the silence of owners: the owner of a pool took the time in which a late instance did not read its grant for that of the target. Its prefill speed fell for all instances, and the grant counted as queued inside the target, which stood idle.

A ticket now states the delay of its sender's loop. Such a grant counts in part, so that others use the target meanwhile, and is no sample of its speed.

--- a/src/dandelionplank/fairness/waiting.py
+++ b/src/dandelionplank/fairness/waiting.py
@@ -33,6 +33,8 @@
         rather than waited for
     :param versions: software versions of the targets that may take it, none
         for any
+    :param delay_s: by how much the event loop of the instance that sends it is
+        late
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     is_ticket: bool = False
     accepts_reread: bool = False
     versions: tuple[str, ...] = ()
+    delay_s: float = 0
 
     @property
     def objective_deadline_s(self) -> float:
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -498,6 +498,7 @@
         is_overflow,
         waiting.work is None,
         waiting.versions,
+        waiting.delay_s,
     )
 
 
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -260,6 +260,7 @@
         is_ticket=True,
         accepts_reread=ticket.is_overflow,
         versions=ticket.versions,
+        delay_s=max(0.0, ticket.delay_s),
     )
 
 
--- a/src/dandelionplank/fleet/tickets.py
+++ b/src/dandelionplank/fleet/tickets.py
@@ -20,6 +20,7 @@
     :param is_overflow: another pool is preferred; only an idle target counts
     :param is_plain: the request has no prompt
     :param versions: software versions that may take it, none for any
+    :param delay_s: by how much the event loop of the sender is late
     """
 
     sender: str
@@ -38,6 +39,7 @@
     is_overflow: bool
     is_plain: bool = False
     versions: tuple[str, ...] = ()
+    delay_s: float = 0
 
 
 class TicketGrant(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/dandelionplank/routing/load.py
+++ b/src/dandelionplank/routing/load.py
@@ -50,12 +50,25 @@
         it was sent
     :param sent_s: monotonic time of sending
     :param is_prefilled: its first event has arrived
+    :param delay_s: by how much the event loop of the instance that sends it is
+        late
     """
 
     uncached_tokens: float
     ahead_tokens: float
     sent_s: float
     is_prefilled: bool = False
+    delay_s: float = 0
+
+    @property
+    def pending_tokens(self) -> float:
+        """Tokens that count as queued inside the target.
+
+        The target is idle until a late instance sends the request, and takes
+        others in the meantime.
+        """
+        share = TARGET_QUEUE_S / (TARGET_QUEUE_S + self.delay_s)
+        return self.uncached_tokens * share
 
 
 class PrefillSpeed:
@@ -203,17 +216,22 @@
         work: TokenWork | None,
         others: TargetShare,
         now_s: float,
+        delay_s: float = 0,
     ) -> DispatchedRequest:
-        """Record that a request is sent to the target."""
+        """Record that a request is sent to the target.
+
+        :param delay_s: by how much the event loop of its instance is late
+        """
         uncached_tokens = self.uncached_tokens(work)
         sent = DispatchedRequest(
             uncached_tokens,
             self.pending_prefill_tokens + others.pending_prefill_tokens,
             now_s,
+            delay_s=delay_s,
         )
         if work is not None and self.prefix_cache is not None:
             self.prefix_cache.record_prefill(work.parts)
-        self.pending_prefill_tokens += uncached_tokens
+        self.pending_prefill_tokens += sent.pending_tokens
         self.running += 1
         self.limit.grant()
         if self.cold is not None:
@@ -224,7 +242,7 @@
         """Count a request that another instance has sent to the target."""
         self.running += 1
         if not sent.is_prefilled:
-            self.pending_prefill_tokens += sent.uncached_tokens
+            self.pending_prefill_tokens += sent.pending_tokens
 
     def record_first_event(self, sent: DispatchedRequest, now_s: float) -> None:
         """Record that the target has prefilled a request's prompt."""
@@ -236,7 +254,8 @@
             )
         self._finish_prefill(sent)
         tokens = sent.uncached_tokens + sent.ahead_tokens
-        if tokens < SMALLEST_SAMPLE_TOKENS:
+        # The time of a late instance's request is not that of the target.
+        if tokens < SMALLEST_SAMPLE_TOKENS or sent.delay_s:
             return
         elapsed_s = now_s - sent.sent_s - FIRST_EVENT_BASE_S
         self.speed.add(tokens, elapsed_s)
@@ -282,7 +301,7 @@
         """Mark a request's prompt as prefilled."""
         sent.is_prefilled = True
         self.pending_prefill_tokens = max(
-            0.0, self.pending_prefill_tokens - sent.uncached_tokens
+            0.0, self.pending_prefill_tokens - sent.pending_tokens
         )
 
 
--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -379,7 +379,7 @@
         return Grant(
             waiting,
             load,
-            load.send(waiting.work, others, now_s),
+            load.send(waiting.work, others, now_s, waiting.delay_s),
             placement.first_event_s,
         )
 
