Doubt the silence of owners while the own event loop is late

Cause: its entry took its own lateness for the silence of all owners. Timers come before the reading of sockets in a turn of the event loop, so that replies that waited in the socket were too late for a time-out of 0.25 s at most; each request then asked two instances twice, one of them no owner for anybody else, and decided alone after its objective. The class: a failure detector that does not doubt its own health (Lifeguard's remedy for SWIM).

Now a time-out grows by two turns of a late loop; the socket is read once more before it counts; and while the loop is late a missing reply shows silence only if nothing was heard of that owner for 1 s, 2 s if no later ticket was answered. Until then its request is refused at once with Retry-After 0.1 s, and neither other pools nor this instance's own guess are tried.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -109,8 +109,9 @@
             OwnerDirectory(settings.instance.id, self.view, self.peer_loads),
             self.exchange.send,
         )
-        self.exchange.receivers.update(self.pool_owner.receivers)
-        self.exchange.receivers.update(self.pool_client.receivers)
+        self.exchange.receivers |= (
+            self.pool_owner.receivers | self.pool_client.receivers
+        )
         self.settings_follower = SettingsFollower(
             settings_path, settings, self._apply_settings
         )
@@ -149,6 +150,7 @@
             settings.limits,
             settings.instance.id,
         )
+        self.gateway.loop_delay.listeners.append(self.pool_client.health)
         self.follower = StoreFollower(
             self.view,
             parts.source,
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import math
@@ -20,6 +19,7 @@
 from dandelionplank.fairness.precedence import BEHIND_RANK
 from dandelionplank.fairness.waiting import WaitingRequest
 from dandelionplank.fleet.avoidedtargets import AvoidedTargets
+from dandelionplank.fleet.localhealth import LocalHealth
 from dandelionplank.fleet.ownerreplies import OwnerReplies
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.replytimes import ReplyTimes
@@ -54,6 +54,8 @@
 POOLS_IF_BEHIND = 3
 # Period at which open grants are listed to their owners.
 LISTING_PERIOD_S = 0.5
+# Callers reach another instance when they retry.
+OVERLOADED_RETRY_S = 0.1
 RANDOM_NUMBER_BITS = 48
 # In the ticket of a request that has no prompt.
 NO_WORK = TokenWork('', 0, 0, ())
@@ -112,6 +114,7 @@
         self.numbers = itertools.count(random.getrandbits(RANDOM_NUMBER_BITS))
         self.replies: dict[int, asyncio.Queue[TicketReply]] = {}
         self.reply_times = ReplyTimes()
+        self.health = LocalHealth()
         self.owner_replies = OwnerReplies()
         self.avoided = AvoidedTargets(owners.view.registry)
         self.grants: dict[int, RemoteGrant] = {}
@@ -135,6 +138,7 @@
         """
         now_s = time.monotonic()
         queues = self.queues_of(waiting, now_s)
+        waiting.delay_s = self.health.delay_at_s(now_s)
         self.avoided.renew(now_s)
         if not queues or (
             self.avoided.closed
@@ -222,9 +226,11 @@
         if replies is not None:
             replies.put_nowait(reply)
             return
-        owner = self.reply_times.record_late(reply.number, time.monotonic())
+        now_s = time.monotonic()
+        owner = self.reply_times.record_late(reply.number, now_s)
         if owner:
             self.owner_replies.late += 1
+            self.health.record_late_reply(owner, now_s)
             self.owners.record_answer(owner)
         if isinstance(reply, TicketGrant) and reply.number not in self.grants:
             self.owner_replies.returned += 1
@@ -281,7 +287,9 @@
         """
         try:
             return await self._acquire_in(queues[0], waiting)
-        except RefusalError:
+        except RefusalError as error:
+            if error.code is ErrorCode.OVERLOADED:
+                raise
             grant = await self._acquire_elsewhere(queues[1:], waiting)
             if grant is None:
                 raise
@@ -300,10 +308,13 @@
         is_behind = rank < BEHIND_RANK
         chosen = _spread(queues, rank) if is_behind else queues[:1]
         for queue in chosen:
-            with contextlib.suppress(RefusalError):
+            try:
                 return await self._acquire_in(
                     queue, waiting, is_overflow=not is_behind
                 )
+            except RefusalError as error:
+                if error.code is ErrorCode.OVERLOADED:
+                    return None
         return None
 
     async def _acquire_in(
@@ -376,9 +387,7 @@
                     replies,
                 )
                 if reply is None:
-                    self.owner_replies.unanswered[owner] += 1
-                    self.owners.record_silent(owner, sent_s, time.monotonic())
-                    return None
+                    break
                 self.owners.record_answer(owner)
                 if isinstance(reply, TicketRejection):
                     is_settled = True
@@ -390,6 +399,12 @@
             self.replies.pop(number)
             if not is_settled:
                 self._put_event(owner, number, TicketEvent.ENDED)
+        self.owner_replies.unanswered[owner] += 1
+        now_s = time.monotonic()
+        if not self.health.is_silence(owner, sent_s, now_s):
+            raise _late_refusal(waiting)
+        self.owners.record_silent(owner, sent_s, now_s)
+        return None
 
     async def _next_reply(
         self,
@@ -404,12 +419,21 @@
         sent_s = time.monotonic()
         for _ in range(SENDS_PER_OWNER):
             self.send(owner, ticket)
+            timeout_s = self.reply_times.timeout_s(
+                owner
+            ) + self.health.reading_time_s(time.monotonic())
             try:
-                async with asyncio.timeout(self.reply_times.timeout_s(owner)):
+                async with asyncio.timeout(timeout_s):
                     reply = await replies.get()
             except TimeoutError:
-                continue
-            self.reply_times.record(owner, time.monotonic() - sent_s)
+                # Timers precede the reading of sockets in a turn of the loop.
+                await asyncio.sleep(0)
+                if replies.empty():
+                    continue
+                reply = replies.get_nowait()
+            now_s = time.monotonic()
+            self.reply_times.record(owner, now_s - sent_s)
+            self.health.record_reply(owner, sent_s, now_s)
             if not isinstance(reply, TicketQueued):
                 return reply
             try:
@@ -538,3 +562,15 @@
         request_id=waiting.request_id,
         retry_after_s=retry_after_s,
     )
+
+
+def _late_refusal(waiting: WaitingRequest) -> RefusalError:
+    """Return the error for a ticket whose reply may not be read yet."""
+    return RefusalError(
+        'replies of other instances are read late',
+        step=STEP,
+        peer=waiting.service,
+        code=ErrorCode.OVERLOADED,
+        request_id=waiting.request_id,
+        retry_after_s=OVERLOADED_RETRY_S,
+    )
--- a/src/dandelionplank/ingress/loopdelay.py
+++ b/src/dandelionplank/ingress/loopdelay.py
@@ -22,7 +22,7 @@
 
     def __init__(self, *listeners: DelayListener) -> None:
         """Hold the longest delay of the present period."""
-        self.listeners = listeners
+        self.listeners = list(listeners)
         self.longest_s = 0.0
 
     async def run(self) -> None:
