Take no status outside of 100 to 599 for a response

Here 600 and 999 reached the caller as they were, and 000, 001 and 099 counted as interim responses, so that the caller waited for the whole time of its route and got 504. RFC 9110, 15: a status is one of 100 to 599; what else arrives is no response, and the outcome is unknown (502).

--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -41,6 +41,9 @@
 # Request ids that a connection remembers.
 MAX_CARRIED_IDS = 64
 FIRST_FINAL_STATUS = 200
+# A status outside of these is no response in HTTP.
+FIRST_STATUS = 100
+LAST_STATUS = 599
 
 
 class TargetProtocol(ResponseHandler):
@@ -180,6 +183,8 @@
         """
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             message, body = await self.protocol.read()
+            if not FIRST_STATUS <= message.code <= LAST_STATUS:
+                raise ClientPayloadError(f'status {message.code}')
             if message.code >= FIRST_FINAL_STATUS:
                 return self._to_response(message, body)
         raise ClientPayloadError('too many interim responses')
--- a/tests/test_hostile_targets.py
+++ b/tests/test_hostile_targets.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 import aiohttp
+from nose2.tools import params
 
 from bench.platform import (
     COMPLETE_STREAM,
@@ -25,7 +26,7 @@
 from dandelionplank.platform.engines import fetch_cached_parts
 from dandelionplank.platform.store import MAX_RESPONSE_BYTES
 from dandelionplank.routing.scheduler import Rejection
-from tests.fixtures import run_async, running, wait_until
+from tests.fixtures import run_async, run_on_both_loops, running, wait_until
 from tests.platformfleet import hostile_fleet, platform_fleet
 
 PAGE_BYTES = 4096
@@ -457,3 +458,22 @@
         ):
             status, body, _ = await stream
         assert (status, body) == (200, COMPLETE_STREAM)
+
+
+@params('000', '001', '099', '600', '999', '1000', '+200', '2e2')
+def test_a_status_that_http_does_not_define_is_no_response(status):
+    """Callers got a status of 600 and 999 as the response of a target."""
+
+    async def respond(exchange):
+        body = b'Content-Length: 4\r\n\r\nodd!'
+        head = exchange.head(status=f'{status} Odd')
+        await exchange.write(head[:-2] + body)
+
+    @run_on_both_loops
+    async def run():
+        for path, service in (('/book/x', 'plain'), ('/chat/x', 'llm')):
+            async with hostile_fleet(respond, service) as (fleet, _):
+                found = await fleet.call(path, data=b'd', headers=MODEL_HEADERS)
+                assert found[0] == 502, (path, found)
+
+    run()
