Serve no unframed response that ends before its request is written

An engine had answered a long upload at once with a 200 without a length, and reset the connection while the upload was being written. Here a reset was an error already (502, tests added); but an orderly end of such a response while the upload was unwritten was served as its whole body. HTTP allows an early response, but without a length the end of the connection is the only sign that it is whole, and a connection that ends with its request unwritten has broken. A response with a length or with chunks is served as before (test added).

What the kernel has taken and the target has not read cannot be seen: an upload that fits into the buffers counts as written.

--- a/src/dandelionplank/delivery/connections.py
+++ b/src/dandelionplank/delivery/connections.py
@@ -75,6 +75,19 @@
                 self._fail_body(self.exception())
                 return
 
+    def eof_received(self) -> None:
+        """End a body without a length unless its request is still unwritten.
+
+        A target may answer early, but the end of its connection is then no
+        sign that its response is whole.
+        """
+        payload = self._payload
+        is_open = payload is not None and not payload.is_eof()
+        transport = self.transport
+        if is_open and transport and transport.get_write_buffer_size():
+            self._end('connection ends before its request is written')
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on a body that a reset truncated."""
         if exc is not None:
--- a/src/dandelionplank_standins/hostiletarget.py
+++ b/src/dandelionplank_standins/hostiletarget.py
@@ -91,9 +91,16 @@
 class HostileTarget:
     """Answers each request as its behaviour says."""
 
-    def __init__(self, behaviour: Behaviour) -> None:
-        """Hold the behaviour and the requests received so far."""
+    def __init__(
+        self, behaviour: Behaviour, *, reads_bodies: bool = True
+    ) -> None:
+        """Hold the behaviour and the requests received so far.
+
+        :param reads_bodies: else a connection ends with its first response,
+            and the body of that request is never read
+        """
         self.behaviour = behaviour
+        self.reads_bodies = reads_bodies
         self.requests: list[RawRequest] = []
         self.connections: set[asyncio.StreamWriter] = set()
 
@@ -104,9 +111,11 @@
         self.connections.add(writer)
         number = 0
         try:
-            while True:
+            while self.reads_bodies or not number:
                 number += 1
-                request = await _read_request(reader, number)
+                request = await _read_request(
+                    reader, number, reads_body=self.reads_bodies
+                )
                 self.requests.append(request)
                 await self.behaviour(Exchange(request, writer))
         except (OSError, asyncio.IncompleteReadError):
@@ -121,14 +130,14 @@
 
 
 async def _read_request(
-    reader: asyncio.StreamReader, number: int
+    reader: asyncio.StreamReader, number: int, *, reads_body: bool
 ) -> RawRequest:
-    """Read one request with a length."""
+    """Read one request with a length, or its head only."""
     head = await reader.readuntil(b'\r\n\r\n')
     headers = {}
     for line in head.decode('latin-1').split('\r\n')[1:]:
         name, _, text = line.partition(':')
         headers[name.strip().lower()] = text.strip()
     length = int(headers.get('content-length', '0'))
-    body = await reader.readexactly(length)
+    body = await reader.readexactly(length) if reads_body else b''
     return RawRequest(headers.get(REQUEST_ID, ''), body, number)
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -129,14 +129,20 @@
 
 @contextlib.asynccontextmanager
 async def hostile_fleet(
-    behaviour, service='plain', *, keeps_sound_target=False, **options
+    behaviour,
+    service='plain',
+    *,
+    keeps_sound_target=False,
+    reads_bodies=True,
+    **options,
 ):
     """Run a gateway of which one service has only a hostile target.
 
     :param keeps_sound_target: the service also has one sound target
+    :param reads_bodies: the hostile target reads the bodies of requests
     """
     async with platform_fleet(**options) as fleet:
-        target = HostileTarget(behaviour)
+        target = HostileTarget(behaviour, reads_bodies=reads_bodies)
         port = reserve_ports(1)[0]
         server = await asyncio.start_server(target.serve, '127.0.0.1', port)
         kept = [f'{service}-0'] if keeps_sound_target else []
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -12,6 +12,7 @@
 from bench.platform import (
     COMPLETE_STREAM,
     MODEL_HEADERS,
+    configuration,
     request_headers,
     target_entry,
 )
@@ -34,6 +35,9 @@
 BODY = b'payload'
 LONG_BODY = b'x' * 2_000_000
 EVENTS = tuple(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
+# More than the buffers of both sides hold.
+UPLOAD = b'u' * 4_000_000
+UNREAD_S = 0.3
 SERVED = (200, BODY)
 BROKEN = 'truncated'
 
@@ -71,10 +75,10 @@
     return respond
 
 
-async def outcome(fleet, path):
+async def outcome(fleet, path, upload=b'd'):
     """Return the status and body that a caller gets, or "truncated"."""
     try:
-        answer = await fleet.call(path, data=b'd', headers=MODEL_HEADERS)
+        answer = await fleet.call(path, data=upload, headers=MODEL_HEADERS)
     except aiohttp.ClientError:
         return BROKEN
     return answer[:2]
@@ -363,3 +367,62 @@
             assert received_body == COMPLETE_STREAM
         else:
             assert received == BROKEN
+
+
+def answers_early(is_reset, *lines):
+    """Return a behaviour: a response before the request has been read."""
+
+    async def respond(exchange):
+        body = COMPLETE_STREAM if lines else BODY
+        await exchange.write(exchange.head(*lines) + body)
+        if is_reset:
+            exchange.end(is_reset=True)
+            return
+        exchange.writer.write_eof()
+        await asyncio.sleep(UNREAD_S)
+
+    return respond
+
+
+@contextlib.asynccontextmanager
+async def upload_fleet(behaviour, service):
+    """Run a gateway that takes long bodies, with a target that reads none."""
+    async with hostile_fleet(behaviour, service, reads_bodies=False) as (
+        fleet,
+        _,
+    ):
+        gateway = fleet.gateways[0]
+        document = configuration(2)
+        document['Limits']['MaxBodyBytes'] = len(UPLOAD)
+        fleet.store.put('op/config', document)
+        await wait_until(
+            lambda: gateway.server.limits.body_bytes == len(UPLOAD)
+        )
+        yield fleet
+
+
+@run_on_both_loops
+async def test_an_unframed_response_before_its_request_is_written_is_cut():
+    """A part of a response was served as whole while an upload was written.
+
+    Without a length its end is that of the connection, which broke.
+    """
+    for path, lines in (('/book/x', ()), ('/chat/x', (EVENT_STREAM,))):
+        for is_reset in (False, True):
+            async with upload_fleet(
+                answers_early(is_reset, *lines), SERVICES_BY_PATH[path]
+            ) as fleet:
+                found = await outcome(fleet, path, UPLOAD)
+                assert found == BROKEN or found[0] == 502, (path, is_reset)
+
+
+@run_on_both_loops
+async def test_a_framed_response_before_its_request_is_read_is_served():
+    """Its length shows that it is whole, whatever the target reads."""
+
+    async def respond(exchange):
+        await exchange.write(exchange.response(BODY))
+        await asyncio.sleep(UNREAD_S)
+
+    async with upload_fleet(respond, 'plain') as fleet:
+        assert await outcome(fleet, '/book/x', UPLOAD) == SERVED
