Read the records before one version is taken for the only one

It happens here: a new version takes streams once all instances know it, but at once if no other is left; an instance that was cut off or stood still for less than the limit for keys (4 s) then believes in the old version alone, and its engines answer while they drain.

Now a stream without a record is taken for one of the only version after the records have been read from the store, and while the view is not older than the limit for keys, also on public routes; else it is refused (503, not executed, Retry-After 0.5 s). Cost: one read of the store for all streams taken up at once at an instance that did not begin them.

tests.test_stream_versions.test_an_instance_out_of_step_joins_no_streams, cut off and standing still: both failed before (200, run by the old version). Records of more than 256 streams and requests that wait while a version joins end in the same question and are refused unless recorded.

--- a/src/dandelionplank/fleet/streamrecords.py
+++ b/src/dandelionplank/fleet/streamrecords.py
@@ -98,11 +98,11 @@
             return ()
         if not request.metadata.last_event_id:
             return self._begin_versions(request.service)
-        origin = self._origin_of(request)
+        begun = _stream_id(request, request.metadata.resumes)
+        origin = self.versions.recorded_origin_of(begun)
         source = 'known'
-        if origin is None:
-            await self._read_records()
-            origin = self._origin_of(request)
+        if origin is None and await self._read_records():
+            origin = self._origin_of(begun, request.service)
             source = 'read'
         self._log_taken_up(request, origin, source)
         if origin is None or origin.service != request.service:
@@ -190,16 +190,23 @@
             time.monotonic() - limit_s,
         )
 
-    def _origin_of(self, request: CallerRequest) -> StreamOrigin | None:
-        """Return where the stream that a caller takes up began."""
-        return self.versions.origin_of(
-            _stream_id(request, request.metadata.resumes),
-            request.service,
-            time.monotonic(),
-        )
+    def _origin_of(self, begun: str, service: str) -> StreamOrigin | None:
+        """Return where a stream began after the records have been read.
+
+        An instance that was cut off or stood still may know one version where
+        the others have seen another one since. The records name both.
+
+        :param begun: id of the stream
+        """
+        if not self.view.may_admit_keys:
+            return self.versions.recorded_origin_of(begun)
+        return self.versions.origin_of(begun, service, time.monotonic())
 
-    async def _read_records(self) -> None:
-        """Read the records of all instances, once for all that wait."""
+    async def _read_records(self) -> bool:
+        """Read the records of all instances, once for all that wait.
+
+        :return: whether the store responded
+        """
         if self.reading is None:
             self.reading = asyncio.ensure_future(self.store.read())
             self.reading.add_done_callback(_take_error)
@@ -208,12 +215,13 @@
             records = await asyncio.shield(reading)
         except StoreError as error:
             log_event(Event.STORE_DOWN, why=error.reason, read='streams')
-            return
+            return False
         finally:
             if self.reading is reading:
                 self.reading = None
         for instance, record in records.items():
             self.apply_record(instance, record)
+        return True
 
     async def _write(self) -> None:
         """Write the record if it has changed, or remove it."""
--- a/src/dandelionplank/routing/streamversions.py
+++ b/src/dandelionplank/routing/streamversions.py
@@ -138,18 +138,25 @@
         )
         return self._own_versions(service, now_s).union(recorded)
 
+    def recorded_origin_of(self, request_id: str) -> StreamOrigin | None:
+        """Return where a stream began by a record of it, None without one.
+
+        :param request_id: request whose response brought its first event
+        """
+        known = self.streams.get(request_id)
+        return known.origin if known else self.recorded.get(request_id)
+
     def origin_of(
         self, request_id: str, service: str, now_s: float
     ) -> StreamOrigin | None:
         """Return where a stream began, None if that is not known.
 
+        Without a record of it, the only version there is began it.
+
         :param request_id: request whose response brought its first event
         :param service: service that its route states now
         """
-        known = self.streams.get(request_id)
-        if known:
-            return known.origin
-        recorded = self.recorded.get(request_id)
+        recorded = self.recorded_origin_of(request_id)
         if recorded:
             return recorded
         versions = self.possible_versions(service, now_s)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import aiohttp
+from nose2.tools import params
 
 from bench.platform import COMPLETE_STREAM, MODEL_HEADERS, configuration
+from dandelionplank.errors import StoreError
 from dandelionplank.routing.streamversions import (
     STREAM_AGE_S,
     StreamOrigin,
@@ -320,6 +323,63 @@
             assert response.status == 503
 
 
+async def put_out_of_step(daemon, *, reads_records):
+    """Let an instance learn nothing more, as one that stands still.
+
+    :param reads_records: it reaches the store again, and has not read what has
+        changed there
+    """
+    refusal = StoreError('status 503', step='store')
+    source = daemon.follower.source
+    for name in ('follow', 'resync'):
+        setattr(source, name, mock.AsyncMock(side_effect=refusal))
+    daemon.exchange.transport.close()
+    daemon.exchange.transport = None
+    if not reads_records:
+        daemon.parts.stream_records.read = mock.AsyncMock(side_effect=refusal)
+
+
+async def replace_all(fleet, gateway):
+    """Replace the engines by those of another version; the old ones drain."""
+    target = await fleet.start_target('llm-new', 'llm', Version=NEW)
+    target.version = NEW
+    target.events = MANY_EVENTS
+    for name in tuple(fleet.targets):
+        if name.startswith('llm') and name != 'llm-new':
+            fleet.store.delete(f'servers/{name}')
+    await wait_until(
+        lambda: (
+            [each.version for each in gateway.view.targets_of('llm')] == [NEW]
+        )
+    )
+
+
+@params(False, True)
+def test_an_instance_out_of_step_joins_no_streams(reads_records):
+    """It took a stream up at the only version that it knew.
+
+    Another instance had begun it at a newer one, since no other was left.
+    """
+
+    @run_async
+    async def run():
+        async with mixed_fleet((OLD, OLD), gateways=2) as fleet:
+            in_step, out_of_step = fleet.gateways
+            await put_out_of_step(out_of_step, reads_records=reads_records)
+            await replace_all(fleet, in_step)
+            await interrupt(fleet, 'begun')
+            assert version_of(fleet, 'begun') == NEW
+            await wait_until(
+                lambda: any(
+                    key.startswith('streams/') for key in fleet.store.entries
+                )
+            )
+            assert await take_up(fleet, 'again', 'begun', gateway=1) == 503
+            assert not has_run(fleet, 'again')
+
+    run()
+
+
 def test_a_new_version_takes_streams_once_all_instances_know_it():
     """Streams that it began were taken for those of the only version known."""
     versions = StreamVersions()
