--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,13 +6,17 @@
 
 import asyncio
 import contextlib
+import time
 from unittest import mock
 
 import aiohttp
 from nose2.tools import params
 
 from bench.platform import COMPLETE_STREAM, MODEL_HEADERS, configuration
-from dandelionplank.errors import StoreError
+from dandelionplank.errors import ErrorCode, RefusalError, StoreError
+from dandelionplank.fleet.clock import boot_time_s
+from dandelionplank.fleet.streamrecords import StreamRecordKeeper
+from dandelionplank.fleet.view import FleetView
 from dandelionplank.routing.streamversions import (
     STREAM_AGE_S,
     StreamOrigin,
@@ -380,6 +384,26 @@
     run()
 
 
+@run_async
+async def test_an_old_view_does_not_tell_the_only_version():
+    """Public routes are served by an instance that was cut off for long."""
+    view = FleetView(revoked_after_s=5)
+    store = mock.Mock(read=mock.AsyncMock(return_value={}))
+    keeper = StreamRecordKeeper('i', view, store, lambda: 1)
+    keeper.versions.see({'llm': {OLD}}, time.monotonic())
+    metadata = mock.Mock(last_event_id='1', resumes='begun', request_id='again')
+    request = mock.Mock(service='llm', account='', metadata=metadata)
+    view.confirm(boot_time_s())
+    assert await keeper.allowed_versions(request) == (OLD,)
+    view.confirmed_s -= view.revoked_after_s
+    try:
+        await keeper.allowed_versions(request)
+    except RefusalError as error:
+        assert error.code is ErrorCode.STREAM_UNKNOWN
+    else:
+        raise AssertionError('taken up')
+
+
 def test_a_new_version_takes_streams_once_all_instances_know_it():
     """Streams that it began were taken for those of the only version known."""
     versions = StreamVersions()
