Count an instance that stood still as late for a short time only

A freeze of ten seconds would have let owners count 0.25 / (0.25 + 10) of each of its grants for some seconds, and so overfill engines, although its loop was in time again. A delay counts as 0.5 s at most now, also where a ticket states more. tests.test_local_health fails before (10 in place of 0.5).

--- a/src/dandelionplank/fleet/localhealth.py
+++ b/src/dandelionplank/fleet/localhealth.py
@@ -11,9 +11,11 @@
 LATE_LOOP_S = 0.05
 # Time constant with which a measured delay is forgotten.
 DELAY_MEMORY_S = 1.0
+# A longer delay counts as this one: it is that of an instance that stood still,
+# and is over.
+LONGEST_DELAY_S = 0.5
 # A reply is read in the second turn after its ticket was sent, at the latest.
 TURNS_TO_READ = 2
-LONGEST_READING_S = 1.0
 # Time after which an instance that has not replied is silent, although the loop
 # is late: if replies to later tickets have been read, and if none have.
 SHORTEST_DOUBT_S = 1.0
@@ -36,6 +38,7 @@
 
         :param now_s: monotonic time at which it was measured
         """
+        delay_s = min(delay_s, LONGEST_DELAY_S)
         self.delay_s = max(delay_s, self.delay_at_s(now_s))
         self.measured_s = now_s
 
@@ -60,7 +63,7 @@
 
     def reading_time_s(self, now_s: float) -> float:
         """Return by how much longer than usual a reply may take to be read."""
-        return min(LONGEST_READING_S, TURNS_TO_READ * self.delay_at_s(now_s))
+        return TURNS_TO_READ * self.delay_at_s(now_s)
 
     def is_silence(self, peer: str, sent_s: float, now_s: float) -> bool:
         """Return whether a missing reply shows that an instance is silent.
--- a/src/dandelionplank/fleet/poolowner.py
+++ b/src/dandelionplank/fleet/poolowner.py
@@ -9,6 +9,7 @@
 from dandelionplank.delivery.dispatch import Dispatcher
 from dandelionplank.errors import RefusalError
 from dandelionplank.fairness.waiting import WaitingRequest
+from dandelionplank.fleet.localhealth import LONGEST_DELAY_S
 from dandelionplank.fleet.tickets import (
     OpenGrant,
     OpenGrants,
@@ -260,7 +261,7 @@
         is_ticket=True,
         accepts_reread=ticket.is_overflow,
         versions=ticket.versions,
-        delay_s=max(0.0, ticket.delay_s),
+        delay_s=min(max(0.0, ticket.delay_s), LONGEST_DELAY_S),
     )
 
 
