Name the limit of a late loop and the retry of its refusals once

LATE_LOOP_S and OVERLOADED_RETRY_S stood in two modules each and mean the same; both are those of ingress/overload.py now. LATE_SHARE was 1 and multiplied nothing.

--- a/src/dandelionplank/fleet/localhealth.py
+++ b/src/dandelionplank/fleet/localhealth.py
@@ -7,8 +7,8 @@
 
 import math
 
-# A loop that is late by less leaves the time-outs of replies as they are.
-LATE_LOOP_S = 0.05
+from dandelionplank.ingress.overload import LATE_LOOP_S
+
 # Time constant with which a measured delay is forgotten.
 DELAY_MEMORY_S = 1.0
 # A longer delay counts as this one: it is that of an instance that stood still,
--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -35,6 +35,7 @@
     TicketRejection,
     TicketReply,
 )
+from dandelionplank.ingress.overload import OVERLOADED_RETRY_S
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.load import (
     DispatchedRequest,
@@ -54,8 +55,6 @@
 POOLS_IF_BEHIND = 3
 # Period at which open grants are listed to their owners.
 LISTING_PERIOD_S = 0.5
-# Callers reach another instance when they retry.
-OVERLOADED_RETRY_S = 0.1
 RANDOM_NUMBER_BITS = 48
 # In the ticket of a request that has no prompt.
 NO_WORK = TokenWork('', 0, 0, ())
--- a/src/dandelionplank/ingress/gateway.py
+++ b/src/dandelionplank/ingress/gateway.py
@@ -32,7 +32,11 @@
 from dandelionplank.ingress.callerbounds import derive_bounds
 from dandelionplank.ingress.grace import GracePeriod
 from dandelionplank.ingress.loopdelay import LoopDelayMeter
-from dandelionplank.ingress.overload import NO_LEVELS, OverloadControl
+from dandelionplank.ingress.overload import (
+    NO_LEVELS,
+    OVERLOADED_RETRY_S,
+    OverloadControl,
+)
 from dandelionplank.ingress.presence import has_left, has_next_request
 from dandelionplank.ingress.readiness import LoadReadiness
 from dandelionplank.ingress.sinks import StreamSink
@@ -51,8 +55,6 @@
 STEP = 'ingress'
 NOT_READY_RETRY_S = 0.5
 STALE_RETRY_S = 1.0
-# Callers reach another instance when they retry.
-OVERLOADED_RETRY_S = 0.1
 # A prompt that is too large does not fit later either.
 TOO_LARGE_RETRY_S = 3600.0
 # Callers disconnect from a stream that is silent for the longest of these: a
--- a/src/dandelionplank/ingress/overload.py
+++ b/src/dandelionplank/ingress/overload.py
@@ -24,12 +24,12 @@
 # Refusing fewer recent requests of an account relieves no loop: something else
 # delays it.
 RELIEVING_REQUESTS = 20
-# Time constant of the number of recent requests that the loop handles in time.
+# Time constants of the number of recent requests that the loop handles in time,
+# and with which it falls while the loop stays late.
 USUAL_S = 2.0
-# Share of it that a late loop takes, and time constant with which that falls
-# while the loop stays late.
-LATE_SHARE = 1.0
 LATE_DECAY_S = 5.0
+# Callers reach another instance when they retry.
+OVERLOADED_RETRY_S = 0.1
 # Share of the bound on connections from which refused ones end. Each retry
 # comes on a new connection, so that the others stay open without a request.
 NEAR_BOUND_SHARE = 0.8
@@ -93,9 +93,10 @@
         """Return whether a request is taken, and count it if it is.
 
         While the loop is late, accounts that have had many requests, and no
-        less than an even share of all, get no more taken than a part of what
-        it handled in time, unless they are behind another one with many
-        requests. Those that are ahead of them get no more taken either.
+        less than an even share of all, get no more taken than it handled in
+        time, which falls while it stays late, unless they are behind another
+        one with many requests. Those that are ahead of them get no more taken
+        either.
 
         :param levels: service that the accounts received lately, fleet-wide
         """
@@ -118,7 +119,7 @@
         """
         if self.is_late:
             elapsed_s = min(elapsed_s, DECAY_S)
-            allowed = self.usual * LATE_SHARE * elapsed_s / DECAY_S
+            allowed = self.usual * elapsed_s / DECAY_S
             self.allowance = min(self.allowance + allowed, RELIEVING_REQUESTS)
             self.usual *= math.exp(-elapsed_s / LATE_DECAY_S)
         else:
