Reply to the tickets of instances that are not listed yet

The same holds for an instance whose entry the store has dropped.

Cause: a reply was sent to the address that the store lists, and to none otherwise, so that every owner looked silent. Now the sender of a ticket that is not listed gets its replies at the address that the ticket came from. They name targets only; views, which hold keys, go to listed addresses as before.

Evidence (x86_64): the new test timed out before.

--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -32,7 +32,7 @@
     apply_limit_reports,
     limit_reports,
 )
-from dandelionplank.fleet.tickets import TicketMessage
+from dandelionplank.fleet.tickets import Ticket, TicketMessage
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
@@ -52,8 +52,8 @@
 MAX_PREFILL_BYTES = 24_576
 # Bytes of a part besides its id.
 PART_OVERHEAD_BYTES = 8
-# Reports of senders that the store does not list. An instance that has just
-# started knows none of its peers from the store.
+# Reports and addresses of senders that the store does not list. An instance
+# that has just started knows none of its peers from the store.
 MAX_UNLISTED_SENDERS = 1024
 RENEWALS_PER_TTL = 3
 FAILED_RENEWAL_PAUSE_S = 1.0
@@ -107,6 +107,7 @@
         self.query_number = random.getrandbits(RANDOM_ID_BITS)
         self.pending_response: asyncio.Future[ViewResponse] | None = None
         self.transport: DatagramSocket | None = None
+        self.unlisted_addresses: dict[str, tuple[str, int]] = {}
         self.complete_report: ReportCompletion = _unchanged
         self.receivers: dict[type, Callable[[Any], None]] = {
             PeerReport: self._receive_report,
@@ -147,6 +148,8 @@
             return
         receive = self.receivers[type(message)]
         is_start = self._is_first_of_process(message)
+        if isinstance(message, Ticket):
+            self._record_address(message.sender, addr)
         try:
             receive(message)
             if is_start:
@@ -210,7 +213,11 @@
 
     def send(self, name: str, message: PeerMessage) -> None:
         """Send a message to one instance."""
-        self._send_listed(name, _ENCODER.encode(message))
+        block = _ENCODER.encode(message)
+        if name in self.view.peers:
+            self._send_listed(name, block)
+        elif name in self.unlisted_addresses:
+            self._send_block(self.unlisted_addresses[name], block)
 
     def _respond(self, query: ViewQuery) -> None:
         """Send the revision, age and changes of the view to an instance.
@@ -295,6 +302,19 @@
             now_s,
         )
 
+    def _record_address(self, sender: str, addr: tuple[str, int]) -> None:
+        """Record where an instance that is not listed awaits its replies.
+
+        One that has just started sends tickets before all others list it, and
+        one whose entry the store has dropped goes on sending them.
+        """
+        self.unlisted_addresses.pop(sender, None)
+        if sender in self.view.peers:
+            return
+        self.unlisted_addresses[sender] = addr
+        if len(self.unlisted_addresses) > MAX_UNLISTED_SENDERS:
+            self.unlisted_addresses.pop(next(iter(self.unlisted_addresses)))
+
     def _has_room_for(self, sender: str) -> bool:
         """Return whether a new sender's report is kept.
 
--- a/tests/test_late_replies.py
+++ b/tests/test_late_replies.py
@@ -12,7 +12,7 @@
 from dandelionplank.fleet.exchange import PeerExchange
 from dandelionplank.fleet.owners import FIRST_SUSPICION_S
 from dandelionplank.fleet.peers import PeerLoadTable
-from dandelionplank.fleet.tickets import TicketQueued
+from dandelionplank.fleet.tickets import Ticket, TicketQueued
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.routing.scheduler import Scheduler
 from dandelionplank.settings import Address
@@ -163,16 +163,21 @@
             assert suspicions[owner.name].length_s == FIRST_SUSPICION_S
 
 
+def make_exchange(name):
+    """Return the exchange of an instance that knows no other one."""
+    view = FleetView(5)
+    peer_loads = PeerLoadTable()
+    scheduler = Scheduler('a', view.targets_of, peer_loads)
+    return PeerExchange(name, view, peer_loads, scheduler)
+
+
 @run_on_both_loops
 async def test_replies_that_wait_in_the_socket_are_read_in_one_turn():
     """An instance whose turns are long read 32 of them in each.
 
     More arrived in that time, so that each was read late or dropped.
     """
-    view = FleetView(5)
-    peer_loads = PeerLoadTable()
-    scheduler = Scheduler('a', view.targets_of, peer_loads)
-    exchange = PeerExchange('late', view, peer_loads, scheduler)
+    exchange = make_exchange('late')
     receive = mock.Mock()
     exchange.receivers[TicketQueued] = receive
     address = Address('127.0.0.1', reserve_ports(1)[0])
@@ -187,3 +192,29 @@
     finally:
         exchange.transport.close()
     assert receive.call_count == REPLIES
+
+
+@run_on_both_loops
+async def test_a_ticket_of_an_instance_that_is_not_listed_yet_is_answered():
+    """One that had just started took every other instance for silent."""
+    exchange = make_exchange('owner')
+    exchange.receivers[Ticket] = lambda ticket: exchange.send(
+        ticket.sender, TicketQueued(ticket.number)
+    )
+    address = Address('127.0.0.1', reserve_ports(1)[0])
+    await exchange.listen(address)
+    ticket = Ticket(
+        'started', 7, 'llm', 'r', 'x', 1, 1, 1, 'm', 1, 1, (), (), False
+    )
+    try:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.setblocking(False)
+            sender.sendto(
+                msgspec.msgpack.encode(ticket), (address.ip, address.port)
+            )
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(1):
+                block = await loop.sock_recv(sender, 100)
+    finally:
+        exchange.transport.close()
+    assert msgspec.msgpack.decode(block, type=TicketQueued).number == 7
