Doubt the silence of an owner after the socket has dropped messages

The full socket of the entry had dropped all twelve of its replies in 1.6 s; replies of others to later tickets had been read, which shortened the doubt to 1 s.

Cause: that a later reply was read shows that an earlier one does not wait in the socket, not that it was never sent. Linux states with each datagram how many the socket has dropped (SO_RXQ_OVFL). A ticket that was sent before the last drop is now in doubt for the longer time, 2 s. `peer_datagrams_dropped_total` counts them.

--- a/src/dandelionplank/fleet/daemon.py
+++ b/src/dandelionplank/fleet/daemon.py
@@ -151,6 +151,7 @@
             settings.instance.id,
         )
         self.gateway.loop_delay.listeners.append(self.pool_client.health)
+        self.exchange.drop_listeners = (self.pool_client.health,)
         self.follower = StoreFollower(
             self.view,
             parts.source,
--- a/src/dandelionplank/fleet/datagrams.py
+++ b/src/dandelionplank/fleet/datagrams.py
@@ -8,9 +8,11 @@
 import asyncio
 import contextlib
 import socket
+import struct
+import time
 from collections import deque
-from collections.abc import Callable
-from typing import Self
+from collections.abc import Callable, Sequence
+from typing import Protocol, Self
 
 from dandelionplank.metrics import METRICS
 from dandelionplank.settings import Address
@@ -20,6 +22,11 @@
 MAX_DATAGRAM_BYTES = 65_536
 # The kernel grants what its own limit allows.
 BUFFER_BYTES = 1_048_576
+# Option of Linux, absent from the standard library: datagrams state how many
+# the socket has dropped so far.
+SO_RXQ_OVFL = 40
+DROP_COUNT = struct.Struct('=I')
+ANCILLARY_BYTES = socket.CMSG_SPACE(DROP_COUNT.size)
 # Datagrams that wait for room in the send buffer; further ones are not sent.
 MAX_UNSENT = 1024
 
@@ -27,6 +34,16 @@
 DatagramListener = Callable[[bytes, SocketAddress], None]
 
 
+class DropListener(Protocol):
+    """Learns that datagrams were dropped."""
+
+    def record_drop(self, now_s: float) -> None:
+        """Record that the receive buffer had no room for some of them.
+
+        :param now_s: monotonic time at which this was read
+        """
+
+
 class DatagramSocket:
     """A bound UDP socket on the running event loop."""
 
@@ -40,6 +57,8 @@
         """
         self.opened = opened
         self.on_datagram = on_datagram
+        self.dropped = 0
+        self.drop_listeners: Sequence[DropListener] = ()
         self.unsent: deque[tuple[bytes, SocketAddress]] = deque()
         self.loop = asyncio.get_running_loop()
         self.loop.add_reader(opened, self._read_waiting)
@@ -57,6 +76,9 @@
             opened.setblocking(False)  # noqa: FBT003
             for buffer in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 opened.setsockopt(socket.SOL_SOCKET, buffer, BUFFER_BYTES)
+            # A kernel without it reports no drops.
+            with contextlib.suppress(OSError):
+                opened.setsockopt(socket.SOL_SOCKET, SO_RXQ_OVFL, 1)
             opened.bind((address.ip, address.port))
         except OSError:
             opened.close()
@@ -88,7 +110,25 @@
         """Read the datagrams that wait, up to the bound."""
         with contextlib.suppress(BlockingIOError):
             for _ in range(MAX_DATAGRAMS_PER_TURN):
-                self.on_datagram(*self.opened.recvfrom(MAX_DATAGRAM_BYTES))
+                block, ancillary, _, sender = self.opened.recvmsg(
+                    MAX_DATAGRAM_BYTES, ANCILLARY_BYTES
+                )
+                if ancillary:
+                    self._record_dropped(ancillary[0][2])
+                self.on_datagram(block, sender)
+
+    def _record_dropped(self, count: bytes) -> None:
+        """Report that the number of dropped datagrams has grown.
+
+        :param count: number that the socket has dropped so far
+        """
+        dropped: int = DROP_COUNT.unpack(count)[0]
+        if dropped == self.dropped:
+            return
+        METRICS.add('peer_datagrams_dropped_total', dropped - self.dropped)
+        self.dropped = dropped
+        for listener in self.drop_listeners:
+            listener.record_drop(time.monotonic())
 
     def _send_waiting(self) -> None:
         """Send the datagrams that wait while the send buffer has room."""
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any, Protocol
 
 import msgspec
@@ -26,7 +26,7 @@
     WatcherRole,
 )
 from dandelionplank.fleet.crashmessages import CrashReport
-from dandelionplank.fleet.datagrams import DatagramSocket
+from dandelionplank.fleet.datagrams import DatagramSocket, DropListener
 from dandelionplank.fleet.peers import PeerLoadTable, PeerReport, PrefillReport
 from dandelionplank.fleet.ratereports import (
     apply_limit_reports,
@@ -107,6 +107,7 @@
         self.query_number = random.getrandbits(RANDOM_ID_BITS)
         self.pending_response: asyncio.Future[ViewResponse] | None = None
         self.transport: DatagramSocket | None = None
+        self.drop_listeners: Sequence[DropListener] = ()
         self.unlisted_addresses: dict[str, tuple[str, int]] = {}
         self.complete_report: ReportCompletion = _unchanged
         self.receivers: dict[type, Callable[[Any], None]] = {
@@ -134,6 +135,7 @@
         self.transport = DatagramSocket.from_address(
             address, self.datagram_received
         )
+        self.transport.drop_listeners = self.drop_listeners
 
     def datagram_received(
         self,
--- a/src/dandelionplank/fleet/localhealth.py
+++ b/src/dandelionplank/fleet/localhealth.py
@@ -17,7 +17,8 @@
 # A reply is read in the second turn after its ticket was sent, at the latest.
 TURNS_TO_READ = 2
 # Time after which an instance that has not replied is silent, although the loop
-# is late: if replies to later tickets have been read, and if none have.
+# is late: if replies to later tickets have been read, and if none have or the
+# socket has dropped messages since.
 SHORTEST_DOUBT_S = 1.0
 LONGEST_DOUBT_S = 2.0
 
@@ -30,6 +31,7 @@
         self.delay_s = 0.0
         self.measured_s = -math.inf
         self.answered_sent_s = -math.inf
+        self.dropped_s = -math.inf
         self.heard_s: dict[str, float] = {}
         self.unanswered_since_s: dict[str, float] = {}
 
@@ -55,6 +57,10 @@
         self.heard_s[peer] = now_s
         self.unanswered_since_s.pop(peer, None)
 
+    def record_drop(self, now_s: float) -> None:
+        """Record that the socket dropped messages, which may be replies."""
+        self.dropped_s = now_s
+
     def delay_at_s(self, now_s: float) -> float:
         """Return the delay to be expected, zero unless the loop is late."""
         elapsed_s = max(0.0, now_s - self.measured_s)
@@ -78,6 +84,6 @@
         if self.heard_s.get(peer, -math.inf) > sent_s:
             return False
         since_s = self.unanswered_since_s.setdefault(peer, sent_s)
-        is_passed = self.answered_sent_s > sent_s
+        is_passed = self.dropped_s < sent_s < self.answered_sent_s
         doubt_s = SHORTEST_DOUBT_S if is_passed else LONGEST_DOUBT_S
         return now_s - since_s >= doubt_s
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -4,15 +4,19 @@
 import socket
 from unittest import mock
 
+from dandelionplank.fleet import datagrams
 from dandelionplank.fleet.datagrams import (
     MAX_DATAGRAMS_PER_TURN,
     MAX_UNSENT,
     DatagramSocket,
 )
+from dandelionplank.fleet.localhealth import LocalHealth
 from dandelionplank.metrics import METRICS
 from dandelionplank.settings import Address
 from tests.fixtures import reserve_ports, run_on_both_loops
 
+# More datagrams than the smallest receive buffer holds.
+DROPPED = 100
 TARGET = ('127.0.0.1', 9)
 
 
@@ -47,6 +51,26 @@
     opened.close()
 
 
+@run_on_both_loops
+async def test_messages_that_the_socket_drops_are_reported():
+    """A reply that was dropped looked like one that was never sent."""
+    address = Address('127.0.0.1', reserve_ports(1)[0])
+    with mock.patch.object(datagrams, 'BUFFER_BYTES', 1):
+        opened = DatagramSocket.from_address(address, mock.Mock())
+    listener = mock.Mock(spec=LocalHealth())
+    opened.drop_listeners = (listener,)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for _ in range(DROPPED):
+            sender.sendto(b'x', (address.ip, address.port))
+        opened._read_waiting()
+        assert not listener.record_drop.called
+        for _ in range(2):
+            sender.sendto(b'x', (address.ip, address.port))
+            opened._read_waiting()
+    assert listener.record_drop.call_count == 1
+    opened.close()
+
+
 def test_messages_wait_in_order_for_room_in_the_send_buffer():
     """Reports to hundreds of instances are sent in one turn."""
     opened = full_socket()
--- a/tests/test_late_replies.py
+++ b/tests/test_late_replies.py
@@ -80,14 +80,13 @@
             self.held[receiver] = 0
             self.fleet.processors[receiver].stall(late_s)
         self.held[receiver] += 1
+        loop = asyncio.get_running_loop()
+        turn_s = self.turns[receiver]
         if self.held[receiver] <= BUFFERED:
-            asyncio.get_running_loop().call_at(
-                self.turns[receiver],
-                self.deliver_later,
-                source,
-                receiver,
-                message,
-            )
+            loop.call_at(turn_s, self.deliver_later, source, receiver, message)
+        else:
+            client = self.fleet.network.instances[receiver].client
+            loop.call_at(turn_s, client.health.record_drop, turn_s)
 
 
 async def lose_power(fleet):
--- a/tests/test_local_health.py
+++ b/tests/test_local_health.py
@@ -51,3 +51,15 @@
     health.record_delay(10, 0)
     assert health.delay_at_s(0) == LONGEST_DELAY_S
     assert not health.delay_at_s(3)
+
+
+def test_a_reply_that_may_have_been_dropped_shows_no_silence():
+    """Replies to later tickets were read, so that the owner was suspected."""
+    health = LocalHealth()
+    health.record_delay(LONG_DELAY_S, 1)
+    assert not health.is_silence('owner', 1, 1.5)
+    health.record_drop(1.6)
+    health.record_reply('other', 1.7, 1.8)
+    health.record_delay(LONG_DELAY_S, 2)
+    assert not health.is_silence('owner', 1, 1 + SHORTEST_DOUBT_S)
+    assert health.is_silence('owner', 1, 1 + LONGEST_DOUBT_S)
