Ask an owner again while its silence is in doubt

Now the owner is asked again, until it is silent (1 or 2 s after the first ticket) or half of the objective is over, when a refused caller can still be served in time by another instance. The batches of ticket events move to their own class.

--- a/src/dandelionplank/fleet/poolclient.py
+++ b/src/dandelionplank/fleet/poolclient.py
@@ -23,20 +23,23 @@
 from dandelionplank.fleet.ownerreplies import OwnerReplies
 from dandelionplank.fleet.owners import OwnerDirectory
 from dandelionplank.fleet.replytimes import ReplyTimes
+from dandelionplank.fleet.ticketevents import (
+    MessageSender,
+    TicketEventSender,
+)
 from dandelionplank.fleet.tickets import (
     OpenGrant,
     OpenGrants,
     Ticket,
     TicketEvent,
-    TicketEvents,
     TicketGrant,
-    TicketMessage,
     TicketQueued,
     TicketRejection,
     TicketReply,
 )
 from dandelionplank.ingress.overload import OVERLOADED_RETRY_S
 from dandelionplank.metrics import METRICS
+from dandelionplank.routing.admission import may_retry_in_time
 from dandelionplank.routing.load import (
     DispatchedRequest,
     opens_in_s,
@@ -59,8 +62,6 @@
 # In the ticket of a request that has no prompt.
 NO_WORK = TokenWork('', 0, 0, ())
 
-MessageSender = Callable[[str, TicketMessage], None]
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class RemoteGrant:
@@ -117,9 +118,7 @@
         self.owner_replies = OwnerReplies()
         self.avoided = AvoidedTargets(owners.view.registry)
         self.grants: dict[int, RemoteGrant] = {}
-        self.unsent_events: dict[str, list[tuple[int, TicketEvent]]] = (
-            defaultdict(list)
-        )
+        self.events = TicketEventSender(name, send)
 
     @property
     def receivers(self) -> dict[type, Callable[[Any], None]]:
@@ -233,7 +232,7 @@
             self.owners.record_answer(owner)
         if isinstance(reply, TicketGrant) and reply.number not in self.grants:
             self.owner_replies.returned += 1
-            self._put_event(reply.owner, reply.number, TicketEvent.ENDED)
+            self.events.put(reply.owner, reply.number, TicketEvent.ENDED)
 
     async def run_listing(self) -> None:
         """List the open grants to their owners until cancelled."""
@@ -385,25 +384,40 @@
                     _ticket(self.name, number, queue, waiting, is_overflow),
                     replies,
                 )
-                if reply is None:
-                    break
-                self.owners.record_answer(owner)
                 if isinstance(reply, TicketRejection):
                     is_settled = True
                     raise _refusal(waiting, reply.reason, reply.retry_after_s)
                 if isinstance(reply, TicketGrant):
                     is_settled = True
                     return self._accept(owner, queue, waiting, reply)
+                if reply is None and self._is_silent(owner, sent_s, waiting):
+                    return None
         finally:
             self.replies.pop(number)
             if not is_settled:
-                self._put_event(owner, number, TicketEvent.ENDED)
-        self.owner_replies.unanswered[owner] += 1
+                self.events.put(owner, number, TicketEvent.ENDED)
+
+    def _is_silent(
+        self, owner: str, sent_s: float, waiting: WaitingRequest
+    ) -> bool:
+        """Return whether a missing reply shows that an owner is silent.
+
+        While the loop is late, the owner is asked again as long as a refused
+        caller could still be served in time by another instance.
+
+        :param sent_s: monotonic time at which the ticket was first sent
+        :raises RefusalError: this is not known in that time
+        """
         now_s = time.monotonic()
-        if not self.health.is_silence(owner, sent_s, now_s):
+        is_silent = self.health.is_silence(owner, sent_s, now_s)
+        waited_s = now_s - waiting.arrived_s
+        if not is_silent and may_retry_in_time(waited_s, waiting.objective_s):
+            return False
+        self.owner_replies.unanswered[owner] += 1
+        if not is_silent:
             raise _late_refusal(waiting)
         self.owners.record_silent(owner, sent_s, now_s)
-        return None
+        return True
 
     async def _next_reply(
         self,
@@ -433,6 +447,7 @@
             now_s = time.monotonic()
             self.reply_times.record(owner, now_s - sent_s)
             self.health.record_reply(owner, sent_s, now_s)
+            self.owners.record_answer(owner)
             if not isinstance(reply, TicketQueued):
                 return reply
             try:
@@ -456,8 +471,8 @@
         """
         target = self.owners.view.registry.targets.get(reply.target)
         if target is None:
-            self._put_event(owner, reply.number, TicketEvent.MISDIRECTED)
-            self._put_event(owner, reply.number, TicketEvent.ENDED)
+            self.events.put(owner, reply.number, TicketEvent.MISDIRECTED)
+            self.events.put(owner, reply.number, TicketEvent.ENDED)
             raise _refusal(waiting, 'granted target was removed', 0)
         sent = DispatchedRequest(reply.uncached_tokens, 0, time.monotonic())
         self.grants[reply.number] = RemoteGrant(
@@ -478,20 +493,7 @@
         """Report an event to the owner of a grant, if it is another one."""
         remote = self.grants.get(grant.ticket_number)
         if remote:
-            self._put_event(remote.owner, remote.number, event)
-
-    def _put_event(self, owner: str, number: int, event: TicketEvent) -> None:
-        """Add an event to the next message to an owner."""
-        if not self.unsent_events:
-            asyncio.get_running_loop().call_soon(self._send_events)
-        self.unsent_events[owner].append((number, event))
-
-    def _send_events(self) -> None:
-        """Send the events of the present turn of the loop."""
-        unsent = tuple(self.unsent_events.items())
-        self.unsent_events.clear()
-        for owner, events in unsent:
-            self.send(owner, TicketEvents(self.name, tuple(events)))
+            self.events.put(remote.owner, remote.number, event)
 
 
 def _ticket(
--- a/src/dandelionplank/routing/admission.py
+++ b/src/dandelionplank/routing/admission.py
@@ -59,7 +59,15 @@
 
     :param waited_s: time between its arrival and the refusal
     """
-    return is_wait_reason(reason) and waited_s < objective_s / 2
+    return is_wait_reason(reason) and may_retry_in_time(waited_s, objective_s)
+
+
+def may_retry_in_time(waited_s: float, objective_s: float) -> bool:
+    """Return whether a refused request may still meet its objective elsewhere.
+
+    :param waited_s: time since its arrival
+    """
+    return waited_s < objective_s / 2
 
 
 def misses_objective(
--- a/tests/test_late_replies.py
+++ b/tests/test_late_replies.py
@@ -51,6 +51,9 @@
 REPLIES = 200
 TURNS = 2
 CONCURRENT = 20
+# Delay of a loop, and the objective of a request that arrives meanwhile.
+LATE_S = 0.1
+OBJECTIVE_S = 2
 
 
 class LateSocket:
@@ -162,6 +165,25 @@
             assert suspicions[owner.name].length_s == FIRST_SUSPICION_S
 
 
+@run_async
+async def test_a_request_whose_reply_is_read_late_is_not_refused():
+    """A loop that was late for a moment refused requests that had time left."""
+    async with pooled_fleet() as network:
+        work = make_work('subject', 'own')
+        owner = owner_of(network, work)
+        entry = entry_other_than(network, owner.name)
+        entry.client.health.record_delay(LATE_S, time.monotonic())
+        network.silent.add(owner.name)
+        request = asyncio.ensure_future(
+            entry.client.acquire(make_waiting(work, OBJECTIVE_S))
+        )
+        async with running(request):
+            await asyncio.sleep(OBJECTIVE_S / 4)
+            network.silent.remove(owner.name)
+            assert (await request).ticket_number > 0
+        assert not entry.directory.suspicions
+
+
 def make_exchange(name):
     """Return the exchange of an instance that knows no other one."""
     view = FleetView(5)
