Grant no request just before its deadline

Cause: a request that had waited for 2.98 of its 3 s was granted, and its response was cut off at the deadline; the target worked for nothing.

Now a request that has missed its objective is rejected 0.15 s before its deadline, the time to a first event that every estimate of a wait assumes. One whose objective is not over waits until its deadline as before.

Evidence (x86_64): the new test was granted before.

--- a/src/dandelionplank/routing/scheduler.py
+++ b/src/dandelionplank/routing/scheduler.py
@@ -23,6 +23,7 @@
     TargetShare,
 )
 from dandelionplank.routing.admission import (
+    FIRST_EVENT_OVERHEAD_S,
     LatencyEstimate,
     attainable_objective_s,
     misses_objective,
@@ -267,7 +268,7 @@
         return grants
 
     def expire(self, now_s: float) -> list[Rejection]:
-        """Reject the requests whose deadline has passed.
+        """Reject the requests that can't be answered before their deadline.
 
         Those of a pool that has lost its targets may be served in another one,
         and do not wait until then, nor do those of a withdrawn service.
@@ -277,7 +278,7 @@
             waiting
             for queue in self.queues.values()
             for waiting in queue.all_requests()
-            if now_s >= waiting.deadline_s
+            if _is_over(waiting, now_s)
         ]
         for waiting in expired:
             self.withdraw(waiting)
@@ -534,6 +535,17 @@
             load.stop_waiting(waiting.account, waiting.uncached_tokens)
 
 
+def _is_over(waiting: WaitingRequest, now_s: float) -> bool:
+    """Return whether a request can't be answered before its deadline.
+
+    The response to one that is granted just before is cut off.
+    """
+    left_s = waiting.deadline_s - now_s
+    if waiting.objective_deadline_s > now_s:
+        return left_s <= 0
+    return left_s <= FIRST_EVENT_OVERHEAD_S
+
+
 def _misses(
     waiting: WaitingRequest, estimate: LatencyEstimate | None, now_s: float
 ) -> bool:
--- a/tests/test_platform_decisions.py
+++ b/tests/test_platform_decisions.py
@@ -180,6 +180,25 @@
     assert load.prefill_s(load.pending_prefill_tokens) < ROUTE.objective_s
 
 
+def test_a_request_is_not_granted_just_before_its_deadline():
+    """Its response was cut off after some milliseconds."""
+    scheduler = make_scheduler('a')
+    waiting = make_request('x', make_work('s', 'own'), timeout_s=3.0)
+    scheduler.queues.setdefault('llm', WaitingQueue()).add(waiting)
+    assert not scheduler.expire(2.8)
+    assert only(scheduler.expire(2.98)).waiting is waiting
+    assert not scheduler.run_pass('llm', 2.98)
+
+
+def test_a_request_with_a_short_deadline_waits_until_it():
+    """One that may still meet its objective can be answered in less time."""
+    scheduler = make_scheduler('a')
+    waiting = make_request('x', make_work('s', 'own'), timeout_s=0.1)
+    scheduler.queues.setdefault('llm', WaitingQueue()).add(waiting)
+    assert not scheduler.expire(0.05)
+    assert scheduler.run_pass('llm', 0.05)
+
+
 def test_requests_that_would_miss_their_objective_are_rejected_at_once():
     """At three times the capacity, requests are rejected on arrival."""
     scheduler = make_scheduler('a')
