--- a/review/standins-2/reviewkit.py
+++ b/review/standins-2/reviewkit.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -340,6 +341,7 @@
         }
         limits = {'MemoryMb': 300, 'MaxFds': 4100, 'CpuShare': 0.537, 'CpuCores': 2, **fields.get('limits', {})}
         self.memory_mb = limits['MemoryMb']
+        self.descriptors = limits['MaxFds']
         values = {
             'NodeName|json': f'"front-{number}"',
             'Zone|json': '"recife-a"',
@@ -378,8 +380,19 @@
                 },
                 stdout=output,
                 stderr=output,
+                preexec_fn=self._limit_descriptors,
             )
 
+    def _limit_descriptors(self):
+        """Limit the descriptors of the new process as the platform does."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
+    def count_descriptors(self):
+        """Return the open descriptors of the process, zero once it has ended."""
+        with contextlib.suppress(OSError):
+            return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+        return 0
+
     @property
     def is_running(self):
         """Return whether the process runs."""
