--- a/review/standins-2/reviewkit.py
+++ b/review/standins-2/reviewkit.py
@@ -76,7 +76,8 @@
     if headers.get('transfer-encoding', '').lower() == 'chunked':
         parts = []
         while True:
-            size = int((await reader.readline()).split(b';')[0], 16)
+            line = await reader.readuntil(b'\n')
+            size = int(line.split(b';')[0], 16)
             block = await reader.readexactly(size + 2)
             if not size:
                 return b''.join(parts)
