--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,6 +19,8 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 PARTS = int(os.environ.get('PARTS', '200'))
+# Time from the first event of an answer to the crash.
+CRASH_AFTER_S = float(os.environ.get('CRASH_AFTER_S', '0'))
 FOLDER = Path(__file__).resolve().parent
 ENGINES = 9
 KV_TOKENS = 703_812
@@ -71,6 +73,7 @@
             writer.write(events[0])
             await writer.drain()
             if is_bad and TROUBLE:
+                await asyncio.sleep(CRASH_AFTER_S)
                 await self.crash()
                 return
             for event in events[1:]:
