--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,193 +1,181 @@
-"""Many large bodies of legal size at once, whole, beside ordinary callers.
+"""A gateway starts in a drill in which the store comes back from an older copy.
 
-A body that has arrived whole when its handler first reads it is taken whatever
-the other bodies hold, so that the process exceeds the memory of its machine,
-and the calls that ordinary callers have open there are lost.
+The copy holds a key that was taken away since, and lists no other instance. The
+new process runs requests with that key until the operator has written again.
 """
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
-import zlib
 from pathlib import Path
 
 import reviewkit
-from reviewkit import Engine, Gateway, OrdinaryCallers, Platform, Record, Store, now_s
+from reviewkit import Engine, Gateway, Record, Store, now_s
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 FOLDER = Path(__file__).resolve().parent
-# The smallest machine of the sheets (demands/LATER.md): 0.387 cores, 160 MB,
-# 1,638 descriptors; 45 model engines of 32 slots, 4 of the application with 6.
-LIMITS = {'MemoryMb': 160, 'MaxFds': 1638, 'CpuShare': 0.387, 'CpuCores': 1}
-MODEL_ENGINES = 45
-MODEL_SLOTS = 32
-KV_TOKENS = 599_543
-PLAIN_ENGINES = 4
-# A stream as the sheet has them: 43 events, pauses below 250 ms.
-EVENTS = 43
-GAP_S = 0.24
-# Callers with large bodies; MaxBodyBytes is 4,194,304.
-CROWD = 950
-CROWD_PER_S = 90
-BODY_BYTES = 145_000 if TROUBLE else 1500
-ORDINARY_CALLERS = 12
-# LOST: more than three.
-ALLOWED_LOST = 3
-
-
-def ordinary_work_s(request_id):
-    """Return the time of an ordinary call; they differ, so that calls overlap."""
-    return 0.3 + zlib.crc32(request_id.encode()) % 300 / 1000
-
-
-class StreamEngine(Engine):
-    """A model engine that reads the whole body and streams its events."""
-
-    async def answer(self, line, headers, body, reader, writer):
-        """Answer a prompt, or the list of kept parts."""
-        request_id = headers.get('dandelionplank-request-id', '')
-        if line.startswith('GET /v1/kv-list'):
-            text = b'{"epoch":1,"Next":0,"held":[]}'
-            writer.write(self.head('200 OK', '', len(text)) + text)
-            await writer.drain()
-            return
-        refusal = ''
-        if headers.get('dandelionplank-expect-instance', self.name) != self.name:
-            refusal = '421 Misdirected Request'
-        elif self.running >= self.slots:
-            refusal = '503 Service Unavailable'
-        if refusal:
-            writer.write(self.head(refusal, request_id, 0, 'Dandelionplank-Not-Executed: 1'))
-            await writer.drain()
-            return
-        self.running += 1
-        self.runs.append((now_s(), request_id, line))
-        self.record.write(f'engine {self.name} runs {request_id}, body of {len(body)} bytes')
-        events = [b'id: %d\ndata: x\n\n' % number for number in range(1, EVENTS + 1)]
-        try:
-            length = sum(map(len, events))
-            writer.write(self.head('200 OK', request_id, length, 'Content-Type: text/event-stream'))
-            for event in events:
-                writer.write(event)
-                await writer.drain()
-                await asyncio.sleep(GAP_S)
-        finally:
-            self.running -= 1
-
-
-class Crowd:
-    """Callers that send one large body each and read the stream."""
-
-    def __init__(self, gateway, record):
-        """Hold the callers; none has begun."""
-        self.gateway = gateway
+GATEWAYS = 2
+ENGINES = 4
+REVOKE_S = 5.0
+# From the end of a stopped process to the start of the next one.
+RESTART_S = 0.5
+# The drill: how long the store is away, and until the operator and the engines
+# have written again what it lacks.
+AWAY_S = 1.0
+WRITTEN_AGAIN_S = 1.5
+CALL_EVERY_S = 0.05
+
+
+class Case:
+    """The deployment, its operator and a caller with a key that is taken away."""
+
+    def __init__(self, record, directory):
+        """Hold the deployment; nothing runs."""
         self.record = record
-        self.answers = {}
+        self.directory = directory
+        self.store = Store()
+        self.engines = [
+            Engine(f'b{number}', 'bookings', record, 6, lambda _: 0.05)
+            for number in range(ENGINES)
+        ]
+        self.gateways = []
+        self.sent = {}
         self.is_over = False
-        self.tasks = []
-
-    async def run(self):
-        """Let the callers begin one after the other."""
-        for number in range(CROWD):
-            if self.is_over:
-                return
-            self.tasks.append(asyncio.ensure_future(self._call(number)))
-            await asyncio.sleep(1 / CROWD_PER_S)
-
-    async def _call(self, number):
-        """Send one request and read its answer."""
-        request_id = f'b{number}'
+
+    def write_configuration(self, version):
+        """Write a configuration; version 2 takes the second key away."""
+        keys = ['key-a', 'key-b'] if version == 1 else ['key-a']
+        self.store.put('op/config', reviewkit.configuration(
+            version,
+            [reviewkit.route('book', '/book/', 'unsafe', 'bookings', Public=False, TimeoutMs=4000, GoalMs=400)],
+            [{'Name': 'bookings'}],
+            keys={'tenant-a': keys},
+        ))
+        self.record.write(f'operator: version {version} acknowledged, keys {keys}')
+
+    def write_engines(self):
+        """Write the entries of the engines."""
+        for engine in self.engines:
+            self.store.put(f'servers/{engine.name}', engine.entry())
+
+    async def start(self):
+        """Start the deployment; return whether all gateways are ready."""
+        await self.store.start()
+        for engine in self.engines:
+            await engine.start()
+        self.write_engines()
+        self.write_configuration(1)
+        self.gateways += [Gateway(number, self.directory, self.store.port) for number in range(GATEWAYS)]
+        for gateway in self.gateways:
+            gateway.start()
+        return all([await gateway.wait_until_ready() for gateway in self.gateways])
+
+    async def stop(self, gateway):
+        """Send SIGTERM and wait for the end of the process, 8 s at most."""
+        self.record.write(f'platform: SIGTERM to gateway {gateway.number}')
+        gateway.send_signal(signal.SIGTERM)
+        until_s = now_s() + 8
+        while gateway.is_running and now_s() < until_s:
+            await asyncio.sleep(0.02)
+        gateway.kill()
+        self.record.write(f'platform: gateway {gateway.number} has ended')
+
+    async def call(self, gateway, number):
+        """Send bookings with the key that is taken away."""
+        count = 0
+        while not self.is_over:
+            count += 1
+            asyncio.ensure_future(self.book(gateway, f'g{number}-{count}'))
+            await asyncio.sleep(CALL_EVERY_S)
+
+    async def book(self, gateway, request_id):
+        """Send one booking on a new connection."""
+        try:
+            reader, writer = await asyncio.open_connection('127.0.0.1', gateway.port)
+        except OSError:
+            return
+        self.sent[request_id] = now_s()
         try:
-            reader, writer = await asyncio.open_connection('127.0.0.1', self.gateway.port)
-            writer.write(reviewkit.request(
-                request_id, '/chat/2f', b'x' * BODY_BYTES, key='key-b',
-                lines=(
-                    'Dandelionplank-Model: m',
-                    'Dandelionplank-Token-Usage: 300,172',
-                    f'Dandelionplank-Prefix-Hash: {number:08x}:300',
-                ),
-            ))
-            status, _, _ = await asyncio.wait_for(reviewkit.read_answer(reader), 20)
-            writer.close()
+            writer.write(reviewkit.request(request_id, '/book/2f', b'deposit', deadline_ms=4000, key='key-b'))
+            status, _, _ = await asyncio.wait_for(reviewkit.read_answer(reader), 5)
         except (OSError, EOFError, TimeoutError):
             status = 'cut'
-        self.record.write(f'crowd {request_id}: {status}')
-        self.answers[status] = self.answers.get(status, 0) + 1
+        writer.close()
+        self.record.write(f'caller {request_id}: {status}')
 
 
-async def play(case, record, directory):
+async def play(case, record):
     """Run the case; return the exit code."""
-    store = Store()
-    await store.start()
-    models = [
-        StreamEngine(f'm{number}', 'pool', record, MODEL_SLOTS, None)
-        for number in range(MODEL_ENGINES)
-    ]
-    plain = [Engine(f'a{number}', 'app', record, 6, ordinary_work_s) for number in range(PLAIN_ENGINES)]
-    for engine in (*models, *plain):
-        await engine.start()
-        store.put(f'servers/{engine.name}', engine.entry())
-    store.put('op/config', reviewkit.configuration(
-        1,
-        [
-            reviewkit.route('chat', '/chat/', 'streaming', 'pool', GapTargetMs=250, Sticky=True, Public=False),
-            reviewkit.route('pay', '/pay/', 'unsafe', 'app', Public=False, TimeoutMs=4000),
-        ],
-        [{'Name': 'pool', 'Engine': {'Slots': MODEL_SLOTS, 'KvTokens': KV_TOKENS}}, {'Name': 'app'}],
-        keys={'tenant-a': ['key-a'], 'tenant-b': ['key-b']},
-    ))
-    gateway = Gateway(0, directory, store.port, limits=LIMITS)
-    case.append(gateway)
-    gateway.start()
-    if not await gateway.wait_until_ready():
-        record.write('the gateway did not become ready')
+    store = case.store
+    if not await case.start():
+        record.write('a gateway did not become ready')
         return 2
-    platform = Platform([gateway], record)
-    watching = asyncio.ensure_future(platform.run())
-    callers = OrdinaryCallers(
-        gateway, record, ORDINARY_CALLERS,
-        lambda request_id: reviewkit.request(request_id, '/pay/2f', b'fee', deadline_ms=4000, key='key-a'),
-    )
-    callers.start()
-    await asyncio.sleep(2)
-    record.write(f'{CROWD} callers begin, {CROWD_PER_S} a second, with bodies of {BODY_BYTES} bytes')
-    crowd = Crowd(gateway, record)
-    sending = asyncio.ensure_future(crowd.run())
-    began_s = now_s()
-    while now_s() - began_s < 40 and not platform.ends and not (sending.done() and all(each.done() for each in crowd.tasks)):
-        await asyncio.sleep(0.25)
-        record.write(
-            f'open streams at engines {sum(each.running for each in models)}, '
-            f'descriptors {gateway.count_descriptors()}, '
-            f'resident MB {gateway.resident_bytes() >> 20}'
-        )
-    crowd.is_over = True
-    await callers.end()
-    watching.cancel()
-    lost = callers.lost(plain)
-    record.write(f'crowd: {crowd.answers}')
-    record.write(f'ordinary calls {callers.calls}, served {callers.answered}, cut {len(callers.cut)}')
-    record.write(f'peak resident MB {platform.peak[0] >> 20}, ended for memory {len(platform.ends)}')
-    record.write(f'run by an engine and never answered: {len(lost)} {lost}')
-    if not callers.answered:
+    first, second = case.gateways
+    callers = [
+        asyncio.ensure_future(case.call(gateway, gateway.number)) for gateway in case.gateways
+    ]
+    await asyncio.sleep(3)
+    # Planned work: the machines are stopped and started in turn.
+    await case.stop(second)
+    copy = store.copy()
+    record.write(f'store: a copy is taken, it holds {sorted(store.entries)}')
+    await asyncio.sleep(RESTART_S)
+    second.start()
+    await second.wait_until_ready()
+    case.write_configuration(2)
+    revoked_s = now_s()
+    await asyncio.sleep(1.2)
+    await case.stop(first)
+    if TROUBLE:
+        store.leave()
+        record.write('store: away')
+    await asyncio.sleep(RESTART_S)
+    first.start()
+    await asyncio.sleep(AWAY_S - RESTART_S)
+    if TROUBLE:
+        store.come_back(copy)
+        record.write(f'store: back from the copy, era {store.era}')
+        await asyncio.sleep(WRITTEN_AGAIN_S)
+        case.write_engines()
+        case.write_configuration(2)
+    await asyncio.sleep(4)
+    case.is_over = True
+    await asyncio.sleep(1)
+    limit_s = revoked_s + REVOKE_S
+    late = [
+        (request_id, round(case.sent[request_id] - revoked_s, 2))
+        for engine in case.engines for _, request_id, _ in engine.runs
+        if case.sent[request_id] > limit_s
+    ]
+    early = [
+        request_id for engine in case.engines for _, request_id, _ in engine.runs
+        if case.sent[request_id] < revoked_s
+    ]
+    record.write(f'bookings run before the key was taken away: {len(early)}')
+    record.write(f'bookings sent later than {REVOKE_S} s after it that ran: {len(late)} {sorted(late)}')
+    if not early:
         return 2
-    return 1 if len(lost) > ALLOWED_LOST else 0
+    return 1 if late else 0
 
 
 async def main():
     """Run the case and end with its exit code."""
     record = Record(FOLDER / 'record.txt')
-    code, started = 2, []
+    code = 2
     with tempfile.TemporaryDirectory() as directory:
+        case = Case(record, Path(directory))
         try:
-            code = await play(started, record, Path(directory))
+            code = await play(case, record)
         except Exception:
             record.write(traceback.format_exc())
         record.write(f'exit {code}')
-        for gateway in started:
+        for gateway in case.gateways:
             gateway.kill()
+            if os.environ.get('KEEP_LOGS'):
+                (FOLDER / gateway.log.name).write_bytes(gateway.log.read_bytes())
     print(f'exit {code}, see {FOLDER.name}/record.txt')
     sys.stdout.flush()
     os._exit(code)
--- a/review/standins-2/reviewkit.py
+++ b/review/standins-2/reviewkit.py
@@ -98,6 +98,9 @@
         self.changed = asyncio.Event()
         self.server = None
         self.port = 0
+        self.era = 1
+        self.is_away = False
+        self.writers = set()
 
     async def start(self):
         """Listen on a free port."""
@@ -122,6 +125,31 @@
         self.entries[key] = entry
         self._tell(entry)
 
+    def copy(self):
+        """Return a copy of all that the store holds."""
+        left = {
+            lease: (until_s - time.monotonic(), ttl_ms)
+            for lease, (until_s, ttl_ms) in self.leases.items()
+        }
+        return dict(self.entries), list(self.history), self.revision, left
+
+    def leave(self):
+        """Reset all connections from now on."""
+        self.is_away = True
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
+    def come_back(self, copy):
+        """Serve again, from a copy; its revisions are given out again."""
+        entries, history, self.revision, left = copy
+        self.entries, self.history = dict(entries), list(history)
+        self.leases = {
+            lease: (time.monotonic() + left_s, ttl_ms)
+            for lease, (left_s, ttl_ms) in left.items()
+        }
+        self.era += 1
+        self.is_away = False
+
     def delete(self, key):
         """Remove a key."""
         if self.entries.pop(key, None):
@@ -153,6 +181,10 @@
 
     async def _serve(self, reader, writer):
         """Answer the calls of one connection."""
+        if self.is_away:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 line, headers = await read_head(reader)
@@ -162,10 +194,11 @@
                 raw = json.dumps(document).encode()
                 writer.write(
                     f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
-                    f'Store-Era: 1\r\nContent-Length: {len(raw)}\r\n\r\n'.encode()
+                    f'Store-Era: {self.era}\r\nContent-Length: {len(raw)}\r\n\r\n'.encode()
                     + raw
                 )
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
     async def _answer(self, method, target, body):
@@ -206,6 +239,8 @@
         after = int(query['After'])
         until_s = time.monotonic() + int(query['WaitMs']) / 1000
         while True:
+            if after > self.revision:
+                return 410, {}
             events = [
                 event
                 for event in self.history
