--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -207,6 +207,7 @@
         Level.WARNING,
         'the key-value service was restored from an older copy',
     )
+    VIEW_USED = (513, Level.INFO, 'requests may use the configuration')
     CERTIFICATE_LOADED = (505, Level.INFO, 'a new certificate is in use')
     CERTIFICATE_REFUSED = (506, Level.WARNING, 'a certificate is not valid')
     INTENT_WRITTEN = (600, Level.INFO, 'an intent was recorded')
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -403,13 +403,23 @@
         """Let requests use the view unless a peer has a newer one."""
         if self.view.has_targets:
             return
-        deadline_s = time.monotonic() + PEER_REPORT_WAIT_S
+        start_s = time.monotonic()
+        deadline_s = start_s + PEER_REPORT_WAIT_S
         others = self.view.peers.keys() - {self.confirmer.watcher_role.name}
         while others and self.view.peer_version is None:
             if time.monotonic() > deadline_s:
                 break
             await asyncio.sleep(PEER_REPORT_POLL_S)
         self.view.has_targets = not self.view.is_behind
+        if self.view.has_targets:
+            log_event(
+                Event.VIEW_USED,
+                version=self.view.table.version if self.view.table else 0,
+                peer_version=self.view.peer_version,
+                listed=len(others),
+                era=self.era,
+                waited_s=round(time.monotonic() - start_s, 2),
+            )
 
     def _advance(self, revision: StoreRevision | None) -> None:
         """Set the revision that the changes of the batch have reached."""
