--- a/src/dandelionplank/events.py
+++ b/src/dandelionplank/events.py
@@ -208,6 +208,16 @@
         'the key-value service was restored from an older copy',
     )
     VIEW_USED = (513, Level.INFO, 'requests may use the configuration')
+    VIEW_DOUBTED = (
+        514,
+        Level.WARNING,
+        'a restored store may lack a newer configuration; keys are refused',
+    )
+    VIEW_TRUSTED = (
+        515,
+        Level.INFO,
+        'a restored store lacks no newer configuration; keys are accepted',
+    )
     CERTIFICATE_LOADED = (505, Level.INFO, 'a new certificate is in use')
     CERTIFICATE_REFUSED = (506, Level.WARNING, 'a certificate is not valid')
     INTENT_WRITTEN = (600, Level.INFO, 'an intent was recorded')
--- a/src/dandelionplank/fleet/confirmation.py
+++ b/src/dandelionplank/fleet/confirmation.py
@@ -13,9 +13,11 @@
 
 import msgspec
 
+from dandelionplank.events import Event
 from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.fleet.peers import PeerLoadTable
 from dandelionplank.fleet.view import FleetView
+from dandelionplank.logs import log_event
 from dandelionplank.routing.rendezvous import rank_instances
 
 # Instances that watch the store; two of them may fail at the same time.
@@ -139,6 +141,39 @@
         return [WatcherRole(self.name, (name,), True) for name in names]
 
 
+class ConfirmationLog:
+    """Logs changes of the watchers, and when they stop to confirm a view."""
+
+    def __init__(self, role: WatcherRole) -> None:
+        """Hold the watchers at first."""
+        self.role = role
+        self.lost_why = ''
+
+    def record_role(self, role: WatcherRole) -> None:
+        """Hold the present watchers and log a change of them."""
+        if role != self.role:
+            log_event(
+                Event.WATCHERS_CHOSEN,
+                watchers=role.watchers,
+                is_watcher=role.is_watcher,
+            )
+        self.role = role
+
+    def record(self, lost_why: str, view_age_s: float) -> None:
+        """Log when confirmations by watchers stop or resume.
+
+        :param lost_why: empty if the view is confirmed
+        """
+        if bool(lost_why) != bool(self.lost_why):
+            event = Event.VOUCHING_LOST if lost_why else Event.VOUCHING_BACK
+            log_event(
+                event,
+                why=lost_why or self.lost_why,
+                view_age_s=round(view_age_s, 2),
+            )
+        self.lost_why = lost_why
+
+
 def _without(names: Sequence[str], left_out: Sequence[str]) -> tuple[str, ...]:
     """Return the names that are not left out."""
     return tuple(name for name in names if name not in left_out)
--- a/src/dandelionplank/fleet/exchange.py
+++ b/src/dandelionplank/fleet/exchange.py
@@ -287,7 +287,7 @@
                 instance=report.sender,
                 version=report.version,
             )
-        self.view.learn_version(report.version)
+        self.view.learn_report(report.sender, report.version, report.view_age_s)
         self.scheduler.record_prefill_reports(report.prefills)
         apply_limit_reports(
             self.scheduler,
@@ -354,13 +354,12 @@
         self.sequence += 1
         now_s = time.monotonic()
         levels = self.scheduler.local_service_levels.decay_to(now_s)
-        table = self.view.table
         report = PeerReport(
             self.name,
             self.incarnation,
             self.sequence,
             self.period_s * IDLE_PERIOD_FACTOR,
-            table.version if table else 0,
+            self.view.version,
             self.view.capped_age_s,
             self.is_leaving,
             self.scheduler.shares(),
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -6,16 +6,18 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dandelionplank.errors import StoreError
+from dandelionplank.errors import StoreConflictError, StoreError
 from dandelionplank.events import Event
 from dandelionplank.fleet.changes import StoredChange, StoreRevision
 from dandelionplank.fleet.clock import boot_time_s
 from dandelionplank.fleet.confirmation import (
     CONFIRMED_AGE_SHARE,
     QUERY_PERIOD_S,
+    ConfirmationLog,
     ViewConfirmer,
     ViewResponse,
 )
+from dandelionplank.fleet.evidence import ConfigurationRecord
 from dandelionplank.fleet.registry import RELISTING_GRACE_S
 from dandelionplank.fleet.view import FleetView
 from dandelionplank.logs import log_event
@@ -55,6 +57,14 @@
     def configured(self, table: RouteTable) -> None:
         """Apply a configuration."""
 
+    def configuration_recorded(
+        self, record: ConfigurationRecord, revision: int
+    ) -> None:
+        """Apply the record of the version that was current in an era.
+
+        :param revision: number of the change that wrote it
+        """
+
     def target_listed(self, target: Target) -> None:
         """Add or update a target."""
 
@@ -116,6 +126,16 @@
         :raises StoreError: the store did not respond
         """
 
+    async def record_configuration(
+        self, record: ConfigurationRecord, revision: int
+    ) -> None:
+        """Write the record of the configuration in force in an era.
+
+        :param revision: number of its last change, zero if there is none
+        :raises StoreConflictError: it has changed since
+        :raises StoreError: it may not have been written
+        """
+
     def apply(self, change: StoredChange, sink: ChangeSink) -> None:
         """Decode a change that another instance has passed on."""
 
@@ -142,8 +162,7 @@
         self.entry_lapse_s = target_report_s * MISSED_REPORTS
         self.on_targets_removed = on_targets_removed
         self.confirmer = confirmer
-        self.watcher_role = confirmer.watcher_role
-        self.unconfirmed_why = ''
+        self.confirmations = ConfirmationLog(confirmer.watcher_role)
         self.last_response_s = time.monotonic()
         self.store_back_s = float('-inf')
         self.failures = 0
@@ -175,6 +194,7 @@
         Targets may need some time to list themselves again.
         """
         self.view.evacuations.begin_listing()
+        self.view.enter_era(revision.era)
         self.is_older_copy = self.era not in {None, revision.era}
         if self.is_older_copy:
             self.store_back_s = time.monotonic()
@@ -193,8 +213,21 @@
         self.batch.append(change)
 
     def configured(self, table: RouteTable) -> None:
-        """Apply a configuration."""
+        """Apply a configuration.
+
+        One that is listed may be an older one of a restored store's copy; one
+        that changes after the listing was written since.
+        """
         self.view.configure(table)
+        self.view.record_stored(
+            table.version, is_listed=self.view.revision is None
+        )
+
+    def configuration_recorded(
+        self, record: ConfigurationRecord, revision: int
+    ) -> None:
+        """Apply the record of the version that was current in an era."""
+        self.view.apply_record(record, revision)
 
     def target_listed(self, target: Target) -> None:
         """Add or update a target."""
@@ -258,10 +291,10 @@
         """Query the watchers; return whether the view is recent."""
         if self.view.revision is None or self.failures:
             return False
-        self._update_watcher_role()
-        if self.watcher_role.is_watcher:
+        self.confirmations.record_role(self.confirmer.watcher_role)
+        if self.confirmations.role.is_watcher:
             return False
-        for _ in self.watcher_role.watchers:
+        for _ in self.confirmations.role.watchers:
             if await self._query_watcher():
                 return True
         return False
@@ -269,9 +302,9 @@
     async def _query_watcher(self) -> bool:
         """Apply what one watcher knows; return whether the view is recent."""
         queried_at_s = boot_time_s()
-        response = await self.confirmer.query(self.watcher_role)
+        response = await self.confirmer.query(self.confirmations.role)
         if response is None:
-            self._log_confirmation('no response')
+            self.confirmations.record('no response', self.view.age_s)
             return False
         self._apply_changes(response)
         if response.revision == self.view.revision:
@@ -282,7 +315,9 @@
             return False
         limit_s = self.view.change_bound_s * CONFIRMED_AGE_SHARE
         is_recent = self.view.age_s < limit_s
-        self._log_confirmation('' if is_recent else 'confirmation too old')
+        self.confirmations.record(
+            '' if is_recent else 'confirmation too old', self.view.age_s
+        )
         return is_recent
 
     def _apply_changes(self, response: ViewResponse) -> None:
@@ -302,31 +337,6 @@
         self._advance(reached)
         METRICS.add('changes_passed_on_total', len(response.changes))
 
-    def _update_watcher_role(self) -> None:
-        """Update the watcher role and log a change of watchers."""
-        role = self.confirmer.watcher_role
-        if role != self.watcher_role:
-            log_event(
-                Event.WATCHERS_CHOSEN,
-                watchers=role.watchers,
-                is_watcher=role.is_watcher,
-            )
-        self.watcher_role = role
-
-    def _log_confirmation(self, lost_why: str) -> None:
-        """Log when confirmations by watchers stop or resume.
-
-        :param lost_why: empty if the view is confirmed
-        """
-        if bool(lost_why) != bool(self.unconfirmed_why):
-            event = Event.VOUCHING_LOST if lost_why else Event.VOUCHING_BACK
-            log_event(
-                event,
-                why=lost_why or self.unconfirmed_why,
-                view_age_s=round(self.view.age_s, 2),
-            )
-        self.unconfirmed_why = lost_why
-
     async def _watch(self) -> None:
         """Call the store once, then pause until the next call is due."""
         start_s = time.monotonic()
@@ -335,7 +345,8 @@
             await self._step(
                 0
                 if self.failures
-                else self.view.change_bound_s * self.watcher_role.wait_share
+                else self.view.change_bound_s
+                * self.confirmations.role.wait_share
             )
         except StoreError as error:
             self.failures += 1
@@ -349,6 +360,7 @@
             pause_s = min(MAX_PAUSE_S, PAUSE_STEP_S * self.failures)
             await asyncio.sleep(pause_s * (0.5 + random.random()))
             return
+        await self._record_configuration()
         pause_s = start_s + WATCH_PERIOD_S - time.monotonic()
         if self.view.table:
             await asyncio.sleep(max(0.0, pause_s))
@@ -406,7 +418,7 @@
         start_s = time.monotonic()
         deadline_s = start_s + PEER_REPORT_WAIT_S
         others = self.view.peers.keys() - {self.confirmer.watcher_role.name}
-        while others and self.view.peer_version is None:
+        while others and self.view.evidence.newest is None:
             if time.monotonic() > deadline_s:
                 break
             await asyncio.sleep(PEER_REPORT_POLL_S)
@@ -414,13 +426,35 @@
         if self.view.has_targets:
             log_event(
                 Event.VIEW_USED,
-                version=self.view.table.version if self.view.table else 0,
-                peer_version=self.view.peer_version,
+                version=self.view.version,
+                peer_version=self.view.evidence.newest,
                 listed=len(others),
                 era=self.era,
                 waited_s=round(time.monotonic() - start_s, 2),
             )
 
+    async def _record_configuration(self) -> None:
+        """Record the configuration in a restored store, which may lack it.
+
+        Instances that start later learn from it whether they may rely on what
+        the store holds.
+        """
+        record = self.view.due_record
+        if record is None or not self.confirmer.watcher_role.is_watcher:
+            return
+        evidence = self.view.evidence
+        try:
+            await self.source.record_configuration(
+                record, evidence.record_revision
+            )
+        except StoreConflictError:
+            # Another instance has written it; the next watch reads that one.
+            return
+        except StoreError as error:
+            log_event(Event.STORE_DOWN, why=error.reason, write='configuration')
+            return
+        evidence.record = record
+
     def _advance(self, revision: StoreRevision | None) -> None:
         """Set the revision that the changes of the batch have reached."""
         if self.view.revision is not None and revision is not None:
@@ -434,6 +468,7 @@
         silent_s = now_s - self.last_response_s
         if self.failures:
             log_event(Event.STORE_BACK, silent_s=round(silent_s, 2))
+            self.view.evidence.record_outage(silent_s)
             if silent_s > self.entry_lapse_s:
                 self.store_back_s = now_s
         self.failures = 0
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -7,6 +7,7 @@
 from dandelionplank.fleet.changes import ChangeLog, StoreRevision
 from dandelionplank.fleet.clock import boot_time_s
 from dandelionplank.fleet.evacuations import Evacuations
+from dandelionplank.fleet.evidence import ConfigurationRecord, VersionEvidence
 from dandelionplank.fleet.registry import TargetRegistry
 from dandelionplank.logs import log_event
 from dandelionplank.routing.routes import RouteTable
@@ -20,9 +21,6 @@
 # Age of the view, as a share of revoked_after_s, beyond which an instance is
 # not ready if a peer's view is newer.
 READY_AGE_SHARE = 0.5
-# Longest time for which the store may lack a configuration that another
-# instance has.
-BEHIND_LIMIT_S = 30.0
 # Age given in reports and logs for a view that was never confirmed.
 UNCONFIRMED_AGE_S = 1_000_000.0
 # Instances not listed any more whose last addresses are remembered.
@@ -56,8 +54,7 @@
         self.revision: StoreRevision | None = None
         self.changes = ChangeLog()
         self.confirmed_s = -math.inf
-        self.peer_version: int | None = None
-        self.behind_since_s = -math.inf
+        self.evidence = VersionEvidence()
         self.has_targets = False
         self.listeners: list[TableListener] = []
         self.entry_listeners: list[EntryListener] = []
@@ -87,6 +84,11 @@
         """Return whether configuration and targets have been loaded."""
         return self.table is not None and self.has_targets
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration, zero for none."""
+        return self.table.version if self.table else 0
+
     @property
     def may_admit_keys(self) -> bool:
         """Return whether the view is recent enough to accept keys."""
@@ -103,10 +105,7 @@
 
         A store that was restored from an older copy may lack it for a while.
         """
-        version = self.table.version if self.table else 0
-        if self.peer_version is None or version >= self.peer_version:
-            return False
-        return boot_time_s() - self.behind_since_s < BEHIND_LIMIT_S
+        return self.evidence.is_behind(self.version, boot_time_s())
 
     @property
     def is_stale(self) -> bool:
@@ -117,17 +116,103 @@
         """Record that the view was current at the time of a query.
 
         No response of the store confirms it while another instance has a newer
-        configuration.
+        configuration, or while a restored store may lack one.
         """
         if self.is_behind:
             return
+        if self.evidence.is_recorded(self.version):
+            self.end_doubt('recorded')
+        if self.evidence.is_doubtful(boot_time_s()):
+            self.evidence.doubt(queried_at_s)
+            return
+        self.end_doubt('not written again')
         self.confirmed_s = max(self.confirmed_s, queried_at_s)
 
+    def enter_era(self, era: int) -> None:
+        """Record the era of the store in a listing, before its documents."""
+        self.evidence.begin_listing()
+        now_s = boot_time_s()
+        before = self.evidence.era
+        is_doubtful = self.evidence.enter_era(
+            era,
+            self.confirmed_s,
+            now_s,
+            is_followed=before is not None and self.may_admit_keys,
+        )
+        if is_doubtful:
+            log_event(
+                Event.VIEW_DOUBTED,
+                era=era,
+                before=before,
+                version=self.version,
+                view_age_s=round(self.capped_age_s, 2),
+            )
+
+    def end_doubt(self, why: str) -> None:
+        """Rely on the configuration of a restored store.
+
+        :param why: what shows that no newer one was lost, for the log
+        """
+        if not self.evidence.is_doubt_open:
+            return
+        confirmed_s = self.evidence.end_doubt()
+        log_event(Event.VIEW_TRUSTED, why=why, version=self.version)
+        if not self.is_behind:
+            self.confirmed_s = max(self.confirmed_s, confirmed_s)
+
+    def record_stored(self, version: int, *, is_listed: bool) -> None:
+        """Record the version that the store holds.
+
+        :param is_listed: it was read in a listing, so that it may be that of an
+            older copy; else the operator has just written it
+        """
+        self.evidence.stored_version = version
+        if not is_listed:
+            self.evidence.is_written = True
+            self.end_doubt('written again')
+
     def learn_version(self, version: int) -> None:
-        """Record the version of the configuration of another instance."""
-        if self.peer_version is None or version > self.peer_version:
-            self.peer_version = version
-            self.behind_since_s = boot_time_s()
+        """Record a version that is in force elsewhere.
+
+        If a restored store has lost it, what the store has confirmed since does
+        not count.
+        """
+        now_s = boot_time_s()
+        is_newer = self.evidence.learn(version, now_s)
+        if is_newer and self.is_behind and self.evidence.may_have_lost(now_s):
+            self.confirmed_s = min(self.confirmed_s, self.evidence.relied_s)
+
+    def learn_report(self, sender: str, version: int, age_s: float) -> None:
+        """Record what another instance reports of its view.
+
+        :param age_s: time since its view was confirmed
+        """
+        self.learn_version(version)
+        is_relied_on = age_s < self.revoked_after_s * KEY_AGE_SHARE
+        if is_relied_on and self.table and version == self.version:
+            self.end_doubt(sender)
+
+    def apply_record(self, record: ConfigurationRecord, revision: int) -> None:
+        """Apply the store's record of the version in an era.
+
+        :param revision: number of the change that wrote it
+        """
+        self.evidence.record = record
+        self.evidence.record_revision = revision
+        self.learn_version(record.version)
+        if self.evidence.is_recorded(self.version):
+            self.end_doubt('recorded')
+
+    @property
+    def due_record(self) -> ConfigurationRecord | None:
+        """Return the record that a restored store lacks, if this view is sure.
+
+        The version is recorded if the store has lost it; any other one is in
+        the store itself.
+        """
+        if self.is_behind or not self.may_admit_keys or not self.table:
+            return None
+        return self.evidence.due_record(self.version)
 
     def configure(self, table: RouteTable) -> None:
         """Apply a configuration if its version is newer."""
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -13,6 +13,7 @@
 
 from dandelionplank.decoding import DECODE_ERRORS
 from dandelionplank.errors import ErrorCode, StoreError
+from dandelionplank.fleet.evidence import ConfigurationRecord
 from dandelionplank.platform.names import MS_PER_SECOND
 from dandelionplank.routing.routes import (
     ColdLimit,
@@ -158,6 +159,19 @@
         ) from error
 
 
+def decode_configuration_record(document: bytes) -> ConfigurationRecord:
+    """Decode the record of the configuration in force in an era.
+
+    :raises MalformedDocumentError: the entry is no such record
+    """
+    try:
+        return msgspec.json.decode(document, type=ConfigurationRecord)
+    except DECODE_ERRORS as error:
+        raise MalformedDocumentError(
+            f'configuration record: {error!r}', step=STEP
+        ) from error
+
+
 def decode_stream_record(document: bytes) -> StreamRecord:
     """Decode the record of an instance's open streams.
 
--- a/src/dandelionplank/platform/follow.py
+++ b/src/dandelionplank/platform/follow.py
@@ -8,6 +8,7 @@
 from dandelionplank.errors import StoreConflictError
 from dandelionplank.events import Event
 from dandelionplank.fleet.changes import StoredChange, StoreRevision
+from dandelionplank.fleet.evidence import ConfigurationRecord
 from dandelionplank.fleet.follower import ChangeSink
 from dandelionplank.logs import log_event
 from dandelionplank.platform import names
@@ -15,6 +16,7 @@
     MalformedDocumentError,
     QuarantineDocument,
     decode_configuration,
+    decode_configuration_record,
     decode_data_center,
     decode_peer_address,
     decode_quarantine,
@@ -77,6 +79,16 @@
             self.apply(change, sink)
         return max(revision, batch.revision)
 
+    async def record_configuration(
+        self, record: ConfigurationRecord, revision: int
+    ) -> None:
+        """Write the record of a configuration; see :class:`ChangeSource`."""
+        await self.store.put(
+            names.CONFIGURATION_RECORD_KEY,
+            msgspec.json.encode(record),
+            expected_revision=revision,
+        )
+
     def apply(self, change: StoredChange, sink: ChangeSink) -> None:
         """Decode one change and pass it to the sink by its kind."""
         sink.changed(change)
@@ -110,6 +122,17 @@
         sink.configured(decode_configuration(change.document))
 
 
+def _apply_configuration_record(change: StoredChange, sink: ChangeSink) -> None:
+    """Pass on the record of the configuration in force in an era.
+
+    :raises MalformedDocumentError: the entry is no such record
+    """
+    is_record = change.key == names.CONFIGURATION_RECORD_KEY
+    if is_record and change.document is not None:
+        record = decode_configuration_record(change.document)
+        sink.configuration_recorded(record, change.revision)
+
+
 def _apply_target(change: StoredChange, sink: ChangeSink) -> None:
     """Pass on a change of a target's entry; a malformed one names no target.
 
@@ -181,6 +204,7 @@
 
 _APPLIED_BY_PREFIX = (
     (names.CONFIGURATION_KEY, _apply_configuration),
+    (names.CONFIGURATION_RECORD_KEY, _apply_configuration_record),
     (names.TARGET_PREFIX, _apply_target),
     (names.PEER_PREFIX, _apply_peer),
     (names.QUARANTINE_PREFIX, _apply_quarantine),
@@ -214,7 +238,7 @@
                 names.QUARANTINE_PREFIX + part_id,
                 msgspec.json.encode(document),
                 lease,
-                must_be_new=True,
+                expected_revision=0,
             )
         except StoreConflictError:
             await self.store.revoke_lease(lease)
--- a/src/dandelionplank/platform/names.py
+++ b/src/dandelionplank/platform/names.py
@@ -54,6 +54,8 @@
 TARGET_PREFIX = 'servers/'
 PEER_PREFIX = 'fleet/'
 QUARANTINE_PREFIX = 'quarantine/'
+# The configuration in force in an era, as the fleet has recorded it.
+CONFIGURATION_RECORD_KEY = 'current/configuration'
 # Followed by the name of an instance.
 STREAM_PREFIX = 'streams/'
 # Followed by the name of a data centre whose targets may be sent nothing.
--- a/src/dandelionplank/platform/store.py
+++ b/src/dandelionplank/platform/store.py
@@ -238,36 +238,41 @@
         self,
         key: str,
         document: bytes,
-        lease: StoreLease,
+        lease: StoreLease | None = None,
         *,
-        must_be_new: bool = False,
+        expected_revision: int | None = None,
     ) -> None:
         """Write one key.
 
-        :param lease: lease that removes the key when it ends
-        :param must_be_new: write it only if it does not exist
-        :raises StoreConflictError: it exists
+        :param lease: lease that removes the key when it ends, if any
+        :param expected_revision: write it only if this is the number of its
+            last change, zero if it does not exist
+        :raises StoreConflictError: it has another one
         :raises LeaseEndedError: there is no such lease
         :raises StoreUnknownError: the write may have taken effect
         :raises StoreError: it did not take effect
         """
+        expected = []
+        if expected_revision is not None:
+            expected.append({'Key': key, 'Rev': expected_revision})
         await self._call(
             'POST',
             '/v1/kv-txn',
             _Confirmation,
             body={
-                'Expected': [{'Key': key, 'Rev': 0}] if must_be_new else [],
+                'Expected': expected,
                 'Writes': [
                     {
                         'Key': key,
                         'Value': base64.b64encode(document).decode(),
-                        'Lease': lease.number,
+                        'Lease': lease.number if lease else 0,
                     },
                 ],
                 'Delete': [],
             },
         )
-        self._check_era(lease)
+        if lease:
+            self._check_era(lease)
 
     async def close(self) -> None:
         """Close the connections."""
