--- a/src/dandelionplank/delivery/crashwatch.py
+++ b/src/dandelionplank/delivery/crashwatch.py
@@ -20,8 +20,6 @@
 from dandelionplank.delivery.connections import ConnectionPool
 from dandelionplank.delivery.requests import CallerRequest
 from dandelionplank.errors import ErrorCode, RefusalError, TargetError
-from dandelionplank.events import Event
-from dandelionplank.logs import log_event
 from dandelionplank.metrics import METRICS
 from dandelionplank.routing.crashlog import CrashKey, evidence_id
 from dandelionplank.routing.retries import AttemptState
@@ -34,7 +32,6 @@
 SOUND_RESPONSE_S = 0.5
 # Responses that break within this time break for the same reason.
 SAME_CRASH_S = 1.0
-MAX_LOGGED_PARTS = 16
 
 # Returns the software versions of the targets of a service.
 VersionsOf = Callable[[str], Iterable[str]]
@@ -190,13 +187,6 @@
         if not suspects:
             return
         METRICS.add('target_crashes_total')
-        log_event(
-            Event.TARGET_CRASHED,
-            target=target.name,
-            started_ms=target.started_ms,
-            parts=len(set(suspects)),
-            suspects=sorted(set(suspects))[:MAX_LOGGED_PARTS],
-        )
         self.recorder.record_crash((target.name, target.started_ms), suspects)
 
 
--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -40,6 +40,7 @@
 # Bytes of a part besides its id.
 PART_OVERHEAD_BYTES = 10
 MAX_LOGGED_TARGETS = 8
+MAX_LOGGED_PARTS = 16
 STORE_RETRY_S = 1.0
 
 
@@ -146,6 +147,7 @@
             log.add(key, now_s, suspects)
         self._decide(now_s)
         self._send(now_s)
+        self._log_crash(key, frozenset(suspects))
 
     def record_answer(self, part_ids: Iterable[str], at_s: float) -> None:
         """Record an answer that a target went on with.
@@ -199,6 +201,34 @@
         await self.store.put(part_id, now_s - quarantine.since_s, left_s)
         self.stored.add(part_id)
 
+    def _log_crash(self, key: CrashKey, suspects: frozenset[str]) -> None:
+        """Log a crash, and how much of it is known here and reported.
+
+        Those suspects are shown that were not answered for longest.
+        """
+        name, started_ms = key
+        crash = self.own_crashes.crashes.get(key)
+        shown = sorted(
+            suspects,
+            key=lambda each: (self.evidence.answered.last_s(each), each),
+        )
+        log_event(
+            Event.TARGET_CRASHED,
+            target=name,
+            started_ms=started_ms,
+            parts=len(suspects),
+            kept=len(crash.part_ids) if crash else 0,
+            reported=len(self._reported_ids(key)),
+            suspects=shown[:MAX_LOGGED_PARTS],
+        )
+
+    def _reported_ids(self, key: CrashKey) -> frozenset[str]:
+        """Return the ids that the next report lists for a crash."""
+        for crash in self._reported_crashes(time.monotonic()):
+            if (crash.target, crash.started_ms) == key:
+                return frozenset(crash.part_ids)
+        return frozenset()
+
     def _adopt(self, reported: ReportedQuarantine, now_s: float) -> None:
         """Take over a quarantine of another instance."""
         quarantine = Quarantine(now_s - reported.age_s, now_s + reported.left_s)
