--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 import time
+import zlib
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
@@ -10,6 +12,7 @@
 from dandelionplank.delivery.crashwatch import CrashWatch, VersionsOf
 from dandelionplank.errors import StoreError
 from dandelionplank.events import Event
+from dandelionplank.fleet.crashlistings import CrashListings, size_of
 from dandelionplank.fleet.crashmessages import (
     CrashReport,
     ReportedAnswer,
@@ -27,18 +30,14 @@
 )
 from dandelionplank.routing.crashlog import (
     AnsweredParts,
-    Crash,
     CrashKey,
     CrashLog,
 )
 
 MIN_PERIOD_S = 0.5
 DECISION_PERIOD_S = 0.25
-# Limits on the bytes of part ids in one report.
-MAX_CRASH_BYTES = 4096
-MAX_ANSWER_BYTES = 2048
-# Bytes of a part besides its id.
-PART_OVERHEAD_BYTES = 10
+# Limit on the bytes of the ids of answers in one report.
+MAX_ANSWER_BYTES = 4096
 MAX_LOGGED_TARGETS = 8
 MAX_LOGGED_PARTS = 16
 STORE_RETRY_S = 1.0
@@ -76,10 +75,13 @@
         self.unstored: asyncio.Queue[str] = asyncio.Queue()
         self.stored: set[str] = set()
         self.evidence = CrashEvidence()
-        self.own_crashes = CrashLog()
         self.own_answered = AnsweredParts()
+        self.own_crashes = CrashLog(self.own_answered)
         self.watch = CrashWatch(pool, self, versions_of)
         self.sent_s = 0.0
+        self.listings = CrashListings(self.evidence.crashes)
+        # How often each answer was reported.
+        self.told_answers: Counter[str] = Counter()
 
     @property
     def receivers(self) -> dict[type, Callable[[Any], None]]:
@@ -163,6 +165,7 @@
         if report.sender == self.exchange.name:
             return
         now_s = time.monotonic()
+        known = len(self.evidence.crashes.crashes)
         for crash in report.crashes:
             self.evidence.crashes.add(
                 (crash.target, crash.started_ms),
@@ -173,7 +176,8 @@
             self.evidence.answered.add((answer.part_id,), now_s - answer.age_s)
         for reported in report.quarantines:
             self._adopt(reported, now_s)
-        self._decide(now_s)
+        if len(self.evidence.crashes.crashes) != known:
+            self._decide(now_s)
 
     def report(self, now_s: float) -> CrashReport:
         """Return what this instance knows."""
@@ -218,17 +222,10 @@
             started_ms=started_ms,
             parts=len(suspects),
             kept=len(crash.part_ids) if crash else 0,
-            reported=len(self._reported_ids(key)),
+            reported=len(self.listings.told.get(key, ())),
             suspects=shown[:MAX_LOGGED_PARTS],
         )
 
-    def _reported_ids(self, key: CrashKey) -> frozenset[str]:
-        """Return the ids that the next report lists for a crash."""
-        for crash in self._reported_crashes(time.monotonic()):
-            if (crash.target, crash.started_ms) == key:
-                return frozenset(crash.part_ids)
-        return frozenset()
-
     def _adopt(self, reported: ReportedQuarantine, now_s: float) -> None:
         """Take over a quarantine of another instance."""
         quarantine = Quarantine(now_s - reported.age_s, now_s + reported.left_s)
@@ -237,38 +234,53 @@
 
     def _reported_crashes(self, now_s: float) -> Iterable[ReportedCrash]:
         """Yield the crashes seen here that no part explains, newest first."""
-        bytes_left = MAX_CRASH_BYTES
         crashes = self.own_crashes.without(self.evidence.shared_quarantines)
-        for (target, started_ms), crash in reversed(crashes.items()):
-            requests = crash.requests
-            bytes_left -= _size_of(requests)
-            if bytes_left < 0:
-                return
-            yield ReportedCrash(
-                target, started_ms, now_s - crash.at_s, requests
-            )
+        for key, requests in self.listings.take(crashes):
+            target, started_ms = key
+            age_s = now_s - crashes[key].at_s
+            yield ReportedCrash(target, started_ms, age_s, requests)
 
     def _reported_answers(self, now_s: float) -> Iterable[ReportedAnswer]:
-        """Yield the last answers seen here to prompts with suspect parts."""
+        """Yield the last answers seen here to prompts with suspect parts.
+
+        Those that were reported less often come first, so that all of them are
+        told in turn.
+        """
+        suspects = self._suspects()
+        self.told_answers = Counter(
+            {
+                part_id: self.told_answers[part_id]
+                for part_id in suspects
+                if part_id in self.told_answers
+            }
+        )
         bytes_left = MAX_ANSWER_BYTES
-        for part_id in self._suspects():
+        for part_id in suspects:
             at_s = self.own_answered.last_s(part_id)
             if math.isinf(at_s):
                 continue
-            bytes_left -= _size_of((part_id,))
+            bytes_left -= size_of((part_id,))
             if bytes_left < 0:
                 return
+            self.told_answers[part_id] += 1
             yield ReportedAnswer(part_id, now_s - at_s)
 
-    def _suspects(self) -> Iterable[str]:
-        """Return the parts in quarantine, then the most suspect ones."""
-        suspects = self.evidence.suspects()
-        ranked: list[tuple[str, list[Crash]]] = sorted(
-            suspects.items(), key=lambda suspect: -len(suspect[1])
-        )
-        return (
-            *self.evidence.quarantines,
-            *(part_id for part_id, _ in ranked),
+    def _suspects(self) -> list[str]:
+        """Return the parts in quarantine, then the suspects to be told of.
+
+        Instances begin with different ones of those that are in as many
+        crashes.
+        """
+        crashes = self.evidence.suspects()
+        quarantined = self.evidence.quarantines
+        return sorted(
+            crashes.keys() | quarantined.keys(),
+            key=lambda part_id: (
+                part_id not in quarantined,
+                self.told_answers[part_id],
+                -len(crashes.get(part_id, ())),
+                zlib.crc32(f'{self.exchange.name}/{part_id}'.encode()),
+            ),
         )
 
     def _decide(self, now_s: float) -> None:
@@ -298,11 +310,6 @@
             self.exchange.broadcast(report)
 
 
-def _size_of(part_ids: Iterable[str]) -> int:
-    """Return about how many bytes parts take in a report."""
-    return sum(len(part_id) + PART_OVERHEAD_BYTES for part_id in part_ids)
-
-
 def _log_change(change: QuarantineChange) -> None:
     """Log that a part was quarantined or released."""
     log_event(
--- a/src/dandelionplank/routing/crashes.py
+++ b/src/dandelionplank/routing/crashes.py
@@ -37,6 +37,8 @@
 # Difference between the clocks of two instances, which is the delay of their
 # messages.
 CLOCK_MARGIN_S = 0.5
+# Time in which the answers that the other instances know of arrive.
+ANSWERS_KNOWN_S = 1.0
 QUARANTINE_S = 600.0
 # A quarantine of another instance that ends this soon is not taken over, so
 # that instances do not prolong it for each other.
@@ -77,8 +79,8 @@
 
     def __init__(self) -> None:
         """Hold no evidence at first."""
-        self.crashes = CrashLog()
         self.answered = AnsweredParts()
+        self.crashes = CrashLog(self.answered)
         self.quarantines: dict[str, Quarantine] = {}
 
     @property
@@ -207,7 +209,7 @@
         counted: dict[str, dict[CrashKey, Crash]] = {}
         for part_id, keys in by_part.items():
             fresh = keys - explained
-            if fresh:
+            if fresh and len(keys) >= PROVEN_CRASHES:
                 fresh = fresh.union(
                     *(each for each in explained_by if each <= keys)
                 )
@@ -220,9 +222,11 @@
         """Quarantine the part that explains most crashes, if one is proven.
 
         Parts that are in the same crashes wait for one that distinguishes
-        them. If none has when there are enough crashes for any part, a part of
-        prompts comes before the identity of a request, and the one that was
-        not answered for longer before the other.
+        them. If none has when there are enough crashes for any part, and the
+        answers of other instances had time to arrive, a part of prompts comes
+        before the identity of a request, the one that was not answered for
+        longer before the other, and the one that is listed later before the
+        other: fewer prompts share the later parts.
         """
         proven = {
             part_id: crashes
@@ -230,16 +234,18 @@
             if self._is_proven(part_id, crashes, now_s)
         }
         rivals = Counter(map(tuple, proven.values()))
+        positions = self._positions() if len(proven) > 1 else {}
         ranked = [
             (
                 len(crashes),
                 not is_request(part_id),
                 -self.answered.last_s(part_id),
+                positions.get(part_id, 0),
                 part_id,
             )
             for part_id, crashes in proven.items()
             if rivals[tuple(crashes)] == 1
-            or len(crashes) >= PROVEN_CRASHES_IF_ANSWERED
+            or _is_enough_for_any(crashes.values(), now_s)
         ]
         if not ranked:
             return None
@@ -252,6 +258,14 @@
         targets = tuple(sorted(name for name, _ in explained))
         return QuarantineChange(part_id, targets, QUARANTINE_S)
 
+    def _positions(self) -> dict[str, int]:
+        """Return the places of the suspects in the listings of crashes."""
+        return {
+            part_id: position
+            for crash in self.crashes.crashes.values()
+            for position, part_id in enumerate(crash.carriers)
+        }
+
     def _is_proven(
         self, part_id: str, crashes: Mapping[CrashKey, Crash], now_s: float
     ) -> bool:
@@ -275,5 +289,15 @@
 
         :param first_s: monotonic time of the first one
         """
-        common = set.intersection(*(each.carriers(part_id) for each in crashes))
+        common = set.intersection(
+            *(each.carriers_of(part_id) for each in crashes)
+        )
         return not all(self._is_sound(identity, first_s) for identity in common)
+
+
+def _is_enough_for_any(crashes: Iterable[Crash], now_s: float) -> bool:
+    """Return whether crashes prove one of several parts that were in all."""
+    times_s = sorted(crash.at_s for crash in crashes)
+    if len(times_s) < PROVEN_CRASHES_IF_ANSWERED:
+        return False
+    return now_s - times_s[PROVEN_CRASHES_IF_ANSWERED - 1] >= ANSWERS_KNOWN_S
