--- a/src/dandelionplank/delivery/crashwatch.py
+++ b/src/dandelionplank/delivery/crashwatch.py
@@ -26,9 +26,8 @@
 from dandelionplank.targets import Target
 
 STEP = 'crashes'
-# A request is no suspect if its response went on for longer than this.
-SUSPECT_RESPONSE_S = 0.25
-# A response that goes on for this long shows that its prompt is sound.
+# A response that goes on for this long shows that its prompt is sound. Until
+# then it makes its request a suspect.
 SOUND_RESPONSE_S = 0.5
 # Responses that break within this time break for the same reason.
 SAME_CRASH_S = 1.0
@@ -128,7 +127,7 @@
             return
         now_s = time.monotonic()
         began_s = attempt.first_bytes_s or now_s
-        if not response.is_unframed or now_s - began_s > SUSPECT_RESPONSE_S:
+        if not response.is_unframed or now_s - began_s > SOUND_RESPONSE_S:
             self._record_answer(attempt, began_s)
         else:
             self._suspect(attempt, now_s, is_complete=True)
@@ -195,7 +194,7 @@
     if attempt.state is not AttemptState.UNKNOWN:
         return False
     began_s = attempt.first_bytes_s
-    return began_s is None or now_s - began_s < SUSPECT_RESPONSE_S
+    return began_s is None or now_s - began_s < SOUND_RESPONSE_S
 
 
 def _is_answer(request: CallerRequest, status: int) -> bool:
--- a/src/dandelionplank_standins/platformtarget.py
+++ b/src/dandelionplank_standins/platformtarget.py
@@ -51,6 +51,8 @@
         responds, empty for none
     :param sends_head_before_crash: the crash follows a head that states neither
         length nor chunks, so that it looks like the end of the response
+    :param crash_after_s: time from the first event of a stream to the crash,
+        zero for a crash before it
     :param is_leaving: every response states that the target is leaving
     :param retry_after: text of ``Retry-After`` in each rejection, empty for
         none
@@ -69,6 +71,7 @@
     crashing_part: str = ''
     crashing_body: bytes = b''
     sends_head_before_crash: bool = False
+    crash_after_s: float = 0
     is_leaving: bool = False
     retry_after: str = ''
     stated_limit: str = ''
@@ -179,15 +182,22 @@
             _reset_connection(request)
         await asyncio.sleep(self.faults.delay_s)
         if self._crashes_on(request, body):
-            if self.faults.sends_head_before_crash:
-                _write_undelimited_head(request, self.name)
-                await asyncio.sleep(EVENT_INTERVAL_S)
-            await self.crash()
+            await self._crash_on(request)
             raise ConnectionResetError
         if self.streams:
             return await self._stream(request)
         return await self._echo(request, body)
 
+    async def _crash_on(self, request: web.Request) -> None:
+        """Crash while the response to a request begins."""
+        if self.faults.sends_head_before_crash:
+            _write_undelimited_head(request, self.name)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        if self.faults.crash_after_s:
+            await self._begin_stream(request)
+            await asyncio.sleep(self.faults.crash_after_s)
+        await self.crash()
+
     def _crashes_on(self, request: web.Request, body: bytes) -> bool:
         """Return whether a request crashes the target."""
         if self.faults.crashing_body and body == self.faults.crashing_body:
@@ -240,6 +250,13 @@
             _reset_connection(request)
         await asyncio.sleep(EVENT_INTERVAL_S)
 
+    async def _begin_stream(self, request: web.Request) -> None:
+        """Send the first event of a stream."""
+        response = web.StreamResponse(headers=self._response_headers(request))
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        await response.write(b'id: 1\ndata: x\n\n')
+
     async def _stream(self, request: web.Request) -> web.StreamResponse:
         """Stream the events that follow ``Last-Event-Id``."""
         headers = self._response_headers(request)
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -34,6 +34,7 @@
 RESTART_S = 2.0
 SOUND_PERIOD_S = 0.1
 CRASHING_PERIOD_S = 0.3
+CRASH_AFTER_S = 0.4
 
 
 class CrashScene:
@@ -247,6 +248,20 @@
         assert scene.quarantined_parts() == {CRASHING_PART}
 
 
+@run_async
+async def test_crashes_soon_after_the_first_event_are_contained():
+    """A response of less than half a second neither clears nor accuses."""
+    async with crash_scene() as scene:
+        for engine in scene.engines:
+            engine.faults.crash_after_s = CRASH_AFTER_S
+        # One after the other, so that no other one has just begun at a crash.
+        for gateway in itertools.islice(itertools.cycle(ALL_GATEWAYS), 12):
+            await scene.call(scene.parts('ab', CRASHING_PART), gateway)
+            await asyncio.sleep(CRASHING_PERIOD_S * 2)
+        assert scene.quarantined_parts() == {CRASHING_PART}
+    assert len(scene.late_runs()) <= MAX_LATE_REQUESTS
+
+
 @run_async
 async def test_an_instance_without_a_crash_of_its_own_refuses_as_well():
     """What one instance has seen protects the engines from all others."""
