--- a/src/dandelionplank/fleet/crashlistings.py
+++ b/src/dandelionplank/fleet/crashlistings.py
@@ -36,7 +36,7 @@
         :param log: all crashes that are known, by which ids are ranked
         """
         self.log = log
-        self.told: dict[CrashKey, Counter[str]] = {}
+        self.report_counts: dict[CrashKey, Counter[str]] = {}
 
     def take(
         self, crashes: Mapping[CrashKey, Crash]
@@ -47,14 +47,18 @@
         to the earlier ones.
         """
         latest = list(reversed(tuple(crashes.items())))[:MAX_REPORTED_CRASHES]
-        self.told = {key: self.told.get(key, Counter()) for key in dict(latest)}
+        self.report_counts = {
+            key: self.report_counts.get(key, Counter()) for key in dict(latest)
+        }
         counts = self.log.count_ids()
         bytes_left = MAX_CRASH_BYTES
         for number, (key, crash) in enumerate(latest):
             share = bytes_left // (len(latest) - number)
-            ranked = self.log.by_suspicion(crash, counts, self.told[key])
+            ranked = self.log.by_suspicion(
+                crash, counts, self.report_counts[key]
+            )
             chosen = _choose(crash, ranked, share)
-            self.told[key].update(chosen)
+            self.report_counts[key].update(chosen)
             requests = crash.listing(chosen)
             bytes_left -= size_of(requests)
             yield key, requests
--- a/src/dandelionplank/fleet/crashreports.py
+++ b/src/dandelionplank/fleet/crashreports.py
@@ -81,7 +81,7 @@
         self.sent_s = 0.0
         self.listings = CrashListings(self.evidence.crashes)
         # How often each answer was reported.
-        self.told_answers: Counter[str] = Counter()
+        self.answer_report_counts: Counter[str] = Counter()
 
     @property
     def receivers(self) -> dict[type, Callable[[Any], None]]:
@@ -222,7 +222,7 @@
             started_ms=started_ms,
             parts=len(suspects),
             kept=len(crash.part_ids) if crash else 0,
-            reported=len(self.listings.told.get(key, ())),
+            reported=len(self.listings.report_counts.get(key, ())),
             suspects=shown[:MAX_LOGGED_PARTS],
         )
 
@@ -244,14 +244,14 @@
         """Yield the last answers seen here to prompts with suspect parts.
 
         Those that were reported less often come first, so that all of them are
-        told in turn.
+        reported in turn.
         """
         suspects = self._suspects()
-        self.told_answers = Counter(
+        self.answer_report_counts = Counter(
             {
-                part_id: self.told_answers[part_id]
+                part_id: self.answer_report_counts[part_id]
                 for part_id in suspects
-                if part_id in self.told_answers
+                if part_id in self.answer_report_counts
             }
         )
         bytes_left = MAX_ANSWER_BYTES
@@ -262,11 +262,11 @@
             bytes_left -= size_of((part_id,))
             if bytes_left < 0:
                 return
-            self.told_answers[part_id] += 1
+            self.answer_report_counts[part_id] += 1
             yield ReportedAnswer(part_id, now_s - at_s)
 
     def _suspects(self) -> list[str]:
-        """Return the parts in quarantine, then the suspects to be told of.
+        """Return the parts in quarantine, then the suspects to be reported.
 
         Instances begin with different ones of those that are in as many
         crashes.
@@ -277,7 +277,7 @@
             crashes.keys() | quarantined.keys(),
             key=lambda part_id: (
                 part_id not in quarantined,
-                self.told_answers[part_id],
+                self.answer_report_counts[part_id],
                 -len(crashes.get(part_id, ())),
                 zlib.crc32(f'{self.exchange.name}/{part_id}'.encode()),
             ),
--- a/src/dandelionplank/fleet/evidence.py
+++ b/src/dandelionplank/fleet/evidence.py
@@ -50,6 +50,8 @@
         self.is_written = False
         self.doubt_until_s = -math.inf
         self.doubted_s = -math.inf
+        # Age of the view when the store first failed since its confirmation.
+        self.failed_age_s: float | None = None
         self.stored_version = 0
         self.record: ConfigurationRecord | None = None
         self.record_revision = 0
@@ -95,6 +97,19 @@
         self.doubt_until_s = now_s + WRITTEN_AGAIN_S
         return True
 
+    def is_followed(self, age_s: float, limit_s: float) -> bool:
+        """Return whether the view was current until the store went away.
+
+        An instance that stood still or was cut off for a while may have missed
+        what was written then, although the store was not away for long.
+
+        :param age_s: present age of the view
+        :param limit_s: age from which the view counts as outdated
+        """
+        if self.failed_age_s is not None:
+            age_s = self.failed_age_s
+        return self.era is not None and age_s < limit_s
+
     @property
     def is_first_era(self) -> bool:
         """Return whether the store was never restored, as far as known."""
@@ -113,6 +128,14 @@
         """Hold a confirmation that counts once the doubt has ended."""
         self.doubted_s = max(self.doubted_s, confirmed_s)
 
+    def record_failure(self, age_s: float) -> None:
+        """Record that the store failed.
+
+        :param age_s: time since the view was confirmed
+        """
+        if self.failed_age_s is None:
+            self.failed_age_s = age_s
+
     def record_outage(self, silent_s: float) -> None:
         """Prolong the doubt, as nobody could write in an outage of the store.
 
--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -351,6 +351,7 @@
         except StoreError as error:
             self.failures += 1
             if self.failures == 1:
+                self.view.evidence.record_failure(self.view.age_s)
                 log_event(
                     Event.STORE_DOWN,
                     why=error.reason,
--- a/src/dandelionplank/fleet/view.py
+++ b/src/dandelionplank/fleet/view.py
@@ -126,6 +126,7 @@
             self.evidence.doubt(queried_at_s)
             return
         self.end_doubt('not written again')
+        self.evidence.failed_age_s = None
         self.confirmed_s = max(self.confirmed_s, queried_at_s)
 
     def enter_era(self, era: int) -> None:
@@ -137,7 +138,10 @@
             era,
             self.confirmed_s,
             now_s,
-            is_followed=before is not None and self.may_admit_keys,
+            is_followed=self.may_admit_keys
+            and self.evidence.is_followed(
+                self.age_s, self.revoked_after_s * READY_AGE_SHARE
+            ),
         )
         if is_doubtful:
             log_event(
--- a/src/dandelionplank/routing/crashlog.py
+++ b/src/dandelionplank/routing/crashlog.py
@@ -29,7 +29,7 @@
 DIGEST_PREFIX = 'd:'
 DIGEST_BYTES = 10
 
-NOTHING_TOLD: Mapping[str, int] = types.MappingProxyType({})
+NEVER_REPORTED: Mapping[str, int] = types.MappingProxyType({})
 
 # Name of a target and the Unix time of its start in milliseconds.
 CrashKey = tuple[str, int]
@@ -206,7 +206,7 @@
         self,
         crash: Crash,
         counts: Counter[str],
-        told: Mapping[str, int] = NOTHING_TOLD,
+        report_counts: Mapping[str, int] = NEVER_REPORTED,
     ) -> list[str]:
         """Return the ids of a crash, the most suspect ones first.
 
@@ -215,8 +215,8 @@
         then those that were not answered for longer.
 
         :param counts: in how many crashes each id was
-        :param told: how often an id was reported; of ids that are in as many
-            crashes those come first that were reported less often
+        :param report_counts: how often an id was reported; of ids that are in
+            as many crashes those come first that were reported less often
         """
         times_s = {
             part_id: self.answered.last_s(part_id) for part_id in crash.carriers
@@ -226,7 +226,7 @@
             key=lambda part_id: (
                 times_s[part_id] > crash.at_s,
                 -counts[part_id],
-                told.get(part_id, 0),
+                report_counts.get(part_id, 0),
                 not is_request(part_id),
                 times_s[part_id],
             ),
--- a/tests/test_older_copies.py
+++ b/tests/test_older_copies.py
@@ -314,6 +314,22 @@
         assert (view.due_record is not None) is (is_sure and eras != (1,))
 
 
+@params((1.5, 2, True), (3, 0.5, False), (1.5, 3, False))
+def test_an_instance_that_stood_still_before_the_store_failed_is_not_sure(
+    still_s, away_s, is_sure
+):
+    """What was written meanwhile may be lost, though the view is not old."""
+    with view_on_clock() as (view, clock):
+        clock.now_s += still_s
+        view.evidence.record_failure(view.age_s)
+        clock.now_s += away_s
+        view.evidence.record_failure(view.age_s)
+        list_store(view, clock, 2, 1)
+        clock.now_s += REVOKED_AFTER_S
+        view.confirm(clock())
+        assert view.may_admit_keys is is_sure
+
+
 def test_a_doubt_ends_if_the_operator_does_not_write_again():
     """A drill in which nothing was lost must not keep callers out."""
     with view_on_clock(eras=(2,)) as (view, clock):
