--- a/src/dandelionplank/fleet/follower.py
+++ b/src/dandelionplank/fleet/follower.py
@@ -168,7 +168,6 @@
         self.failures = 0
         self.batch: list[StoredChange] = []
         self.stream_listeners: list[StreamListener] = []
-        self.era: int | None = None
         # Documents are being applied that may be older than known ones.
         self.is_older_copy = False
 
@@ -194,19 +193,19 @@
         Targets may need some time to list themselves again.
         """
         self.view.evacuations.begin_listing()
+        before = self.view.evidence.era
         self.view.enter_era(revision.era)
-        self.is_older_copy = self.era not in {None, revision.era}
+        self.is_older_copy = before not in {None, revision.era}
         if self.is_older_copy:
             self.store_back_s = time.monotonic()
             log_event(
                 Event.STORE_RESTORED,
                 era=revision.era,
-                before=self.era,
+                before=before,
                 revision=revision.number,
             )
             for listener in self.view.restoration_listeners:
                 listener()
-        self.era = revision.era
 
     def changed(self, change: StoredChange) -> None:
         """Record a change for the instances that query this one."""
@@ -430,7 +429,7 @@
                 version=self.view.version,
                 peer_version=self.view.evidence.newest,
                 listed=len(others),
-                era=self.era,
+                era=self.view.evidence.era,
                 waited_s=round(time.monotonic() - start_s, 2),
             )
 
--- a/src/dandelionplank/platform/documents.py
+++ b/src/dandelionplank/platform/documents.py
@@ -7,7 +7,7 @@
 import ipaddress
 import math
 import types
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -35,6 +35,7 @@
 )
 
 STEP = 'decode'
+Document = TypeVar('Document')
 DEFAULT_TIMEOUT_S = 30.0
 MAX_NAME_LENGTH = 150
 MAX_VERSION = 9_223_372_036_854_775_807
@@ -151,12 +152,7 @@
 
     :raises MalformedDocumentError: the entry describes no quarantine
     """
-    try:
-        return msgspec.json.decode(document, type=QuarantineDocument)
-    except DECODE_ERRORS as error:
-        raise MalformedDocumentError(
-            f'quarantine: {error!r}', step=STEP
-        ) from error
+    return _decode(document, QuarantineDocument, 'quarantine')
 
 
 def decode_configuration_record(document: bytes) -> ConfigurationRecord:
@@ -164,12 +160,7 @@
 
     :raises MalformedDocumentError: the entry is no such record
     """
-    try:
-        return msgspec.json.decode(document, type=ConfigurationRecord)
-    except DECODE_ERRORS as error:
-        raise MalformedDocumentError(
-            f'configuration record: {error!r}', step=STEP
-        ) from error
+    return _decode(document, ConfigurationRecord, 'configuration record')
 
 
 def decode_stream_record(document: bytes) -> StreamRecord:
@@ -177,12 +168,19 @@
 
     :raises MalformedDocumentError: the entry is no such record
     """
+    return _decode(document, StreamRecord, 'streams')
+
+
+def _decode(document: bytes, form: type[Document], name: str) -> Document:
+    """Decode an entry that the fleet itself has written.
+
+    :param name: what it is, for the reason of the error
+    :raises MalformedDocumentError: the entry has another form
+    """
     try:
-        return msgspec.json.decode(document, type=StreamRecord)
+        return msgspec.json.decode(document, type=form)
     except DECODE_ERRORS as error:
-        raise MalformedDocumentError(
-            f'streams: {error!r}', step=STEP
-        ) from error
+        raise MalformedDocumentError(f'{name}: {error!r}', step=STEP) from error
 
 
 def _text(entry: Any, name: str) -> str:
